fix(coordination): lineage from the chosen log, no proof from claimed terms; chaos run and model check

Cause: random walks of a model that drives the library's own promotion machine and acknowledgement rule found (1) a refused write that stood again, because a new lineage was appended to the record's instead of the chosen log's, (2) a truncation that kept entries of a dropped branch, (3) a commit confirmed from reports of a term that was claimed but is no part of the lineage. Change: upstreams report their lineage; lineageFrom, sharedPrefix, discardingTerm; Superseded only once a majority holds the discarding term; only terms of the lineage prove a commit. Ages are proved only up to the time at which the primary's authority was. History checker and chaos run added. Ruled out: an artefact of the model itself (late outcomes fed to a newer attempt), mended in the model.

--- a/packages/coordination/src/acknowledgement.ts
+++ b/packages/coordination/src/acknowledgement.ts
@@ -9,7 +9,7 @@
 import { majorityOf } from './group.js';
 import type { UpstreamId } from './ids.js';
 import type { Position } from './position.js';
-import { isDiscarded } from './position.js';
+import { discardingTerm, isDiscarded } from './position.js';
 import type { UpstreamReport } from './upstream-report.js';
 
 /** Decision on a commit that waits to be confirmed. */
@@ -18,7 +18,7 @@
   Confirmed = 'confirmed',
   /** More evidence is needed. */
   Waiting = 'waiting',
-  /** A promotion superseded the commit's term without it: it will never be confirmed. */
+  /** A promotion discarded the commit for good: it will never be confirmed. */
   Superseded = 'superseded',
 }
 
@@ -43,20 +43,41 @@
  * Confirms a commit that a majority holds under one term, none of them fenced past it.
  *
  * The one term may be the commit's own or a later one whose lineage contains the commit; holders
- * under different terms are never added up, because a promotion may still discard such a commit.
+ * under different terms are never added up, because a promotion may still discard such a commit, and
+ * a term that is claimed but not part of the lineage proves nothing: its log may lack the commit.
  */
 export class MajorityRule implements AcknowledgementRule {
   decide(input: AckInput): AckVerdict {
     const { position, record, members, reports } = input;
-    if (isDiscarded(position, record.lineage)) return AckVerdict.Superseded;
-    const terms = new Set([position.term, Math.max(position.term, record.term)]);
-    for (const term of terms) {
-      if (coveredOffset(members, reports, term) >= position.offset) return AckVerdict.Confirmed;
+    if (isDiscarded(position, record.lineage)) {
+      return isFinallyDiscarded(input) ? AckVerdict.Superseded : AckVerdict.Waiting;
     }
-    return AckVerdict.Waiting;
+    const confirmed = record.lineage
+      .filter((entry) => entry.term >= position.term)
+      .some((entry) => coveredOffset(members, reports, entry.term) >= position.offset);
+    return confirmed ? AckVerdict.Confirmed : AckVerdict.Waiting;
   }
 }
 
+/**
+ * Whether the term that discarded the commit can't be discarded itself: a majority holds one term
+ * of the lineage at or past it. Before that, a promotion that misses the new primary could still
+ * choose a log that contains the commit.
+ */
+function isFinallyDiscarded(input: AckInput): boolean {
+  const { position, record, members, reports } = input;
+  const discarding = discardingTerm(position, record.lineage);
+  if (discarding === undefined) return false;
+  return record.lineage
+    .filter((entry) => entry.term >= discarding)
+    .some((entry) => {
+      const holders = members.filter((member) =>
+        reports.some((report) => report.upstream === member && report.received.term === entry.term),
+      );
+      return holders.length >= majorityOf(members.length);
+    });
+}
+
 /** Confirms every commit of the primary at once. Unsafe; exists as the baseline of measurements. */
 export class PrimaryCommitRule implements AcknowledgementRule {
   decide(): AckVerdict {
--- a/packages/coordination/src/blackboard.ts
+++ b/packages/coordination/src/blackboard.ts
@@ -36,6 +36,8 @@
 /** What a home observed of a group. */
 export interface GroupObservation {
   readonly marks: PrimaryMarks;
+  /** Time up to which the primaries' authority is proved, local milliseconds; never moves back. */
+  readonly authority: number;
   /** When the home began to watch the present term, local milliseconds. */
   readonly watchingSince: number;
   /** Apply rate of each upstream, log offsets per millisecond. */
@@ -123,6 +125,7 @@
     if (held !== undefined) return held;
     const fresh = {
       marks: [],
+      authority: Number.NEGATIVE_INFINITY,
       watchingSince: now,
       applyRates: new Map(),
       lastPromotionAt: undefined,
@@ -153,7 +156,7 @@
   private noteTerm(record: GroupRecord, held: GroupRecord | undefined, now: number): void {
     const observation = this.observations.get(record.group);
     if (observation === undefined || held === undefined || record.term === held.term) return;
-    const next = { ...observation, marks: [], watchingSince: now, lastPromotionAt: now };
+    const next = { ...observation, watchingSince: now, lastPromotionAt: now };
     this.observations.set(record.group, next);
   }
 
--- a/packages/coordination/src/data-age.ts
+++ b/packages/coordination/src/data-age.ts
@@ -57,7 +57,7 @@
 export interface AgeProof {
   readonly marks: PrimaryMarks;
   readonly lineage: Lineage;
-  /** Result of {@link authorityAt}; a mark taken later may be of a superseded primary. */
+  /** Highest {@link authorityAt} so far; a mark taken later may be of a superseded primary. */
   readonly authority: number;
 }
 
--- a/packages/coordination/src/position.ts
+++ b/packages/coordination/src/position.ts
@@ -49,7 +49,7 @@
  *
  * A later term contains an earlier position only when every promotion after the position's term
  * started at or past it; otherwise the position was discarded. A log whose term the lineage does
- * not list yet can't be related and counts as behind.
+ * not list can't be related and counts as behind.
  *
  * An upstream reports a term only once its log reaches that term's start, as a PostgreSQL standby
  * switches its timeline at the switch point.
@@ -58,13 +58,39 @@
   if (wanted.offset === 0) return Coverage.Covered;
   if (isDiscarded(wanted, lineage)) return Coverage.Discarded;
   if (held.term < wanted.term) return Coverage.Behind;
-  if (held.term > lastTerm(lineage)) return Coverage.Behind;
+  if (!lineage.some((entry) => entry.term === held.term)) return Coverage.Behind;
   return held.offset >= wanted.offset ? Coverage.Covered : Coverage.Behind;
 }
 
-/** Tells whether a promotion recorded in `lineage` left `position` behind. */
+/** Tells whether the lineage left `position` behind. */
 export function isDiscarded(position: Position, lineage: Lineage): boolean {
-  return lineage.some((entry) => entry.term > position.term && entry.start < position.offset);
+  return discardingTerm(position, lineage) !== undefined;
+}
+
+/**
+ * First term of the lineage that left `position` behind: it began before the position, or the
+ * position's own term is no part of the lineage although later ones are.
+ */
+export function discardingTerm(position: Position, lineage: Lineage): number | undefined {
+  const isPart = position.offset === 0 || lineage.some((entry) => entry.term === position.term);
+  return lineage.find(
+    (entry) => entry.term > position.term && (!isPart || entry.start < position.offset),
+  )?.term;
+}
+
+/**
+ * Offset up to which logs of two lineages are surely the same. A log that has to follow another
+ * lineage is cut to it.
+ */
+export function sharedPrefix(own: Lineage, other: Lineage): number {
+  for (const [index, entry] of own.entries()) {
+    const match = other[index];
+    if (match === undefined) return entry.start;
+    if (match.term !== entry.term || match.start !== entry.start) {
+      return Math.min(match.start, entry.start);
+    }
+  }
+  return other[own.length]?.start ?? Number.POSITIVE_INFINITY;
 }
 
 /** Latest term that a lineage lists; 0 when it is empty. */
--- a/packages/coordination/src/promotion.ts
+++ b/packages/coordination/src/promotion.ts
@@ -161,8 +161,8 @@
 function promoteHighest(state: PromotionState): PromotionStep {
   const chosen = chooseHighest(state.reports, state.avoid);
   if (chosen === undefined) return abandon(state);
-  const { term, lineage: former } = state.record;
-  const lineage = [...former, { term, start: chosen.received.offset }];
+  const { term } = state.record;
+  const lineage = lineageFrom(chosen, term);
   const record: GroupRecord = {
     ...state.record,
     phase: GroupPhase.Serving,
@@ -173,6 +173,16 @@
   return { state: next, actions: [{ kind: 'promote', upstream: chosen.upstream, term, lineage }] };
 }
 
+/**
+ * Lineage of the new term: what the chosen log went through itself. Terms of the record that it
+ * never reached are dropped: nothing of theirs can have been confirmed.
+ */
+function lineageFrom(chosen: UpstreamReport, term: number): Lineage {
+  const { received } = chosen;
+  const reached = chosen.lineage.filter((entry) => entry.term <= received.term);
+  return [...reached, { term, start: received.offset }];
+}
+
 /** Highest log among the fenced; among equals one that need not be avoided, then by name. */
 export function chooseHighest(
   reports: readonly UpstreamReport[],
--- a/packages/coordination/src/suspicion.ts
+++ b/packages/coordination/src/suspicion.ts
@@ -6,11 +6,11 @@
  */
 import { coveredOffset } from './acknowledgement.js';
 import type { PrimaryMarks } from './data-age.js';
-import { authorityAt, provedAge } from './data-age.js';
+import { provedAge } from './data-age.js';
 import type { GroupRecord, GroupSpec } from './group.js';
 import { majorityOf } from './group.js';
 import type { AzId } from './ids.js';
-import type { TimedReport } from './upstream-report.js';
+import type { UpstreamReport } from './upstream-report.js';
 
 /** What a home knows about the primary. */
 export interface SuspicionInput {
@@ -18,18 +18,18 @@
   readonly record: GroupRecord;
   readonly marks: PrimaryMarks;
   /** Latest report of each upstream. */
-  readonly reports: readonly TimedReport[];
+  readonly reports: readonly UpstreamReport[];
+  /** Time up to which the primary's authority is proved, local milliseconds. */
+  readonly authority: number;
   /** When this home began to watch the present term, local milliseconds. */
   readonly watchingSince: number;
 }
 
 /** Time for which no write could have been confirmed, milliseconds. */
 export function unconfirmableMs(input: SuspicionInput, now: number): number {
-  const { spec, record, marks, reports, watchingSince } = input;
+  const { spec, record, marks, reports, authority, watchingSince } = input;
   const members = spec.upstreams.map((upstream) => upstream.id);
-  const latest = reports.map((timed) => timed.report);
-  const covered = { term: record.term, offset: coveredOffset(members, latest, record.term) };
-  const authority = authorityAt(members, reports, record.term);
+  const covered = { term: record.term, offset: coveredOffset(members, reports, record.term) };
   const ageMs = provedAge({ marks, lineage: record.lineage, authority }, covered, now);
   return Math.min(ageMs, now - watchingSince);
 }
--- a/packages/coordination/src/upstream-report.ts
+++ b/packages/coordination/src/upstream-report.ts
@@ -2,7 +2,7 @@
  * What an upstream said about itself, and the board on which a home keeps the latest of each.
  */
 import type { UpstreamId } from './ids.js';
-import type { Position } from './position.js';
+import type { Lineage, Position } from './position.js';
 
 /** Role that an upstream believes it has. */
 export enum UpstreamRole {
@@ -20,6 +20,8 @@
   readonly applied: Position;
   /** Highest term to which it has been fenced; it accepts no write of a lower one. */
   readonly fencedTerm: number;
+  /** Terms that its log has gone through, its own last. */
+  readonly lineage: Lineage;
   /** Transactions open on it. */
   readonly openTransactions: number;
 }
--- a/packages/coordination/tests/acknowledgement.feature
+++ b/packages/coordination/tests/acknowledgement.feature
@@ -30,7 +30,8 @@
       | 1:0, 2:10     | b:2/10, c:2/11 | confirmed  | the new term contains it, a majority too  |
       | 1:0, 2:10     | b:2/10         | waiting    | the new primary alone could be lost again |
       | 1:0, 2:9      | b:2/10, c:2/10 | superseded | the new term began before it              |
-      | 1:0, 2:12, 3:9 | c:3/20, a:3/20 | superseded | a later promotion discarded it            |
+      | 1:0, 2:9      | b:2/10, c:1/9  | waiting    | a promotion missing b could choose it yet |
+      | 1:0, 2:12, 3:9 | c:3/20, a:3/20 | superseded | a later promotion discarded it           |
 
   Scenario: The baseline confirms at once
     Given writes are confirmed by the primary alone
--- a/packages/coordination/tests/notation.ts
+++ b/packages/coordination/tests/notation.ts
@@ -28,6 +28,7 @@
     received: { term: Number(term), offset: Number(offset) },
     applied: { term: Number(term), offset: Number(applied ?? offset) },
     fencedTerm: Number(fenced ?? term),
+    lineage: [{ term: 1, start: 0 }],
     openTransactions: 0,
   };
 }
--- /dev/null
+++ b/packages/measure/src/history/check-history.ts
@@ -0,0 +1,82 @@
+/**
+ * Checks a history against what stands in the logs: each list must be empty.
+ */
+import type { FinalRows, HistoryEvent, ReadEvent, WriteEvent } from './history.js';
+import { Told } from './history.js';
+
+/** Violations by promise. */
+export interface Violations {
+  /** Confirmed writes that don't stand in the log. */
+  readonly lost: readonly WriteEvent[];
+  /** Request ids of which more than one sending stands in the log. */
+  readonly doubled: readonly string[];
+  /** Writes told as not run that stand in the log. */
+  readonly ranAfterAll: readonly WriteEvent[];
+  /** Session reads that missed a write of the session. */
+  readonly missed: readonly ReadEvent[];
+  /** Reads answered with another session's row. */
+  readonly wrongAnswers: readonly ReadEvent[];
+}
+
+/** Numbers of events and violations. */
+export interface HistorySummary {
+  readonly requests: number;
+  readonly confirmed: number;
+  readonly notRun: number;
+  readonly unknown: number;
+  readonly reads: number;
+  readonly violations: number;
+}
+
+/** Finds every violation. */
+export function checkHistory(events: readonly HistoryEvent[], rows: FinalRows): Violations {
+  const writes = events.filter((event) => event.kind === 'write');
+  const reads = events.filter((event) => event.kind === 'read');
+  return {
+    lost: lostWrites(writes, rows),
+    doubled: doubledRequests(writes, rows),
+    ranAfterAll: writes.filter((write) => write.told === Told.NotRun && rows.has(write.row)),
+    missed: reads.filter((read) => read.foundOwner === undefined),
+    wrongAnswers: reads.filter(
+      (read) => read.foundOwner !== undefined && read.foundOwner !== read.session,
+    ),
+  };
+}
+
+/** A repeated request is kept when any of its sendings stands. */
+function lostWrites(writes: readonly WriteEvent[], rows: FinalRows): readonly WriteEvent[] {
+  const standing = new Set<string>();
+  for (const write of writes) {
+    if (write.request !== undefined && rows.has(write.row)) standing.add(write.request);
+  }
+  return writes.filter((write) => {
+    if (write.told !== Told.Confirmed || rows.has(write.row)) return false;
+    return write.request === undefined || !standing.has(write.request);
+  });
+}
+
+function doubledRequests(writes: readonly WriteEvent[], rows: FinalRows): readonly string[] {
+  const sendings = new Map<string, Set<string>>();
+  for (const write of writes) {
+    if (write.request === undefined || !rows.has(write.row)) continue;
+    const held = sendings.get(write.request) ?? new Set<string>();
+    sendings.set(write.request, held.add(write.row));
+  }
+  return [...sendings].filter(([, held]) => held.size > 1).map(([request]) => request);
+}
+
+/** Counts a history. */
+export function summarize(events: readonly HistoryEvent[], violations: Violations): HistorySummary {
+  const told = (wanted: Told): number =>
+    events.filter((event) => event.kind === 'write' && event.told === wanted).length;
+  const { lost, doubled, ranAfterAll, missed, wrongAnswers } = violations;
+  const found = [lost, doubled, ranAfterAll, missed, wrongAnswers];
+  return {
+    requests: events.length,
+    confirmed: told(Told.Confirmed),
+    notRun: told(Told.NotRun),
+    unknown: told(Told.Unknown),
+    reads: events.filter((event) => event.kind === 'read').length,
+    violations: found.reduce((sum, list) => sum + list.length, 0),
+  };
+}
--- /dev/null
+++ b/packages/measure/src/load/session-workload.ts
@@ -0,0 +1,202 @@
+/**
+ * Callers whose requests make up a history: unique writes, some marked and sent twice, transactions,
+ * and reads of the session's own confirmed rows, on hosts that change from request to request.
+ */
+import type { RandomSource } from '@gladespool/coordination';
+import type { HistoryEvent } from '../history/history.js';
+import { Told } from '../history/history.js';
+import { Caller } from './caller.js';
+
+/** Options of one session. */
+export interface SessionOptions {
+  readonly name: string;
+  readonly group: string;
+  /** Ports of hosts that can be reached now. */
+  readonly ports: () => readonly number[];
+  readonly random: RandomSource;
+  /** Deadline marked on each request, milliseconds. */
+  readonly deadlineMs: number;
+  readonly record: (event: HistoryEvent) => void;
+}
+
+const TABLE = 'rows';
+const SWITCH_SHARE = 0.3;
+const READ_SHARE = 0.5;
+const MARKED_SHARE = 0.4;
+const REPEAT_SHARE = 0.3;
+const TRANSACTION_SHARE = 0.2;
+const RECONNECT_MS = 20;
+const CONNECT_LIMIT_MS = 2000;
+const ANSWER_MARGIN_MS = 5000;
+
+/** One session's work. */
+export class SessionWorkload {
+  private caller: Caller | undefined;
+  private token = '';
+  private readonly confirmed: string[] = [];
+  private count = 0;
+  /** Requests that got no answer in time, which must not happen. */
+  unanswered = 0;
+
+  constructor(private readonly options: SessionOptions) {}
+
+  /** Works until told to stop. */
+  async run(stopped: () => boolean): Promise<void> {
+    while (!stopped()) {
+      const caller = await this.connected();
+      if (caller === undefined) {
+        await pause(RECONNECT_MS);
+        continue;
+      }
+      await this.step(caller);
+    }
+    await this.disconnect();
+  }
+
+  private async step(caller: Caller): Promise<void> {
+    const { random } = this.options;
+    if (this.confirmed.length > 0 && random.unit() < READ_SHARE) await this.read(caller);
+    else await this.write(caller);
+    this.token = caller.token === '' ? this.token : caller.token;
+    if (caller.ended || random.unit() < SWITCH_SHARE) await this.disconnect();
+  }
+
+  private async read(caller: Caller): Promise<void> {
+    const { random, name, record, deadlineMs } = this.options;
+    const newest = random.unit() < REPEAT_SHARE ? random.integer(0, this.confirmed.length - 1) : -1;
+    const row = this.confirmed.at(newest) ?? '';
+    const sql = `SELECT owner FROM ${TABLE} WHERE id = $1 /*deadline_ms='${deadlineMs}'*/`;
+    const found = await this.ask(caller, sql, [row]);
+    if (found === undefined) return;
+    record({ kind: 'read', session: name, row, foundOwner: found[0]?.owner ?? undefined });
+  }
+
+  private async write(caller: Caller): Promise<void> {
+    const { random } = this.options;
+    this.count += 1;
+    const request =
+      random.unit() < MARKED_SHARE ? `${this.options.name}-q${this.count}` : undefined;
+    if (request === undefined && random.unit() < TRANSACTION_SHARE) {
+      await this.transaction(caller);
+      return;
+    }
+    const told = await this.send(caller, `${this.options.name}-${this.count}-a`, request);
+    const repeats = told === Told.Unknown || random.unit() < REPEAT_SHARE;
+    if (request === undefined || !repeats) return;
+    await this.disconnect();
+    const other = await this.connected();
+    if (other !== undefined)
+      await this.send(other, `${this.options.name}-${this.count}-b`, request);
+  }
+
+  private async send(caller: Caller, row: string, request: string | undefined): Promise<Told> {
+    const { name, deadlineMs } = this.options;
+    const id = request === undefined ? '' : `,request_id='${request}',repeatable='no'`;
+    const marks = `/*deadline_ms='${deadlineMs}'${id}*/`;
+    const sql = `INSERT INTO ${TABLE} (id, owner) VALUES ('${row}', '${name}') ${marks}`;
+    const told = await this.outcome(caller, async () => {
+      await caller.query(sql);
+    });
+    this.note(row, request, told);
+    return told;
+  }
+
+  private async transaction(caller: Caller): Promise<void> {
+    const { name, deadlineMs } = this.options;
+    const row = `${name}-${this.count}-t`;
+    let committing = false;
+    const told = await this.outcome(caller, async () => {
+      await caller.query(`BEGIN /*deadline_ms='${deadlineMs}'*/`);
+      await caller.query(`INSERT INTO ${TABLE} (id, owner) VALUES ('${row}', '${name}')`);
+      await caller.query(`SELECT owner FROM ${TABLE} WHERE id = '${row}'`);
+      committing = true;
+      await caller.query(`COMMIT /*deadline_ms='${deadlineMs}'*/`);
+    });
+    const never = told === Told.Unknown && !committing;
+    this.note(row, undefined, never ? Told.NotRun : told);
+    if (told !== Told.Confirmed) await this.disconnect();
+  }
+
+  private note(row: string, request: string | undefined, told: Told): void {
+    const { name, record } = this.options;
+    record({ kind: 'write', session: name, row, request, told });
+    if (told === Told.Confirmed && request === undefined) this.confirmed.push(row);
+  }
+
+  private async outcome(caller: Caller, run: () => Promise<void>): Promise<Told> {
+    try {
+      await this.withinTime(run());
+      this.token = caller.token === '' ? this.token : caller.token;
+      return Told.Confirmed;
+    } catch (error) {
+      return toldBy(error);
+    }
+  }
+
+  private async ask(
+    caller: Caller,
+    sql: string,
+    values: readonly string[],
+  ): Promise<Awaited<ReturnType<Caller['query']>> | undefined> {
+    try {
+      return await this.withinTime(caller.query(sql, values));
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** An answer must come by the deadline; one that does not is counted. */
+  private async withinTime<Value>(answer: Promise<Value>): Promise<Value> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<never>((_resolve, reject) => {
+      timer = setTimeout(() => {
+        this.unanswered += 1;
+        reject(new Error('no answer'));
+      }, this.options.deadlineMs + ANSWER_MARGIN_MS);
+    });
+    try {
+      return await Promise.race([answer, late]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async connected(): Promise<Caller | undefined> {
+    if (this.caller !== undefined && !this.caller.ended) return this.caller;
+    const ports = this.options.ports();
+    const port = ports[this.options.random.integer(0, ports.length - 1)];
+    if (port === undefined) return undefined;
+    try {
+      const { group } = this.options;
+      const opening = Caller.connect({ port, group, token: this.token });
+      const limit = pause(CONNECT_LIMIT_MS).then(() => undefined);
+      this.caller = await Promise.race([opening, limit]);
+      if (this.caller === undefined) void opening.then((late) => late.end()).catch(() => undefined);
+    } catch {
+      this.caller = undefined;
+    }
+    return this.caller;
+  }
+
+  private async disconnect(): Promise<void> {
+    const { caller } = this;
+    this.caller = undefined;
+    await Promise.race([caller?.end().catch(() => undefined), pause(RECONNECT_MS)]);
+  }
+}
+
+/** What an error tells about a write: the proxy's own word, else whatever a server's error means. */
+export function toldBy(error: unknown): Told {
+  if (!(error instanceof Error)) return Told.Unknown;
+  const { detail, code } = error as { detail?: string; code?: string };
+  const ran = /ran=(\w+)/.exec(detail ?? '')?.[1];
+  if (ran === 'no') return Told.NotRun;
+  if (ran !== undefined) return ran === 'yes' ? Told.Confirmed : Told.Unknown;
+  return code?.length === SQLSTATE_LENGTH ? Told.NotRun : Told.Unknown;
+}
+
+const SQLSTATE_LENGTH = 5;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/measure/src/measure-main.ts
@@ -0,0 +1,10 @@
+/**
+ * `npm run measure -- EXPERIMENT`: the experiments behind docs/MEASUREMENTS.md.
+ */
+import { Builtins, Cli } from 'clipanion';
+import { ChaosCommand } from './commands/chaos-command.js';
+
+const cli = new Cli({ binaryName: 'npm run measure --', binaryLabel: 'gladespool experiments' });
+cli.register(ChaosCommand);
+cli.register(Builtins.HelpCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/measure/src/model/explore.ts
@@ -0,0 +1,144 @@
+/**
+ * Explores the model: every interleaving of a small one, or random walks through a larger one.
+ */
+import type { RandomSource } from '@gladespool/coordination';
+import { AckVerdict, GroupPhase, UpstreamRole } from '@gladespool/coordination';
+import type { ModelState } from './model-state.js';
+import type { ModelRules } from './model-steps.js';
+import { stepsFrom } from './model-steps.js';
+
+/** Result of an exploration. */
+export interface Exploration {
+  readonly states: number;
+  readonly confirmed: number;
+  readonly superseded: number;
+  /** Whether every reachable state was visited. */
+  readonly complete: boolean;
+  /** First violation with the steps that led to it. */
+  readonly violation: Violation | undefined;
+}
+
+/** A state that must not be, and how it came about. */
+export interface Violation {
+  readonly what: string;
+  readonly trace: readonly string[];
+  readonly state: ModelState;
+}
+
+interface Visited {
+  readonly state: ModelState;
+  readonly from: Visited | undefined;
+  readonly step: string;
+}
+
+/** What is wrong with a state; undefined when all holds. */
+export function faultOf(state: ModelState): string | undefined {
+  const terms = state.upstreams
+    .filter((upstream) => upstream.role === UpstreamRole.Primary)
+    .map((upstream) => upstream.term);
+  if (new Set(terms).size < terms.length) return 'two primaries of one term';
+  if (state.record.phase !== GroupPhase.Serving) return undefined;
+  const primary = state.upstreams.find((upstream) => upstream.id === state.record.primary);
+  if (primary === undefined || primary.term !== state.record.term) return undefined;
+  for (const [index, write] of state.writes.entries()) {
+    const stands = primary.log.includes(index);
+    if (write.told === AckVerdict.Confirmed && !stands) return `confirmed write ${index} is lost`;
+    if (write.told === AckVerdict.Superseded && stands) return `refused write ${index} stands`;
+  }
+  return undefined;
+}
+
+/** Visits every state that can be reached, up to `limit`. */
+export function exploreAll(initial: ModelState, rules: ModelRules, limit: number): Exploration {
+  const seen = new Set<string>([keyOf(initial)]);
+  const queue: Visited[] = [{ state: initial, from: undefined, step: 'start' }];
+  let confirmed = 0;
+  let superseded = 0;
+  for (let at = 0; at < queue.length; at += 1) {
+    const visited = queue[at];
+    if (visited === undefined) break;
+    const { state } = visited;
+    const what = faultOf(state);
+    const told = state.writes.map((write) => write.told);
+    if (told.includes(AckVerdict.Confirmed)) confirmed += 1;
+    if (told.includes(AckVerdict.Superseded)) superseded += 1;
+    const counts = { states: seen.size, confirmed, superseded };
+    if (what !== undefined) {
+      return { ...counts, complete: false, violation: { what, trace: traceOf(visited), state } };
+    }
+    if (seen.size >= limit) return { ...counts, complete: false, violation: undefined };
+    for (const { name, next } of stepsFrom(state, rules)) {
+      const key = keyOf(next);
+      if (seen.has(key)) continue;
+      seen.add(key);
+      queue.push({ state: next, from: visited, step: name });
+    }
+  }
+  return { states: seen.size, confirmed, superseded, complete: true, violation: undefined };
+}
+
+/** Walks at random, `walks` times at most `length` steps. */
+export function walkAtRandom(
+  initial: ModelState,
+  rules: ModelRules,
+  walks: number,
+  length: number,
+  random: RandomSource,
+): Exploration {
+  let states = 0;
+  let confirmed = 0;
+  let superseded = 0;
+  for (let walk = 0; walk < walks; walk += 1) {
+    let state = initial;
+    const trace: string[] = [];
+    for (let i = 0; i < length; i += 1) {
+      const steps = stepsFrom(state, rules);
+      const step = steps[random.integer(0, Math.max(0, steps.length - 1))];
+      if (step === undefined) break;
+      state = step.next;
+      states += 1;
+      trace.push(step.name);
+      const what = faultOf(state);
+      const violation = what === undefined ? undefined : { what, trace, state };
+      if (violation !== undefined) {
+        return { states, confirmed, superseded, complete: false, violation };
+      }
+    }
+    const told = state.writes.map((write) => write.told);
+    if (told.includes(AckVerdict.Confirmed)) confirmed += 1;
+    if (told.includes(AckVerdict.Superseded)) superseded += 1;
+  }
+  return { states, confirmed, superseded, complete: false, violation: undefined };
+}
+
+function keyOf(state: ModelState): string {
+  const upstreams = state.upstreams.map((upstream) => [
+    upstream.up ? 1 : 0,
+    upstream.role === UpstreamRole.Primary ? 1 : 0,
+    upstream.term,
+    upstream.fenced,
+    upstream.following,
+    upstream.lineage.map((entry) => [entry.term, entry.start]),
+    upstream.log,
+  ]);
+  const reports = [...state.reports]
+    .sort((a, b) => (a.upstream < b.upstream ? -1 : 1))
+    .map((report) => [report.upstream, report.received, report.fencedTerm]);
+  const promoters = state.promoters.map(({ state: attempt, actions, attempts }) => [
+    attempts,
+    attempt?.stage,
+    attempt?.record,
+    attempt?.revision,
+    attempt?.reports.map((report) => [report.upstream, report.received]),
+    actions,
+  ]);
+  const { record, revision, known, writes, budget } = state;
+  return JSON.stringify([upstreams, record, revision, known, reports, writes, promoters, budget]);
+}
+
+function traceOf(visited: Visited): readonly string[] {
+  const steps: string[] = [];
+  for (let at: Visited | undefined = visited; at !== undefined; at = at.from)
+    steps.unshift(at.step);
+  return steps;
+}
--- /dev/null
+++ b/packages/measure/src/model/model-state.ts
@@ -0,0 +1,138 @@
+/**
+ * A small model of one group: three upstreams, one home that confirms writes, promoters that run
+ * the very state machine of the library, and a store with compare-and-swap.
+ */
+import type {
+  AckVerdict,
+  GroupRecord,
+  Lineage,
+  Position,
+  PromotionAction,
+  PromotionState,
+  UpstreamId,
+  UpstreamReport,
+} from '@gladespool/coordination';
+import {
+  groupId,
+  GroupPhase,
+  hostId,
+  termAt,
+  upstreamId,
+  UpstreamRole,
+} from '@gladespool/coordination';
+
+/** An upstream of the model. */
+export interface ModelUpstream {
+  readonly id: UpstreamId;
+  readonly up: boolean;
+  readonly role: UpstreamRole;
+  readonly term: number;
+  readonly fenced: number;
+  readonly lineage: Lineage;
+  readonly following: UpstreamId | undefined;
+  /** Writes by number, in log order. */
+  readonly log: readonly number[];
+}
+
+/** A write of the model. */
+export interface ModelWrite {
+  readonly position: Position | undefined;
+  readonly told: AckVerdict | undefined;
+}
+
+/** An action under way; it may outlive the attempt that ordered it. */
+export interface PendingAction {
+  readonly attempt: string;
+  readonly action: PromotionAction;
+}
+
+/** A promoter with what it has yet to carry out. */
+export interface ModelPromoter {
+  readonly state: PromotionState | undefined;
+  readonly actions: readonly PendingAction[];
+  readonly attempts: number;
+}
+
+/** Faults that may still happen. */
+export interface FaultBudget {
+  readonly crashes: number;
+  readonly losses: number;
+}
+
+/** A state of the whole model. */
+export interface ModelState {
+  readonly upstreams: readonly ModelUpstream[];
+  readonly record: GroupRecord;
+  readonly revision: number;
+  readonly known: GroupRecord;
+  readonly reports: readonly UpstreamReport[];
+  readonly writes: readonly ModelWrite[];
+  readonly promoters: readonly ModelPromoter[];
+  readonly budget: FaultBudget;
+}
+
+/** Names of the model's upstreams. */
+export const MEMBERS: readonly UpstreamId[] = ['a', 'b', 'c'].map(upstreamId);
+
+/** Size of a model. */
+export interface ModelSize {
+  readonly writes: number;
+  readonly promoters: number;
+  readonly budget: FaultBudget;
+}
+
+/** The state before anything happened: `a` is the primary of term 1. */
+export function initialState(size: ModelSize): ModelState {
+  const lineage: Lineage = [{ term: 1, start: 0 }];
+  const [primary] = MEMBERS;
+  if (primary === undefined) throw new Error('no members');
+  const record: GroupRecord = {
+    group: groupId('g'),
+    term: 1,
+    phase: GroupPhase.Serving,
+    primary,
+    lineage,
+    attempt: 'first',
+    promoter: hostId('none'),
+  };
+  const upstreams = MEMBERS.map((id) => ({
+    id,
+    up: true,
+    role: id === primary ? UpstreamRole.Primary : UpstreamRole.Replica,
+    term: 1,
+    fenced: 1,
+    lineage,
+    following: id === primary ? undefined : primary,
+    log: [],
+  }));
+  return {
+    upstreams,
+    record,
+    revision: 1,
+    known: record,
+    reports: [],
+    writes: Array.from({ length: size.writes }, () => ({ position: undefined, told: undefined })),
+    promoters: Array.from({ length: size.promoters }, () => ({
+      state: undefined,
+      actions: [],
+      attempts: 0,
+    })),
+    budget: size.budget,
+  };
+}
+
+/** How an upstream of the model reports; a broken one reports the term it merely follows. */
+export function reportOf(upstream: ModelUpstream, followedTerm = false): UpstreamReport {
+  const offset = upstream.log.length;
+  const reached = Math.min(upstream.term, termAt(upstream.lineage, offset));
+  const position = { term: followedTerm ? upstream.term : reached, offset };
+  return {
+    upstream: upstream.id,
+    role: upstream.role,
+    received: position,
+    applied: position,
+    fencedTerm: upstream.fenced,
+    lineage: upstream.lineage.filter((entry) => entry.term <= position.term),
+    openTransactions: 0,
+  };
+}
--- a/packages/proxy/src/control/first-record.ts
+++ b/packages/proxy/src/control/first-record.ts
@@ -24,7 +24,7 @@
     term,
     phase: GroupPhase.Serving,
     primary: primary.upstream,
-    lineage: [{ term, start: 0 }],
+    lineage: primary.lineage,
     attempt: `first/${host}`,
     promoter: host,
   };
--- a/packages/proxy/src/home/group-home.ts
+++ b/packages/proxy/src/home/group-home.ts
@@ -17,7 +17,6 @@
   AcknowledgementKind,
   MajorityRule,
   PrimaryCommitRule,
-  authorityAt,
   provedAge,
   RetryReason,
   unconfirmableMs,
@@ -150,9 +149,7 @@
 
   /** What is known of every upstream at `now`. */
   views(spec: GroupSpec, record: GroupRecord, now: number): readonly UpstreamView[] {
-    const { marks, applyRates } = this.context.board.observation(this.group, now);
-    const members = spec.upstreams.map((upstream) => upstream.id);
-    const authority = authorityAt(members, this.reports(spec), record.term);
+    const { marks, authority, applyRates } = this.context.board.observation(this.group, now);
     const proof = { marks, lineage: record.lineage, authority };
     return spec.upstreams.map((upstream) => {
       const health = this.context.board.healthOf(this.group, upstream.id);
@@ -178,9 +175,9 @@
 
   /** Time for which no write could have been confirmed, milliseconds. */
   unconfirmableMs(spec: GroupSpec, record: GroupRecord, now: number): number {
-    const { marks, watchingSince } = this.context.board.observation(this.group, now);
-    const reports = this.reports(spec);
-    return unconfirmableMs({ spec, record, marks, watchingSince, reports }, now);
+    const { marks, authority, watchingSince } = this.context.board.observation(this.group, now);
+    const reports = this.reports(spec).map((timed) => timed.report);
+    return unconfirmableMs({ spec, record, marks, authority, watchingSince, reports }, now);
   }
 
   /** Stops new work, lets open work end, closes every connection. */
--- a/packages/proxy/src/home/status-watcher.ts
+++ b/packages/proxy/src/home/status-watcher.ts
@@ -6,11 +6,19 @@
   Blackboard,
   GladespoolError,
   GroupId,
+  GroupRecord,
   TimedReport,
   UpstreamId,
   UpstreamReport,
 } from '@gladespool/coordination';
-import { addMark, afterFailure, afterReport, UpstreamRole } from '@gladespool/coordination';
+import {
+  addMark,
+  afterFailure,
+  afterReport,
+  authorityAt,
+  GroupPhase,
+  UpstreamRole,
+} from '@gladespool/coordination';
 import type { ControlResult, UpstreamControl } from '@gladespool/upstreams';
 
 /** Options of a watcher. */
@@ -70,6 +78,20 @@
     this.options.onFailure(upstream, error);
   }
 
+  /** Authority of the record's primary that the reports prove, the newest included. */
+  private authorityWith(timed: TimedReport, record: GroupRecord | undefined): number {
+    const { group, board } = this.options;
+    const spec = board.spec(group);
+    if (spec === undefined || record === undefined) return Number.NEGATIVE_INFINITY;
+    if (record.phase === GroupPhase.Fencing) return Number.NEGATIVE_INFINITY;
+    const members = spec.upstreams.map((upstream) => upstream.id);
+    const held = members
+      .filter((member) => member !== timed.report.upstream)
+      .map((member) => board.healthOf(group, member).last)
+      .filter((last) => last !== undefined);
+    return authorityAt(members, [...held, timed], record.term);
+  }
+
   private observe(timed: TimedReport, before: TimedReport | undefined): void {
     const { group, board } = this.options;
     const observation = board.observation(group, timed.at);
@@ -84,7 +106,8 @@
       const held = applyRates.get(report.upstream) ?? rate;
       applyRates.set(report.upstream, held + (rate - held) * RATE_WEIGHT);
     }
-    board.putObservation(group, { ...observation, marks, applyRates });
+    const authority = Math.max(observation.authority, this.authorityWith(timed, record));
+    board.putObservation(group, { ...observation, marks, authority, applyRates });
   }
 }
 
--- a/packages/standins/src/upstream/control-functions.ts
+++ b/packages/standins/src/upstream/control-functions.ts
@@ -3,7 +3,7 @@
  */
 import type { Expr } from 'pgsql-ast-parser';
 import type { Lineage } from '@gladespool/coordination';
-import { decodeLineage, STATUS_COLUMNS } from '@gladespool/upstreams';
+import { decodeLineage, encodeLineage, STATUS_COLUMNS } from '@gladespool/upstreams';
 import type { StatementResult } from './executor.js';
 import { evaluate, SqlError, SqlState } from './expression.js';
 import type { UpstreamNode } from './upstream-node.js';
@@ -49,6 +49,7 @@
       String(report.applied.offset),
       String(report.fencedTerm),
       String(report.openTransactions),
+      encodeLineage(report.lineage),
     ];
     return { columns: [...STATUS_COLUMNS], rows: [row], tag: 'SELECT 1' };
   }
--- a/packages/standins/src/upstream/upstream-node.ts
+++ b/packages/standins/src/upstream/upstream-node.ts
@@ -3,7 +3,7 @@
  * that can be set. Its sessions and its listening socket live in other modules.
  */
 import type { Lineage, Position, UpstreamReport } from '@gladespool/coordination';
-import { termAt, upstreamId, UpstreamRole } from '@gladespool/coordination';
+import { sharedPrefix, termAt, upstreamId, UpstreamRole } from '@gladespool/coordination';
 import type { LogEntry } from './log.js';
 import { TableState } from './log.js';
 
@@ -81,6 +81,7 @@
       received: this.positionAt(this.log.length),
       applied: this.positionAt(this.appliedOffset),
       fencedTerm: this.fencedTerm,
+      lineage: this.lineage,
       openTransactions: this.openTransactions,
     };
   }
@@ -116,7 +117,7 @@
     if (this.fencedTerm > term) return false;
     this.fencedTerm = term;
     const wasPrimary = this.role === UpstreamRole.Primary;
-    const keep = this.sharedPrefix(lineage);
+    const keep = Math.min(this.log.length, sharedPrefix(this.lineage, lineage));
     this.role = UpstreamRole.Replica;
     this.following = primary;
     this.term = term;
@@ -136,12 +137,6 @@
     return { term: Math.min(reached, this.term), offset };
   }
 
-  /** Entries that this node's log shares with a log of `lineage`. */
-  private sharedPrefix(lineage: Lineage): number {
-    const starts = lineage.filter((entry) => entry.term > this.term).map((entry) => entry.start);
-    return Math.min(this.log.length, ...starts);
-  }
-
   private truncate(length: number): void {
     this.epoch += 1;
     this.log = this.log.slice(0, length);
--- a/packages/upstreams/src/control-sql.ts
+++ b/packages/upstreams/src/control-sql.ts
@@ -21,10 +21,20 @@
   'applied_offset',
   'fenced_term',
   'open_transactions',
+  'lineage',
 ] as const;
 
 const number = z.coerce.number().int().nonnegative();
-const statusRow = z.tuple([z.enum(UpstreamRole), number, number, number, number, number, number]);
+const statusRow = z.tuple([
+  z.enum(UpstreamRole),
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  z.string(),
+]);
 
 /** Where a replica finds its primary. */
 export interface FollowTarget {
@@ -72,14 +82,17 @@
 ): Result<UpstreamReport, string> {
   const parsed = statusRow.safeParse(values);
   if (!parsed.success) return err(z.prettifyError(parsed.error));
-  const [role, receivedTerm, receivedOffset, appliedTerm, appliedOffset, fencedTerm, open] =
+  const [role, receivedTerm, receivedOffset, appliedTerm, appliedOffset, fencedTerm, open, terms] =
     parsed.data;
+  const lineage = decodeLineage(terms);
+  if (lineage === undefined) return err(`lineage is not valid: ${terms}`);
   return ok({
     upstream,
     role,
     received: { term: receivedTerm, offset: receivedOffset },
     applied: { term: appliedTerm, offset: appliedOffset },
     fencedTerm,
+    lineage,
     openTransactions: open,
   });
 }
