--- a/packages/coordination/tests/homes.steps.ts
+++ b/packages/coordination/tests/homes.steps.ts
@@ -26,10 +26,13 @@
 const SURRENDER_MS = 5000;
 const EXPIRE_MS = 3500;
 
-Given('{int} hosts of a zone and {int} groups', function (this: HomesWorld, hosts: number, groups: number) {
-  this.hosts = Array.from({ length: hosts }, (_, index) => hostId(`h${index}`));
-  this.groups = groups;
-});
+Given(
+  '{int} hosts of a zone and {int} groups',
+  function (this: HomesWorld, hosts: number, groups: number) {
+    this.hosts = Array.from({ length: hosts }, (_, index) => hostId(`h${index}`));
+    this.groups = groups;
+  },
+);
 
 When('one host is lost', function (this: HomesWorld) {
   assert.ok(this.hosts.length > 1);
@@ -83,7 +86,7 @@
 Given('relay views {string}', function (this: HomesWorld, views: string) {
   this.views = views.split(', ').map((view) => {
     const [incarnation, state] = view.split(':');
-    return [memberOf(Number(incarnation), state as MemberState)];
+    return [memberOf(Number(incarnation), stateOf(state))];
   });
 });
 
@@ -115,3 +118,9 @@
   const address = '127.0.0.1';
   return { host: hostId('x'), az: azId('az1'), address, port: 1, incarnation, state };
 }
+
+function stateOf(text: string | undefined): MemberState {
+  const state = Object.values(MemberState).find((candidate) => text === candidate.valueOf());
+  if (state === undefined) throw new Error(`no state ${text ?? ''}`);
+  return state;
+}
--- a/packages/coordination/tests/promotion.steps.ts
+++ b/packages/coordination/tests/promotion.steps.ts
@@ -1,11 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type {
-  GroupRecord,
-  PromotionAction,
-  PromotionEvent,
-  PromotionState,
-} from '../src/index.js';
+import type { GroupRecord, PromotionAction, PromotionEvent, PromotionState } from '../src/index.js';
 import { advancePromotion, hostId, startPromotion, upstreamId } from '../src/index.js';
 import { parseLineage, parseReports, recordWith } from './notation.js';
 
--- a/packages/coordination/tests/read-routing.steps.ts
+++ b/packages/coordination/tests/read-routing.steps.ts
@@ -75,15 +75,18 @@
   this.choice = choose(this, { ...NEED, maxAgeMs });
 });
 
-When('{int} sessions read with seed {int}', function (this: RoutingWorld, count: number, seed: number) {
-  const random = new SeededRandom(seed);
-  this.served = new Map();
-  for (let i = 0; i < count; i += 1) {
-    const choice = choose(this, NEED, random);
-    if (choice.kind !== 'use') continue;
-    this.served.set(choice.upstream, (this.served.get(choice.upstream) ?? 0) + 1);
-  }
-});
+When(
+  '{int} sessions read with seed {int}',
+  function (this: RoutingWorld, count: number, seed: number) {
+    const random = new SeededRandom(seed);
+    this.served = new Map();
+    for (let i = 0; i < count; i += 1) {
+      const choice = choose(this, NEED, random);
+      if (choice.kind !== 'use') continue;
+      this.served.set(choice.upstream, (this.served.get(choice.upstream) ?? 0) + 1);
+    }
+  },
+);
 
 Then('the choice is {string}', function (this: RoutingWorld, wanted: string) {
   assert.equal(describe(this.choice), wanted);
--- a/packages/measure/src/load/latency-recorder.ts
+++ b/packages/measure/src/load/latency-recorder.ts
@@ -25,7 +25,9 @@
 
   /** Records one latency in milliseconds. */
   record(ms: number): void {
-    this.histogram.recordValue(Math.min(HIGHEST_MICROS, Math.max(1, Math.round(ms * MICROS_PER_MS))));
+    this.histogram.recordValue(
+      Math.min(HIGHEST_MICROS, Math.max(1, Math.round(ms * MICROS_PER_MS))),
+    );
   }
 
   summary(): LatencySummary {
--- a/packages/measure/src/model/explore.ts
+++ b/packages/measure/src/model/explore.ts
@@ -39,7 +39,7 @@
   if (new Set(terms).size < terms.length) return 'two primaries of one term';
   if (state.record.phase !== GroupPhase.Serving) return undefined;
   const primary = state.upstreams.find((upstream) => upstream.id === state.record.primary);
-  if (primary === undefined || primary.term !== state.record.term) return undefined;
+  if (primary?.term !== state.record.term) return undefined;
   for (const [index, write] of state.writes.entries()) {
     const stands = primary.log.includes(index);
     if (write.told === AckVerdict.Confirmed && !stands) return `confirmed write ${index} is lost`;
@@ -54,9 +54,7 @@
   const queue: Visited[] = [{ state: initial, from: undefined, step: 'start' }];
   let confirmed = 0;
   let superseded = 0;
-  for (let at = 0; at < queue.length; at += 1) {
-    const visited = queue[at];
-    if (visited === undefined) break;
+  for (const visited of queue) {
     const { state } = visited;
     const what = faultOf(state);
     const told = state.writes.map((write) => write.told);
--- a/packages/protocol/src/sql/statement-kind.ts
+++ b/packages/protocol/src/sql/statement-kind.ts
@@ -77,6 +77,7 @@
   const first = (match?.[1] ?? '').toUpperCase();
   const second = (match?.[2] ?? '').toUpperCase();
   if (UNSUPPORTED_KEYWORDS.has(first) || TEMPORARY.test(sql)) return StatementKind.Unsupported;
+  if (match?.[0].length === sql.length && first === '') return StatementKind.Empty;
   if (first === 'SET') return classifySet(second);
   if (first === 'RESET') return StatementKind.SetSession;
   if (first === 'SHOW') return StatementKind.Show;
@@ -146,11 +147,9 @@
       if (!READ_FUNCTIONS.has(call.function.name.toLowerCase())) veto();
       map.super().call(call);
     },
-    select: (select) => {
-      if (select.type === 'select' && (select.for !== undefined || select.skip !== undefined)) {
-        veto();
-      }
-      map.super().select(select);
+    selection: (selection) => {
+      if (selection.for !== undefined) veto();
+      map.super().selection(selection);
     },
   }));
   visitor.statement(statement);
