fix(coordination): a promotion leaves the suspect primary out of the choice while it can

Cause: a primary cut off from its replicas still answers and has the longest log, so each promotion chose it again (measure failover, loss cut-from-replicas: no write confirmed for 60 s, terms 2 to 7 all on the same upstream). One home also started several consultations at once. Change: the choice is made among a majority without the suspect and leaving upstreams; only when none can be had within 400 ms does any majority choose. Session rule own-writes beside monotonic; failover and replicas experiments.

--- a/packages/coordination/src/group.ts
+++ b/packages/coordination/src/group.ts
@@ -40,6 +40,14 @@
   PrimaryCommit = 'primary-commit',
 }
 
+/** What a session is promised beyond its own writes. */
+export enum SessionRule {
+  /** Reads see the session's own writes. */
+  OwnWrites = 'own-writes',
+  /** Reads also never go back behind what the session has read before. */
+  Monotonic = 'monotonic',
+}
+
 /** A database group as the bundle describes it. */
 export interface GroupSpec {
   readonly id: GroupId;
@@ -49,6 +57,7 @@
   /** Age of data that a read accepts when it carries no mark of its own, milliseconds; 0 = no bound stated. */
   readonly defaultMaxAgeMs: number;
   readonly acknowledgement: AcknowledgementKind;
+  readonly sessionRule: SessionRule;
 }
 
 /** Record of a group in the platform's store. */
--- a/packages/coordination/src/promotion.ts
+++ b/packages/coordination/src/promotion.ts
@@ -32,7 +32,7 @@
   /** Store revision of the record that the next swap expects. */
   readonly revision: number;
   readonly members: readonly UpstreamId[];
-  /** Upstreams that must not become primary while another can. */
+  /** Upstreams that must not become primary while another can: the suspect, and leaving ones. */
   readonly avoid: readonly UpstreamId[];
   readonly reports: readonly UpstreamReport[];
 }
@@ -51,6 +51,8 @@
   | { readonly kind: 'fenced'; readonly report: UpstreamReport }
   | { readonly kind: 'promoted'; readonly report: UpstreamReport }
   | { readonly kind: 'promote-failed' }
+  /** The time to wait for upstreams that need not be avoided is over. */
+  | { readonly kind: 'grace-over' }
   | { readonly kind: 'expired' };
 
 /** What has to be carried out next. */
@@ -123,6 +125,8 @@
       return afterRead(state, event.record, event.revision);
     case 'fenced':
       return afterFence(state, event.report);
+    case 'grace-over':
+      return afterGrace(state);
     case 'promoted':
       return afterPromote(state, event.report);
   }
@@ -154,12 +158,27 @@
   const others = state.reports.filter((held) => held.upstream !== report.upstream);
   const reports = [...others, report];
   const next = { ...state, reports };
-  if (reports.length < majorityOf(state.members.length)) return stay(next);
-  return promoteHighest(next);
+  const wanted = reports.filter((held) => !state.avoid.includes(held.upstream));
+  if (isMajority(wanted, state)) return promoteHighest(next, wanted);
+  return reports.length === state.members.length ? promoteHighest(next, reports) : stay(next);
 }
 
-function promoteHighest(state: PromotionState): PromotionStep {
-  const chosen = chooseHighest(state.reports, state.avoid);
+/**
+ * Any fenced majority may choose. A suspect primary that still answers has the longest log, so it
+ * is left out of the choice while a majority of the others can be had; a promotion that chose it
+ * again would change nothing.
+ */
+function afterGrace(state: PromotionState): PromotionStep {
+  const canChoose = state.stage === PromotionStage.Fencing && isMajority(state.reports, state);
+  return canChoose ? promoteHighest(state, state.reports) : stay(state);
+}
+
+function isMajority(reports: readonly UpstreamReport[], state: PromotionState): boolean {
+  return reports.length >= majorityOf(state.members.length);
+}
+
+function promoteHighest(state: PromotionState, reports: readonly UpstreamReport[]): PromotionStep {
+  const chosen = chooseHighest(reports, state.avoid);
   if (chosen === undefined) return abandon(state);
   const { term } = state.record;
   const lineage = lineageFrom(chosen, term);
--- a/packages/coordination/tests/promotion.feature
+++ b/packages/coordination/tests/promotion.feature
@@ -24,6 +24,9 @@
       | swapped, read mine, fenced b 1/9, fenced c 1/7, promoted b, swap-unknown, read mine | done | swap, read-record, fence, promote b, swap, read-record | published, reply lost      |
       | swapped, read mine, fenced b 1/9, fenced c 1/7, promoted b, conflict, read other | abandoned | swap, read-record, fence, promote b, swap, read-record | superseded before published |
       | swapped, read mine, fenced b 1/9, expired, fenced c 1/7    | abandoned  | swap, read-record, fence                             | promoter paused past its time            |
+      | swapped, read mine, fenced a 1/12, fenced b 1/9            | fencing    | swap, read-record, fence                             | the suspect answers: wait for the others |
+      | swapped, read mine, fenced a 1/12, fenced b 1/9, fenced c 1/7 | promoting | swap, read-record, fence, promote b               | the suspect is not chosen again          |
+      | swapped, read mine, fenced a 1/12, fenced b 1/9, grace-over | promoting | swap, read-record, fence, promote a                  | no majority without it: better than none |
 
   Scenario: The lineage is that of the chosen log
     When the events are "swapped, read mine, fenced b 1/9, fenced c 1/7, promoted b"
--- a/packages/coordination/tests/promotion.steps.ts
+++ b/packages/coordination/tests/promotion.steps.ts
@@ -14,7 +14,7 @@
     record: recordWith(parseLineage('1:0')),
     revision: 7,
     members: ids.split(', ').map(upstreamId),
-    avoid: [],
+    avoid: [upstreamId('a')],
     promoter: hostId('h'),
     attempt: 'mine',
   });
--- a/packages/coordination/tests/read-routing.steps.ts
+++ b/packages/coordination/tests/read-routing.steps.ts
@@ -6,6 +6,7 @@
   azId,
   CoveringReplicaRouting,
   groupId,
+  SessionRule,
   ORIGIN,
   SeededRandom,
   upstreamId,
@@ -107,6 +108,7 @@
     connectionsPerUpstream: 12,
     defaultMaxAgeMs: 0,
     acknowledgement: AcknowledgementKind.Majority,
+    sessionRule: SessionRule.Monotonic,
   };
   const { record } = world;
   const input = { spec, record, az: azId(world.az), views, need, tried: new Set<never>() };
--- a/packages/coordination/tests/suspicion.steps.ts
+++ b/packages/coordination/tests/suspicion.steps.ts
@@ -7,6 +7,7 @@
   azId,
   DEFAULT_DAMPING,
   groupId,
+  SessionRule,
   isAgreed,
   isSuspect,
   neededSuspicionMs,
@@ -54,6 +55,7 @@
     connectionsPerUpstream: 12,
     defaultMaxAgeMs: 0,
     acknowledgement: AcknowledgementKind.Majority,
+    sessionRule: SessionRule.Monotonic,
   };
   const { record, marks, members } = this;
   const input = {
--- a/packages/measure/src/embedded/deployment.ts
+++ b/packages/measure/src/embedded/deployment.ts
@@ -48,6 +48,8 @@
   readonly routing?: ReadRouting;
   /** Acknowledgement rule of every group, as a bundle names it. */
   readonly acknowledgement?: string;
+  /** Session rule of every group, as a bundle names it. */
+  readonly session?: string;
 }
 
 /** An upstream with its zone. */
@@ -181,13 +183,14 @@
 
   /** Text of the next bundle; `states` sets the state of upstreams by name. */
   bundleText(states: Readonly<Record<string, string>>): string {
-    const { shape, acknowledgement } = this.options;
+    const { shape, acknowledgement, session } = this.options;
     const group = Object.fromEntries(
       shape.groups.map((name) => [
         name,
         {
           connections_per_upstream: shape.connectionsPerUpstream,
           ...(acknowledgement === undefined ? {} : { acknowledgement }),
+          ...(session === undefined ? {} : { session }),
         },
       ]),
     );
--- a/packages/measure/src/model/model-steps.ts
+++ b/packages/measure/src/model/model-steps.ts
@@ -211,15 +211,28 @@
       record: state.record,
       revision: state.revision,
       members: MEMBERS,
-      avoid: [],
+      avoid: [state.record.primary],
       promoter: hostId(`p${index}`),
       attempt,
     });
     const begun = { ...promoter, attempts: promoter.attempts + 1 };
     return [...late, { name: `p${index} starts`, next: moved(state, index, begun, started) }];
   }
-  if (stage === PromotionStage.Done || state.budget.losses === 0) return late;
-  return [...late, ...gaveUp(state, promoter, index)];
+  const steps = [...late, ...graceOver(state, promoter, index)];
+  if (stage === PromotionStage.Done || state.budget.losses === 0) return steps;
+  return [...steps, ...gaveUp(state, promoter, index)];
+}
+
+/** The wait for upstreams that need not be avoided ends when it would change something. */
+function graceOver(
+  state: ModelState,
+  promoter: ModelPromoter,
+  index: number,
+): readonly NamedStep[] {
+  const attempt = promoter.state?.record.attempt ?? '';
+  const next = fed(state, promoter, index, attempt, { kind: 'grace-over' });
+  const moves = next.promoters[index]?.state?.stage !== promoter.state?.stage;
+  return moves ? [{ name: `p${index} waits no longer`, next }] : [];
 }
 
 /** The promoter dies, or its time is over. */
--- a/packages/protocol/src/config/bundle.ts
+++ b/packages/protocol/src/config/bundle.ts
@@ -11,6 +11,7 @@
   hash32,
   LEAST_ZONE_PART,
   majorityOf,
+  SessionRule,
   upstreamId,
   UpstreamState,
 } from '@gladespool/coordination';
@@ -44,6 +45,7 @@
   acknowledgement: oneOf([AcknowledgementKind.Majority, AcknowledgementKind.PrimaryCommit]).default(
     AcknowledgementKind.Majority,
   ),
+  session: oneOf([SessionRule.Monotonic, SessionRule.OwnWrites]).default(SessionRule.Monotonic),
 });
 
 const upstreamSection = z.strictObject({
@@ -85,6 +87,7 @@
     connectionsPerUpstream: value.connections_per_upstream,
     defaultMaxAgeMs: value.max_age_ms,
     acknowledgement: value.acknowledgement,
+    sessionRule: value.session,
   }));
   checkGroups(document, specs, upstreams);
   if (head === undefined) return document.finish<Bundle>(undefined);
@@ -252,6 +255,7 @@
         connections_per_upstream: spec.connectionsPerUpstream,
         max_age_ms: spec.defaultMaxAgeMs,
         acknowledgement: spec.acknowledgement,
+        session: spec.sessionRule,
       },
     ]),
   );
--- a/packages/proxy/src/control/promotion-runner.ts
+++ b/packages/proxy/src/control/promotion-runner.ts
@@ -27,6 +27,8 @@
   readonly log: Logger;
   /** Longest time of one attempt, milliseconds. */
   readonly timeoutMs: number;
+  /** Longest wait for upstreams that need not be avoided, milliseconds. */
+  readonly graceMs: number;
 }
 
 const READ_RETRY_MS = 50;
@@ -87,6 +89,11 @@
     const before = this.state.stage;
     this.state = step.state;
     const { stage, record } = step.state;
+    if (stage === PromotionStage.Fencing && stage !== before) {
+      setTimeout(() => {
+        this.handle({ kind: 'grace-over' });
+      }, this.ports.graceMs);
+    }
     if (stage !== before) {
       this.reachedAt.set(stage, performance.now() - this.startedAt);
       this.ports.log.info('promotion-stage', { group: record.group, term: record.term, stage });
--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -47,6 +47,8 @@
   readonly damping: DampingRules;
   /** Longest time of one attempt, milliseconds. */
   readonly attemptTimeoutMs: number;
+  /** Longest wait for a majority without the suspect, milliseconds. */
+  readonly graceMs: number;
   /** Time after which an unfinished attempt of another host is taken over, milliseconds. */
   readonly stalledAfterMs: number;
   /** Longest wait for open transactions in a planned handover, milliseconds. */
@@ -129,7 +131,7 @@
     this.follow(home, spec, record, progress, now);
     if (progress.busy || now < progress.notBefore) return;
     if (this.isStalled(home, record, now)) {
-      void this.attempt(home, spec, progress, []);
+      void this.attempt(home, spec, progress);
       return;
     }
     if (record.phase === GroupPhase.Fencing) return;
@@ -172,17 +174,16 @@
     progress: GroupProgress,
   ): Promise<void> {
     progress.busy = true;
+    const { rules, random } = this.options;
     const { az } = home.context.board;
     const others = this.homesElsewhere(spec);
     const opinions = await this.poll.ask(spec.id, record.term, others);
     const own = { az, suspects: true };
+    const agreed = isAgreed(zonesOfGroup(spec), [...opinions, own]);
+    if (agreed) await pause(attemptDelayMs(0, this.rank(spec), rules.damping, random));
     progress.busy = false;
-    if (!isAgreed(zonesOfGroup(spec), [...opinions, own])) return;
-    const { damping } = this.options.rules;
-    const delay = attemptDelayMs(progress.attempts, this.rank(spec), damping, this.options.random);
-    if (delay > 0) await pause(delay);
     const present = home.record;
-    if (present?.term !== record.term || present.phase === GroupPhase.Fencing) return;
+    if (!agreed || present?.term !== record.term || present.phase === GroupPhase.Fencing) return;
     if (!this.isSuspect(home, spec, present, performance.now())) return;
     this.options.log.warn('primary-suspect', {
       group: spec.id,
@@ -190,20 +191,15 @@
       term: record.term,
       silent_ms: Math.round(home.unconfirmableMs(spec, present, performance.now())),
     });
-    await this.attempt(home, spec, progress, []);
+    await this.attempt(home, spec, progress);
   }
 
-  private async attempt(
-    home: GroupHome,
-    spec: GroupSpec,
-    progress: GroupProgress,
-    avoid: readonly UpstreamId[],
-  ): Promise<void> {
+  private async attempt(home: GroupHome, spec: GroupSpec, progress: GroupProgress): Promise<void> {
     if (progress.busy) return;
     progress.busy = true;
     progress.attempts += 1;
     try {
-      await this.promote(home, spec, avoid);
+      await this.promote(home, spec);
     } finally {
       const { damping } = this.options.rules;
       const rank = this.rank(spec);
@@ -213,11 +209,7 @@
     }
   }
 
-  private async promote(
-    home: GroupHome,
-    spec: GroupSpec,
-    avoid: readonly UpstreamId[],
-  ): Promise<void> {
+  private async promote(home: GroupHome, spec: GroupSpec): Promise<void> {
     const { store, log, rules, metrics } = this.options;
     const read = await store.read(recordKey(spec.id));
     const stored = read.isOk() ? read.value : undefined;
@@ -238,7 +230,7 @@
         record,
         revision: stored.revision,
         members: spec.upstreams.map((upstream) => upstream.id),
-        avoid: [...avoid, ...leaving.map((upstream) => upstream.id)],
+        avoid: [record.primary, ...leaving.map((upstream) => upstream.id)],
         promoter: home.context.board.host,
         attempt: `${home.context.board.host}/${Date.now()}/${this.lastAttempt}`,
       },
@@ -246,6 +238,7 @@
         store,
         log,
         timeoutMs: rules.attemptTimeoutMs,
+        graceMs: rules.graceMs,
         control: async (upstream, sql) => {
           const control = home.control(upstream);
           if (control === undefined) throw new Error(`no control connection to ${upstream}`);
@@ -295,7 +288,7 @@
       await this.waitDrained(home, record);
     }
     progress.busy = false;
-    await this.attempt(home, spec, progress, [record.primary]);
+    await this.attempt(home, spec, progress);
   }
 
   private async waitDrained(home: GroupHome, record: GroupRecord): Promise<void> {
--- a/packages/proxy/src/home/request-flow.ts
+++ b/packages/proxy/src/home/request-flow.ts
@@ -20,6 +20,7 @@
   refuse,
   RetryReason,
   Section,
+  SessionRule,
   UpstreamRole,
 } from '@gladespool/coordination';
 import { BackendType, RunIntent, TransactionStatus } from '@gladespool/protocol';
@@ -184,7 +185,8 @@
     if (covered !== AckVerdict.Confirmed || !fresh) {
       return final(refusal(RefusalReason.ReadNotCovered));
     }
-    return final(answerOf(main, 0, after.applied, replica));
+    const seen = ground.spec.sessionRule === SessionRule.Monotonic ? after.applied : undefined;
+    return final(answerOf(main, 0, seen, replica));
   }
 
   /** Proves that the primary read from was not superseded when the request arrived. */
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -64,6 +64,7 @@
 const PUSH_DELAY_MS = 10;
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const ATTEMPT_TIMEOUT_MS = 5000;
+const FENCE_GRACE_MS = 400;
 const STALLED_AFTER_MS = 2000;
 const HANDOVER_WAIT_MS = 5000;
 
@@ -313,6 +314,7 @@
         suspectAfterMs: settings.upstream.suspect_after_ms,
         damping: DEFAULT_DAMPING,
         attemptTimeoutMs: ATTEMPT_TIMEOUT_MS,
+        graceMs: FENCE_GRACE_MS,
         stalledAfterMs: STALLED_AFTER_MS,
         handoverWaitMs: HANDOVER_WAIT_MS,
       },
