--- a/packages/measure/src/commands/failover-command.ts
+++ b/packages/measure/src/commands/failover-command.ts
@@ -225,14 +225,18 @@
       const port = hosts[(index + this.sequence) % hosts.length]?.callers.port ?? 0;
       const caller = await this.connect(port);
       if (caller === undefined) continue;
-      for (let i = 0; i < WRITES_PER_CONNECTION && !this.stopped && !caller.ended; i += 1) {
-        const ok = await this.writeOnce(caller);
-        if (!ok) break;
-      }
+      await this.writeMany(caller);
       await Promise.race([caller.end().catch(() => undefined), pause(RECONNECT_MS)]);
     }
   }
 
+  private async writeMany(caller: Caller): Promise<void> {
+    for (let i = 0; i < WRITES_PER_CONNECTION; i += 1) {
+      const goesOn = await this.writeOnce(caller);
+      if (!goesOn || this.stopped || caller.ended) return;
+    }
+  }
+
   private async connect(port: number): Promise<Caller | undefined> {
     try {
       const createSocket = (): ReturnType<Deployment['network']['socketFor']> =>
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,2 +1,3 @@
+export * from './closed-pipe.js';
 export * from './log.js';
 export * from './metrics.js';
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -132,6 +132,8 @@
   z.object({
     kind: z.literal(FrameKind.Heartbeat),
     self: memberSchema,
+    /** Version of the bundle in force on the sender; 0 for none. */
+    bundleVersion: count,
     /** Counter of the receiver's news up to which the sender has heard. */
     heardUpTo: count,
     /** Incarnation of the receiver for which `heardUpTo` counts. */
--- a/packages/protocol/src/store-keys.ts
+++ b/packages/protocol/src/store-keys.ts
@@ -2,6 +2,7 @@
  * Keys and values of the deployment in the platform's store.
  */
 import type { GroupId, GroupRecord } from '@gladespool/coordination';
+import { z } from 'zod';
 import { recordSchema } from './peer/frame.js';
 import { recordOf } from './peer/record-frame.js';
 
@@ -10,6 +11,7 @@
 /** Head of the bundle in force. */
 export const BUNDLE_HEAD_KEY = `${ROOT_PREFIX}bundle`;
 const RECORD_PREFIX = `${ROOT_PREFIX}group/`;
+const STATUS_PREFIX = '/gladespool/status/';
 const PART_PREFIX = '/gladespool/part/';
 
 /** Key of a group's record. */
@@ -27,6 +29,44 @@
   return PART_PREFIX + hash;
 }
 
+/** Prefix of the zones' reports; outside of the watched prefix. */
+export const ZONE_STATUS_PREFIX = STATUS_PREFIX;
+
+/** Key of a zone's report. */
+export function zoneStatusKey(az: string): string {
+  return STATUS_PREFIX + az;
+}
+
+const zoneStatusSchema = z
+  .object({
+    az: z.string(),
+    /** Version in force on the reporting relay. */
+    version: z.int(),
+    /** Hosts that the relay hears. */
+    hosts: z.int(),
+    /** Hosts that have an older version in force. */
+    lagging: z.array(z.string()).readonly(),
+  })
+  .readonly();
+
+/** What a zone's first relay reports of the bundle in force. */
+export type ZoneStatus = z.infer<typeof zoneStatusSchema>;
+
+/** Encodes a zone's report. */
+export function encodeZoneStatus(status: ZoneStatus): string {
+  return JSON.stringify(status);
+}
+
+/** Decodes a zone's report; undefined when it is malformed. */
+export function decodeZoneStatus(text: string): ZoneStatus | undefined {
+  try {
+    const parsed = zoneStatusSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Encodes a record. */
 export function encodeRecord(record: GroupRecord): string {
   return JSON.stringify(record);
--- a/packages/proxy/src/control/membership-service.ts
+++ b/packages/proxy/src/control/membership-service.ts
@@ -76,6 +76,11 @@
     return this.relaysIn(this.options.board.az).includes(this.options.board.host);
   }
 
+  /** Whether this host is the preferred relay of its zone as it sees it. */
+  get isFirstRelay(): boolean {
+    return this.relaysIn(this.options.board.az)[0] === this.options.board.host;
+  }
+
   /** When any other host last answered, local milliseconds. */
   get contactAt(): number {
     return this.lastContactAt;
@@ -138,6 +143,7 @@
     void this.options.network.sendTo(target, {
       kind: FrameKind.Heartbeat,
       self: this.options.self(),
+      bundleVersion: this.options.board.bundle?.version ?? 0,
       heardUpTo: view?.upTo ?? 0,
       heardOf: view?.incarnation ?? 0,
     });
--- a/packages/proxy/src/control/relay-service.ts
+++ b/packages/proxy/src/control/relay-service.ts
@@ -26,6 +26,7 @@
 export class RelayService implements PeerHandler {
   readonly news = new NewsBoard();
   private readonly heard = new Map<HostId, HeardMember>();
+  private readonly versions = new Map<HostId, number>();
   private readonly sentUpTo = new Map<PeerLink, number>();
   private readonly expiry: NodeJS.Timeout;
   private pushTimer: NodeJS.Timeout | undefined;
@@ -46,6 +47,12 @@
     return this.sentUpTo.size;
   }
 
+  /** Live hosts heard of this zone with the bundle version that each has in force. */
+  get hostVersions(): ReadonlyMap<HostId, number> {
+    const live = [...this.heard.values()].filter(({ member }) => member.state !== MemberState.Gone);
+    return new Map(live.map(({ member }) => [member.host, this.versions.get(member.host) ?? 0]));
+  }
+
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind === FrameKind.Heartbeat) this.takeBeat(link, frame);
     if (frame.kind === FrameKind.PartAsk) this.answerParts(link, frame.hashes);
@@ -71,6 +78,7 @@
   private takeBeat(link: PeerLink, beat: FrameOf<FrameKind.Heartbeat>): void {
     const member = memberOf(beat.self);
     const isOwn = member.az === this.az;
+    if (isOwn) this.versions.set(member.host, beat.bundleVersion);
     if (isOwn) this.judge(member, performance.now());
     const knows = beat.heardOf === this.incarnation ? beat.heardUpTo : 0;
     this.send(link, knows);
@@ -89,7 +97,9 @@
     }
     for (const [host, { member, heardAt }] of this.heard) {
       const isOld = now - heardAt > this.rules.expireMs * FORGET_FACTOR;
-      if (member.state === MemberState.Gone && isOld) this.heard.delete(host);
+      if (member.state !== MemberState.Gone || !isOld) continue;
+      this.heard.delete(host);
+      this.versions.delete(host);
     }
   }
 
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -24,6 +24,7 @@
 import { MembershipService } from './control/membership-service.js';
 import { PromotionService } from './control/promotion-service.js';
 import { RelayService } from './control/relay-service.js';
+import { ZoneStatusReporter } from './control/zone-status.js';
 import { StoreRelay } from './control/store-relay.js';
 import type { CallerTls } from './entry/caller-server.js';
 import { CallerServer } from './entry/caller-server.js';
@@ -61,6 +62,7 @@
 
 const STORE_RETRY_MS = 200;
 const STORE_MAX_RETRY_MS = 5000;
+const ZONE_STATUS_INTERVAL_MS = 500;
 const PUSH_DELAY_MS = 10;
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const ATTEMPT_TIMEOUT_MS = 5000;
@@ -84,6 +86,7 @@
   private readonly hostList: HttpHostList;
   private readonly storeRelay: StoreRelay;
   private readonly log: Logger;
+  private readonly zoneStatus: ZoneStatusReporter;
   private listTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: HostOptions) {
@@ -115,6 +118,7 @@
     this.network.addHandler(this.homes);
     this.storeRelay = this.createStoreRelay();
     this.promotions = this.createPromotions();
+    this.zoneStatus = this.createZoneStatus();
     this.callers = this.createCallers();
     this.status = new StatusServer({ metrics: this.metrics, notReady: () => this.notReady() });
     this.board.onChange(Section.Members, () => {
@@ -157,6 +161,7 @@
     this.membership.stop();
     this.relay.stop();
     this.storeRelay.stop();
+    this.zoneStatus.stop();
     this.homes.close();
     await Promise.all([
       this.callers.drain(0),
@@ -297,6 +302,17 @@
     });
   }
 
+  private createZoneStatus(): ZoneStatusReporter {
+    return new ZoneStatusReporter({
+      az: this.options.settings.az,
+      store: this.store,
+      version: () => this.bundle.inForce,
+      hostVersions: () => this.relay.hostVersions,
+      reports: () => this.membership.isFirstRelay,
+      intervalMs: ZONE_STATUS_INTERVAL_MS,
+    });
+  }
+
   private createPromotions(): PromotionService {
     const { settings, seed } = this.options;
     return new PromotionService({
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -2,10 +2,12 @@
 /**
  * The `gladespool` command.
  */
+import { endOnClosedPipe } from '@gladespool/observability';
 import { Builtins, Cli } from 'clipanion';
 import { RunCommand } from './commands/run-command.js';
 import { SettingsCheckCommand, SettingsShowCommand } from './commands/settings-command.js';
 
+endOnClosedPipe(process.stdout);
 const cli = new Cli({
   binaryLabel: 'gladespool, database proxy with session consistency',
   binaryName: 'gladespool',
