perf(upstreams): requests wait at most half their time; bundles are read in parts once

Change: a request is refused at the door when its expected wait exceeds half its time, and at the head of the queue when the mean hold no longer fits; upstreams are indexed by group; hosts keep parsed parts by hash. A drained session takes nothing after its farewell.

--- a/packages/measure/src/embedded/deployment.ts
+++ b/packages/measure/src/embedded/deployment.ts
@@ -180,6 +180,11 @@
     this.bundleVersion = bundle.version;
   }
 
+  /** Version published last. */
+  get publishedVersion(): number {
+    return this.bundleVersion;
+  }
+
   /** A client of the store for tools. */
   storeClient(): HttpStoreClient {
     return new HttpStoreClient({
--- a/packages/measure/src/load/caller.ts
+++ b/packages/measure/src/load/caller.ts
@@ -117,7 +117,8 @@
     });
   }
 
+  /** Ends the connection; one that has ended already is left alone. */
   async end(): Promise<void> {
-    await this.client.end();
+    if (!this.ended) await this.client.end();
   }
 }
--- a/packages/measure/tests/deployment-world.ts
+++ b/packages/measure/tests/deployment-world.ts
@@ -4,6 +4,7 @@
 import { After, setDefaultTimeout } from '@cucumber/cucumber';
 import type { Host } from '@gladespool/proxy';
 import type { SettingsOverride } from '../src/embedded/deployment.js';
+import { wordsOf } from '../src/commands/error-words.js';
 import { Deployment } from '../src/embedded/deployment.js';
 import { RAMDIN } from '../src/embedded/shape.js';
 import { Caller } from '../src/load/caller.js';
@@ -95,14 +96,6 @@
   deployment.network.isolate(az, [...zones.filter((zone) => zone !== az), 'platform']);
 }
 
-/** Words of an error: SQLSTATE, reason and ran. */
-export function wordsOf(error: unknown): string {
-  const { code = '', detail = '' } = error as { code?: string; detail?: string };
-  const reason = /reason=(\S+)/.exec(detail)?.[1] ?? '';
-  const ran = /ran=(\S+)/.exec(detail)?.[1] ?? '';
-  return [code, reason, ran].filter((word) => word !== '').join(' ');
-}
-
 /** Result of a query: `ok`, or the words of its error. */
 export async function resultOf(run: Promise<unknown>): Promise<string> {
   try {
--- a/packages/measure/tests/operations.steps.ts
+++ b/packages/measure/tests/operations.steps.ts
@@ -17,19 +17,13 @@
   splitBundle,
 } from '@gladespool/protocol';
 import { StoreFault } from '@gladespool/standins';
+import { wordsOf } from '../src/commands/error-words.js';
 import { until } from '../src/embedded/deployment.js';
 import { Told } from '../src/history/history.js';
 import { Caller } from '../src/load/caller.js';
 import { toldBy } from '../src/load/session-workload.js';
 import type { DeploymentWorld } from './deployment-world.js';
-import {
-  callerOn,
-  deploymentOf,
-  GROUP,
-  resultOf,
-  timesInLog,
-  wordsOf,
-} from './deployment-world.js';
+import { callerOn, deploymentOf, GROUP, resultOf, timesInLog } from './deployment-world.js';
 import { fetchByPortal, pipelineNamed } from './extended-driver.js';
 
 interface Load {
--- a/packages/protocol/src/config/bundle.ts
+++ b/packages/protocol/src/config/bundle.ts
@@ -66,38 +66,67 @@
   readonly groups: readonly GroupSpec[];
 }
 
+/** Version, base, threshold and operators of a bundle. */
+export type BundleCore = Omit<Bundle, 'groups'>;
+
+type Faults = readonly ConfigFault[];
+
 /** Reads and checks a bundle; every fault is reported at once. */
-export function readBundle(file: string, text: string): Result<Bundle, readonly ConfigFault[]> {
+export function readBundle(file: string, text: string): Result<Bundle, Faults> {
   const document = new IniDocument(file, withoutSignatures(text));
+  const core = coreOf(document);
+  const groups = groupsOf(document);
+  return document.finish<Bundle>(core === undefined ? undefined : { ...core, groups });
+}
+
+/** Reads the first part of a split bundle. */
+export function readBundleCore(file: string, text: string): Result<BundleCore, Faults> {
+  const document = new IniDocument(file, text);
+  return document.finish<BundleCore>(coreOf(document));
+}
+
+/** Reads one of the other parts of a split bundle. */
+export function readBundleGroups(file: string, text: string): Result<readonly GroupSpec[], Faults> {
+  const document = new IniDocument(file, text);
+  return document.finish(groupsOf(document));
+}
+
+function coreOf(document: IniDocument): BundleCore | undefined {
   const head = document.section('bundle', headSection);
   const operators = document.named('operator', operatorSection);
-  const groups = document.named('group', groupSection);
-  const upstreams = document.nested('upstream', upstreamSection);
-  if (head !== undefined && head.version <= head.base) {
+  if (head === undefined) return undefined;
+  if (head.version <= head.base) {
     const seen = String(head.version);
     document.report({ section: 'bundle', key: 'version', seen, allowed: 'above base' });
   }
-  if (head !== undefined && head.threshold > operators.length) {
+  if (head.threshold > operators.length) {
     const allowed = `at most the number of operators, ${operators.length}`;
     document.report({ section: 'bundle', key: 'threshold', seen: String(head.threshold), allowed });
   }
+  const { version, base, threshold } = head;
+  const keys = operators.map((entry) => ({ name: entry.name, key: entry.value.key }));
+  return { version, base, threshold, operators: keys };
+}
+
+function groupsOf(document: IniDocument): readonly GroupSpec[] {
+  const groups = document.named('group', groupSection);
+  const upstreams = document.nested('upstream', upstreamSection);
+  const byGroup = new Map<string, UpstreamSpec[]>();
+  for (const section of upstreams) {
+    const held = byGroup.get(section.outer);
+    if (held === undefined) byGroup.set(section.outer, [specOf(section)]);
+    else held.push(specOf(section));
+  }
   const specs = groups.map(({ name: id, value }) => ({
     id: groupId(id),
-    upstreams: upstreams.filter((entry) => entry.outer === id).map(specOf),
+    upstreams: byGroup.get(id) ?? [],
     connectionsPerUpstream: value.connections_per_upstream,
     defaultMaxAgeMs: value.max_age_ms,
     acknowledgement: value.acknowledgement,
     sessionRule: value.session,
   }));
   checkGroups(document, specs, upstreams);
-  if (head === undefined) return document.finish<Bundle>(undefined);
-  return document.finish<Bundle>({
-    version: head.version,
-    base: head.base,
-    threshold: head.threshold,
-    operators: operators.map((entry) => ({ name: entry.name, key: entry.value.key })),
-    groups: specs,
-  });
+  return specs;
 }
 
 type UpstreamSection = NestedSection<z.output<typeof upstreamSection>>;
--- a/packages/proxy/src/control/bundle-service.ts
+++ b/packages/proxy/src/control/bundle-service.ts
@@ -2,17 +2,17 @@
  * Puts bundles in force: checks version and signatures, fetches the parts it lacks, and never goes
  * back. Heads come from the store (relays) or from relays (everyone).
  */
-import type { Blackboard } from '@gladespool/coordination';
+import type { Blackboard, GroupSpec } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
-import type { BundleHead, Frame, Manifest, TrustRoot } from '@gladespool/protocol';
+import type { Bundle, BundleHead, Frame, Manifest, TrustRoot } from '@gladespool/protocol';
 import {
   concernsZone,
   decodeHead,
   FrameKind,
   hashPart,
   isAuthorized,
-  joinParts,
-  readBundle,
+  readBundleCore,
+  readBundleGroups,
   readManifest,
   signaturesOf,
 } from '@gladespool/protocol';
@@ -45,6 +45,7 @@
 /** Bundle in force on one host. */
 export class BundleService implements PeerHandler {
   private readonly parts = new Map<string, string>();
+  private readonly groups = new Map<string, readonly GroupSpec[]>();
   private trust: TrustRoot;
   private trusted = 0;
   private version = 0;
@@ -131,18 +132,18 @@
     const hashes = wanted.map((part) => part.hash);
     const missing = hashes.filter((hash) => !this.parts.has(hash));
     if (missing.length > 0) await this.fetchParts(candidate, missing);
-    const texts = hashes.map((hash) => this.parts.get(hash)).filter((text) => text !== undefined);
     const { version } = candidate.manifest;
-    if (texts.length < hashes.length) {
-      log.warn('bundle-incomplete', { version, missing: hashes.length - texts.length });
+    const lacking = hashes.filter((hash) => !this.parts.has(hash)).length;
+    if (lacking > 0) {
+      log.warn('bundle-incomplete', { version, missing: lacking });
       return;
     }
-    const bundle = readBundle(`bundle ${version}`, joinParts(texts));
-    if (bundle.isErr() || bundle.value.version !== version) {
+    const bundle = this.read(version, hashes);
+    if (bundle === undefined) {
       log.warn('bundle-refused', { reason: 'content', version });
       return;
     }
-    const { operators, threshold, groups } = bundle.value;
+    const { operators, threshold, groups } = bundle;
     this.trust = { operators, threshold };
     this.trusted = version;
     this.version = version;
@@ -154,12 +155,39 @@
     this.options.onInForce(candidate.head, version);
   }
 
+  /** Reads the parts; those that did not change since the last bundle are not read again. */
+  private read(version: number, hashes: readonly string[]): Bundle | undefined {
+    const [first = '', ...others] = hashes;
+    const core = readBundleCore(`bundle ${version}`, this.parts.get(first) ?? '');
+    if (core.isErr() || core.value.version !== version) return undefined;
+    const groups: GroupSpec[] = [];
+    for (const hash of others) {
+      const read = this.groupsOf(hash);
+      if (read === undefined) return undefined;
+      groups.push(...read);
+    }
+    return { ...core.value, groups };
+  }
+
+  private groupsOf(hash: string): readonly GroupSpec[] | undefined {
+    const held = this.groups.get(hash);
+    if (held !== undefined) return held;
+    const read = readBundleGroups(`part ${hash}`, this.parts.get(hash) ?? '');
+    if (read.isErr()) return undefined;
+    this.groups.set(hash, read.value);
+    return read.value;
+  }
+
   private async fetchParts(candidate: Candidate, hashes: readonly string[]): Promise<void> {
     for (const text of await candidate.fetch(hashes)) this.parts.set(hashPart(text), text);
   }
 
   private keepOnly(hashes: ReadonlySet<string>): void {
-    for (const hash of this.parts.keys()) if (!hashes.has(hash)) this.parts.delete(hash);
+    for (const hash of this.parts.keys()) {
+      if (hashes.has(hash)) continue;
+      this.parts.delete(hash);
+      this.groups.delete(hash);
+    }
   }
 
   private ask(link: PeerLink, hashes: readonly string[]): Promise<readonly string[]> {
--- a/packages/proxy/src/control/trust-chain.ts
+++ b/packages/proxy/src/control/trust-chain.ts
@@ -7,7 +7,7 @@
 import {
   hashPart,
   isAuthorized,
-  readBundle,
+  readBundleCore,
   readManifest,
   signaturesOf,
 } from '@gladespool/protocol';
@@ -32,7 +32,7 @@
     if (manifest.version >= version) break;
     if (!isAuthorized(link.manifest, signaturesOf(link), current)) break;
     if (hashPart(link.core) !== manifest.parts[0].hash) break;
-    const core = readBundle('chain', link.core);
+    const core = readBundleCore('chain', link.core);
     if (core.isErr()) break;
     current = { operators: core.value.operators, threshold: core.value.threshold };
   }
--- a/packages/proxy/src/entry/caller-session.ts
+++ b/packages/proxy/src/entry/caller-session.ts
@@ -109,6 +109,8 @@
   async drain(): Promise<void> {
     if (this.isBusy()) await new Promise<void>((resolve) => this.idleWaiters.push(resolve));
     if (this.closed) return;
+    this.closed = true;
+    this.queue = [];
     const fields = refusalFields(refuse(RefusalReason.Draining), 'FATAL');
     this.socket.end(encodeError(fields));
   }
@@ -140,6 +142,7 @@
       this.socket.removeAllListeners('data');
       return;
     }
+    if (this.closed) return;
     for (const message of messages.value) {
       this.queue.push(message);
       this.queuedBytes += message.length;
--- a/packages/upstreams/src/connection-pool.ts
+++ b/packages/upstreams/src/connection-pool.ts
@@ -26,7 +26,8 @@
 
 interface Waiter {
   readonly priority: Priority;
-  readonly since: number;
+  /** When its caller stops waiting, local milliseconds. */
+  readonly deadlineAt: number;
   readonly settle: (result: Result<Lease, RefusalReason>) => void;
 }
 
@@ -37,6 +38,11 @@
 ];
 /** Every n-th lease goes to the longest waiter of any class, so that none starves. */
 const FAIR_TURN = 8;
+/**
+ * Share of a request's time that it may be expected to wait. A queue as long as the deadline would
+ * accept requests that can only just be late.
+ */
+const WAIT_SHARE = 0.5;
 /** Weight of the newest sample in the moving average of hold times. */
 const HOLD_WEIGHT = 0.1;
 /** Connection attempts at once; more would be a storm on an upstream that has just returned. */
@@ -91,6 +97,7 @@
       if (surplus === undefined) return;
       this.discard(surplus);
     }
+    this.grow();
   }
 
   /** Opens connections ahead of need, up to `count`. */
@@ -122,7 +129,7 @@
   private refusalAtDoor(timeoutMs: number): RefusalReason | undefined {
     if (this.stopped) return RefusalReason.Draining;
     if (this.waiting.length >= this.limits.maxWaiting) return RefusalReason.QueueFull;
-    if (this.expectedWaitMs() > timeoutMs) return RefusalReason.ExpectedWait;
+    if (this.expectedWaitMs() > timeoutMs * WAIT_SHARE) return RefusalReason.ExpectedWait;
     return undefined;
   }
 
@@ -138,7 +145,7 @@
       }, timeoutMs);
       const waiter: Waiter = {
         priority,
-        since: now,
+        deadlineAt: now + timeoutMs,
         settle: (result) => {
           clearTimeout(timer);
           resolve(result);
@@ -187,12 +194,22 @@
       this.discard(connection);
       return;
     }
-    const waiter = this.nextWaiter();
+    const now = performance.now();
+    const waiter = this.nextWaiterInTime(now);
     if (waiter === undefined) {
       this.idle.push(connection);
       return;
     }
-    waiter.settle(ok(this.lend(connection, performance.now())));
+    waiter.settle(ok(this.lend(connection, now)));
+  }
+
+  /** The next waiter that has time left to run; the others are refused while that is certain. */
+  private nextWaiterInTime(now: number): Waiter | undefined {
+    for (;;) {
+      const waiter = this.nextWaiter();
+      if (waiter === undefined || waiter.deadlineAt - now >= this.holdMs) return waiter;
+      waiter.settle(err(RefusalReason.DeadlineBeforeRun));
+    }
   }
 
   private nextWaiter(): Waiter | undefined {
