feat(proxy): retry budget, ledger clean-up; docs

Cause: retries were bounded by deadlines only, ids were kept for ever, and the project had no pages for readers and operators. Change: retries of reads and of unsent requests stay a fifth of traffic, bursts of fifty; one home of a group forgets ids older than upstream.ledger_keep_ms; DESIGN, INTERFACES, OPERATING, GLOSSARY; measure stability. Conclusion: what is not built is listed in docs/DESIGN.md.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -19,3 +19,5 @@
 export * from './promotion.js';
 export * from './reconcile.js';
 export * from './suspicion.js';
+export * from './retry-allowance.js';
+export * from './retry-budget.js';
--- /dev/null
+++ b/packages/coordination/tests/retry-budget.feature
@@ -0,0 +1,11 @@
+Feature: Retries stay a share of traffic
+
+  Scenario Outline: Requests that all fail and want one retry each
+    When <requests> requests want a retry each with share <share> and burst <burst>
+    Then <granted> retries are granted
+
+    Examples:
+      | requests | share | burst | granted | why                            |
+      | 10       | 0.2   | 50    | 10      | a burst is within the budget   |
+      | 1000     | 0.25  | 50    | 299     | burst, then a quarter          |
+      | 1000     | 0     | 5     | 5       | burst alone                    |
--- a/packages/measure/src/commands/drain-command.ts
+++ b/packages/measure/src/commands/drain-command.ts
@@ -121,7 +121,7 @@
         await caller.query('SELECT state FROM deeds WHERE id = $1', [`${prefix}-${i}`]);
         this.answered += 2;
       } catch (error) {
-        const words = wordsOf(error) || 'connection lost';
+        const words = wordsOf(error) || (error instanceof Error ? error.message : 'unknown');
         this.errors.set(words, (this.errors.get(words) ?? 0) + 1);
       }
     }
--- a/packages/measure/src/load/caller.ts
+++ b/packages/measure/src/load/caller.ts
@@ -65,7 +65,9 @@
     });
     const caller = new Caller(client);
     caller.token = options.token ?? '';
-    client.on('error', () => undefined);
+    client.on('error', () => {
+      caller.ended = true;
+    });
     client.on('end', () => {
       caller.ended = true;
     });
--- a/packages/measure/src/measure-main.ts
+++ b/packages/measure/src/measure-main.ts
@@ -9,6 +9,7 @@
 import { DrainCommand } from './commands/drain-command.js';
 import { OverloadCommand } from './commands/overload-command.js';
 import { RolloutCommand } from './commands/rollout-command.js';
+import { StabilityCommand } from './commands/stability-command.js';
 import { OverheadCommand } from './commands/overhead-command.js';
 
 const cli = new Cli({ binaryName: 'npm run measure --', binaryLabel: 'gladespool experiments' });
@@ -19,6 +20,7 @@
 cli.register(DrainCommand);
 cli.register(OverloadCommand);
 cli.register(RolloutCommand);
+cli.register(StabilityCommand);
 cli.register(OverheadCommand);
 cli.register(Builtins.HelpCommand);
 await cli.runExit(process.argv.slice(2));
--- a/packages/measure/tests/faults.feature
+++ b/packages/measure/tests/faults.feature
@@ -22,6 +22,11 @@
     When 16 sendings of one id start at once
     Then exactly one stands in the log and all 16 get the same answer
 
+  Scenario: Ids are forgotten after the keep time, not before
+    Given ids are kept for 1 s
+    When a request with an id is sent, and confirmed
+    Then its id is in the ledger at once, and soon forgotten
+
   # No acknowledgement by a superseded primary, refused means not run
 
   Scenario: The primary's zone is cut off while callers still reach it
--- a/packages/measure/tests/faults.steps.ts
+++ b/packages/measure/tests/faults.steps.ts
@@ -93,6 +93,17 @@
   },
 );
 
+Given('ids are kept for 1 s', async function (this: FaultWorld) {
+  await deploymentOf(this).stop();
+  await startDeployment(this, 2, { upstream: { ledger_keep_ms: 1000 } });
+});
+
+Then('its id is in the ledger at once, and soon forgotten', async function (this: FaultWorld) {
+  const { tables } = deploymentOf(this).primaryOf(GROUP).node;
+  assert.ok(tables.get('gladespool_requests', 'q1') !== undefined);
+  await until(() => tables.get('gladespool_requests', 'q1') === undefined);
+});
+
 // Cut-off zones
 
 When("the primary's zone is cut off", function (this: FaultWorld) {
--- a/packages/protocol/src/config/host-settings.ts
+++ b/packages/protocol/src/config/host-settings.ts
@@ -58,6 +58,9 @@
   suspect_after_ms: whole(10, 600_000)
     .default(1000)
     .describe('Writes not confirmable for so long make the primary suspect, ms.'),
+  ledger_keep_ms: whole(1000, 30 * DAY_MS)
+    .default(DAY_MS)
+    .describe('Time for which ids of requests that run at most once are kept, ms.'),
 });
 
 const callerSection = z.strictObject({
--- a/packages/proxy/src/entry/home-router.ts
+++ b/packages/proxy/src/entry/home-router.ts
@@ -4,9 +4,11 @@
  */
 import type { Blackboard, GroupId, HostId, Member } from '@gladespool/coordination';
 import {
+  DEFAULT_RETRY_BUDGET,
   homesOf,
   RefusalReason,
   refuse,
+  RetryAllowance,
   RetryReason,
   workingHosts,
   zonesOfGroup,
@@ -39,16 +41,19 @@
 /** Routes requests to homes. */
 export class HomeRouter {
   private turn = 0;
+  private readonly retries = new RetryAllowance(DEFAULT_RETRY_BUDGET);
 
   constructor(private readonly options: HomeRouterOptions) {}
 
   /** Runs a request on a home, or on `pinned` when a transaction is open there. */
   async run(req: RunRequest, pinned: HostId | undefined): Promise<RoutedOutcome> {
+    this.retries.noteRequest();
     if (pinned !== undefined) return this.runOn(req, pinned);
     let last = refusalOf(RefusalReason.NoHome);
     for (const home of this.candidates(req)) {
       last = await this.runOn(req, home);
       if (!isUnsent(last.outcome) && !isLostRead(req, last.outcome)) return last;
+      if (!this.retries.take()) return last;
       this.options.metrics.retries.inc({ reason: RetryReason.PeerUnreachable });
     }
     return last;
--- a/packages/proxy/src/home/request-flow.ts
+++ b/packages/proxy/src/home/request-flow.ts
@@ -14,12 +14,14 @@
   AckVerdict,
   coverage,
   Coverage,
+  DEFAULT_RETRY_BUDGET,
   FAILED_AFTER,
   GroupPhase,
   majorityOf,
   Priority,
   RefusalReason,
   refuse,
+  RetryAllowance,
   RetryReason,
   Section,
   SessionRule,
@@ -51,11 +53,14 @@
 
 /** Runs the requests of one home. */
 export class RequestFlow {
+  private readonly retries = new RetryAllowance(DEFAULT_RETRY_BUDGET);
+
   constructor(private readonly home: GroupHome) {}
 
   /** Runs one request to its outcome. */
   async run(req: RunRequest): Promise<RunOutcome> {
     const leave = this.home.enter();
+    this.retries.noteRequest();
     try {
       return await this.dispatch(req);
     } finally {
@@ -98,6 +103,7 @@
       }
       const attempt = await this.readOn(req, ground, choice.upstream);
       if (attempt.kind === 'final') return attempt.outcome;
+      if (!this.retries.take()) return attempt.last;
       this.home.context.metrics.retries.inc({ reason: attempt.reason });
       if (attempt.reason === RetryReason.ReadOnlyUpstream) return this.write(asWrite(req));
       tried.add(choice.upstream);
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -30,6 +30,7 @@
 import { CallerServer } from './entry/caller-server.js';
 import { HomeRouter } from './entry/home-router.js';
 import { RemoteHomes } from './entry/remote-homes.js';
+import { LedgerCleaner } from './home/ledger-cleaner.js';
 import { HomeService } from './home/home-service.js';
 import { StatusServer } from './http/status-server.js';
 import { PeerNetwork } from './peer/peer-network.js';
@@ -87,6 +88,7 @@
   private readonly storeRelay: StoreRelay;
   private readonly log: Logger;
   private readonly zoneStatus: ZoneStatusReporter;
+  private readonly ledgerCleaner: LedgerCleaner;
   private listTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: HostOptions) {
@@ -122,6 +124,10 @@
     this.storeRelay = this.createStoreRelay();
     this.promotions = this.createPromotions();
     this.zoneStatus = this.createZoneStatus();
+    this.ledgerCleaner = new LedgerCleaner(() => this.homes.held, {
+      keepMs: settings.upstream.ledger_keep_ms,
+      homesPerGroup: peer.homes_per_group,
+    });
     this.callers = this.createCallers();
     this.status = new StatusServer({ metrics: this.metrics, notReady: () => this.notReady() });
     this.board.onChange(Section.Members, () => {
@@ -165,6 +171,7 @@
     this.relay.stop();
     this.storeRelay.stop();
     this.zoneStatus.stop();
+    this.ledgerCleaner.stop();
     this.homes.close();
     await Promise.all([
       this.callers.drain(0),
