perf(coordination): heartbeats slow down in large zones

Cause: a heartbeat costs a relay 67 us at 1,000 a second and more at lower rates (relay with 100 links in a process of its own thread, event loop utilization 6.7 %); 200 hosts beating every second would take 1.4 % of a core of each relay, which with its homes exceeds 1.7 %. Change: the interval grows with the zone's members to at most 130 beats a second a relay, at least 2.3 beats in the expiry time. Ruled out: answering only every second heartbeat (67.1 -> 73.3 us, no gain: the cost is in waking up and reading); reverted. Figures: zone of 195: 195 -> 130 beats a second, 1.31 % -> 0.87 % of a core by the slope above. Conclusion: computed from the slope; a zone of 200 processes was not run.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -104,3 +104,15 @@
     .map((member) => member.host)
     .sort();
 }
+
+/** Heartbeats a second that one relay takes at most; each costs it about 70 us (docs/CAPACITY.md). */
+const BEATS_PER_SECOND = 130;
+/** Heartbeats that fit into the expiry time at least, so that one lost beat removes nobody. */
+const BEATS_PER_EXPIRY = 2.3;
+const MS_PER_SECOND = 1000;
+
+/** Heartbeat interval in a zone of so many members, milliseconds: large zones beat more slowly. */
+export function heartbeatIntervalMs(baseMs: number, members: number, expireMs: number): number {
+  const byLoad = (members * MS_PER_SECOND) / BEATS_PER_SECOND;
+  return Math.min(expireMs / BEATS_PER_EXPIRY, Math.max(baseMs, byLoad));
+}
--- a/packages/coordination/tests/homes.feature
+++ b/packages/coordination/tests/homes.feature
@@ -36,6 +36,16 @@
       | 1:leaving, 2:live    | live    | a restart is a newer incarnation           |
       | 2:gone, 1:live       | gone    | news of an older incarnation does not count |
 
+  Scenario Outline: Large zones beat more slowly, but at least twice before they expire
+    Then a zone of <members> beats every <interval> ms with base 1000 and expiry 3500
+
+    Examples:
+      | members | interval |
+      | 3       | 1000     |
+      | 130     | 1000     |
+      | 195     | 1500     |
+      | 400     | 1522     |
+
   Scenario Outline: A relay's judgement on virtual time, expiry 3500 ms
     When a host beats at "<beats>" and the relay judges at <now>
     Then the relay tells "<told>"
--- a/packages/coordination/tests/homes.steps.ts
+++ b/packages/coordination/tests/homes.steps.ts
@@ -5,6 +5,7 @@
   azId,
   expiredMembers,
   groupId,
+  heartbeatIntervalMs,
   homePart,
   homesOf,
   hostId,
@@ -109,6 +110,13 @@
   assert.equal(this.told.map((member) => member.state).join(', '), told);
 });
 
+Then(
+  'a zone of {int} beats every {int} ms with base {int} and expiry {int}',
+  (members: number, interval: number, base: number, expiry: number) => {
+    assert.equal(Math.round(heartbeatIntervalMs(base, members, expiry)), interval);
+  },
+);
+
 function partAfter(world: HomesWorld, now: number): number {
   const rules = { homesPerGroup: world.homesPerGroup, surrenderMs: SURRENDER_MS };
   return homePart(world.part, { since: 0, handedOver: false }, rules, now);
--- a/packages/measure/src/commands/overhead-command.ts
+++ b/packages/measure/src/commands/overhead-command.ts
@@ -44,7 +44,7 @@
   idle = Option.Boolean('--idle', true);
 
   async execute(): Promise<number> {
-    const shape = { ...RAMDIN, groups: [GROUP], connectionsPerUpstream: 300 };
+    const shape = { ...RAMDIN, groups: [GROUP], connectionsPerUpstream: 900 };
     const deployment = new Deployment({
       shape,
       seed: Number(this.seed),
--- a/packages/proxy/src/control/membership-service.ts
+++ b/packages/proxy/src/control/membership-service.ts
@@ -4,6 +4,7 @@
  */
 import type { AzId, Blackboard, GroupRecord, HostId, Member } from '@gladespool/coordination';
 import {
+  heartbeatIntervalMs,
   joinViews,
   MemberState,
   relaysOf,
@@ -45,6 +46,11 @@
   readonly log: Logger;
 }
 
+/** Looks for a due heartbeat so often in each base interval. */
+const TICKS_PER_BEAT = 4;
+/** Timers fire a little early or late. */
+const TICK_SLACK_MS = 5;
+
 interface RelayView {
   readonly az: AzId;
   incarnation: number;
@@ -62,13 +68,14 @@
   private listed: readonly ListedHost[] = [];
   private readonly timer: NodeJS.Timeout;
   private readonly startedAt = performance.now();
+  private lastBeatAt = Number.NEGATIVE_INFINITY;
   private lastContactAt = performance.now();
 
   constructor(private readonly options: MembershipOptions) {
     options.network.addHandler(this);
     this.timer = setInterval(() => {
-      this.beat(performance.now());
-    }, options.rules.heartbeatMs);
+      this.tick(performance.now());
+    }, options.rules.heartbeatMs / TICKS_PER_BEAT);
   }
 
   /** Whether this host is a relay of its zone as it sees it. */
@@ -97,8 +104,16 @@
     if (this.views.size === 0) this.beat(performance.now());
   }
 
+  private tick(now: number): void {
+    const { board, rules } = this.options;
+    const members = workingHosts(board.members, board.az).length;
+    const interval = heartbeatIntervalMs(rules.heartbeatMs, members, rules.expireMs);
+    if (now - this.lastBeatAt >= interval - TICK_SLACK_MS) this.beat(now);
+  }
+
   /** Sends heartbeats now. */
   beat(now: number): void {
+    this.lastBeatAt = now;
     this.noteSilence(now);
     const { board } = this.options;
     const targets = new Set(this.relaysIn(board.az));
--- a/packages/proxy/src/control/news-board.ts
+++ b/packages/proxy/src/control/news-board.ts
@@ -54,6 +54,7 @@
 
   /** Everything that changed after `heard`. */
   after(heard: number): News {
+    if (heard >= this.counter) return { ...NOTHING, upTo: this.counter };
     return {
       members: newer(this.members.values(), heard),
       records: newer(this.records.values(), heard),
@@ -68,6 +69,8 @@
   }
 }
 
+const NOTHING: Omit<News, 'upTo'> = { members: [], records: [], bundle: undefined };
+
 function newer<Item>(counted: Iterable<Counted<Item>>, heard: number): readonly Item[] {
   return [...counted].filter((entry) => entry.at > heard).map((entry) => entry.item);
 }
