feat(operator): the parts that a bundle changes travel with its head

Change: the head carries the texts of parts that the version before lacked, up to 256 KB. Conclusion: an outage after publishing no longer delays a bundle of that size.

--- a/packages/measure/tests/operations.feature
+++ b/packages/measure/tests/operations.feature
@@ -54,6 +54,10 @@
     Then the hosts of the zone stay at version 1 and the others have version 3
     And after healing every host has version 3 in force
 
+  Scenario: The store goes out just after a bundle was published
+    When version 2 is published and the store goes down before any relay can read a part
+    Then every host has version 2 in force
+
   # Bad input
 
   Scenario Outline: What must not disturb anybody
--- a/packages/measure/tests/operations.steps.ts
+++ b/packages/measure/tests/operations.steps.ts
@@ -273,7 +273,7 @@
     const keys = createOperatorKeys();
     const { signature } = signManifest(manifest, 'alice', keys.privateKey);
     const signatures = [{ operator: 'alice', signature: signature.toString('base64') }];
-    const value = encodeHead({ manifest, signatures, change: 'stranger', chain: [] });
+    const value = encodeHead({ manifest, signatures, change: 'stranger', chain: [], fresh: [] });
     const store = deployment.storeClient();
     for (const part of parts) {
       await store.swap([{ key: partKey(part.hash), value: part.text, expected: 0 }]);
@@ -325,6 +325,18 @@
   },
 );
 
+When(
+  'version 2 is published and the store goes down before any relay can read a part',
+  async function (this: OperationsWorld) {
+    const deployment = deploymentOf(this);
+    const text = deployment.bundleText({});
+    deployment.store.refuseReadsAfterWrite = true;
+    await deployment.publish(
+      text.replace(/connections_per_upstream=\d+/, 'connections_per_upstream=30'),
+    );
+  },
+);
+
 When(
   'a zone is cut off and versions 2 and 3 are published',
   async function (this: OperationsWorld) {
--- a/packages/operator/src/publish-bundle.ts
+++ b/packages/operator/src/publish-bundle.ts
@@ -6,7 +6,13 @@
 import { gladespoolError, Step } from '@gladespool/coordination';
 import type { PlatformStore, StoredValue } from '@gladespool/platform';
 import { SwapOutcome } from '@gladespool/platform';
-import type { Bundle, BundleHead, BundleSignature, ChainLink } from '@gladespool/protocol';
+import type {
+  Bundle,
+  BundleHead,
+  BundlePart,
+  BundleSignature,
+  ChainLink,
+} from '@gladespool/protocol';
 import {
   BUNDLE_HEAD_KEY,
   decodeHead,
@@ -46,6 +52,8 @@
       readonly change: string;
     };
 
+/** Longest texts that travel inside the head; the store takes values of 1 MB. */
+const MOST_FRESH_LENGTH = 256 * 1024;
 const PLACE = { step: Step.Bundle, peer: 'store' };
 const READ_BACK_TRIES = 5;
 const READ_BACK_PAUSE_MS = 200;
@@ -131,7 +139,7 @@
   publication: Publication,
   held: BundleHead | undefined,
 ): Promise<Result<BundleHead, GladespoolError>> {
-  const { manifest } = splitBundle(publication.bundle);
+  const { manifest, parts } = splitBundle(publication.bundle);
   const signatures = publication.signatures.map(({ operator, signature }) => ({
     operator,
     signature: signature.toString('base64'),
@@ -142,9 +150,19 @@
     signatures,
     change: publication.change,
     chain: [...links],
+    fresh: freshTexts(parts, held),
   }));
 }
 
+/** Texts of the parts that `held` lacks; none when they would make the head too large. */
+function freshTexts(parts: readonly BundlePart[], held: BundleHead | undefined): string[] {
+  const known = held === undefined ? undefined : readManifest(held.manifest);
+  const hashes = new Set(known?.parts.map((part) => part.hash));
+  const texts = parts.filter((part) => !hashes.has(part.hash)).map((part) => part.text);
+  const length = texts.reduce((sum, text) => sum + text.length, 0);
+  return length <= MOST_FRESH_LENGTH ? texts : [];
+}
+
 /** Chain with the present head added when its operators differ from those before. */
 async function chainAfter(
   store: PlatformStore,
--- a/packages/protocol/src/config/bundle-head.ts
+++ b/packages/protocol/src/config/bundle-head.ts
@@ -21,6 +21,8 @@
   change: z.string(),
   /** Heads that changed the operators, oldest first. */
   chain: z.array(linkSchema),
+  /** Texts of parts that the version before lacked, so that relays need not read them. */
+  fresh: z.array(z.string()).default([]),
 });
 
 /** A signed manifest. */
--- a/packages/proxy/src/control/bundle-service.ts
+++ b/packages/proxy/src/control/bundle-service.ts
@@ -38,6 +38,8 @@
   readonly head: string;
   readonly manifest: Manifest;
   readonly fetch: PartFetch;
+  /** Texts of parts that came with the head. */
+  readonly fresh: readonly string[];
 }
 
 const ASK_TIMEOUT_MS = 5000;
@@ -88,7 +90,7 @@
     }
     if (manifest.version <= Math.max(this.version, this.installing?.manifest.version ?? 0)) return;
     if (!this.authorize(head, manifest)) return;
-    this.next = { head: text, manifest, fetch };
+    this.next = { head: text, manifest, fetch, fresh: head.fresh };
     if (this.installing === undefined) void this.install();
   }
 
@@ -128,6 +130,7 @@
 
   private async installOne(candidate: Candidate): Promise<void> {
     const { board, log } = this.options;
+    for (const text of candidate.fresh) this.parts.set(hashPart(text), text);
     const wanted = candidate.manifest.parts.filter((part) => concernsZone(part, board.az));
     const hashes = wanted.map((part) => part.hash);
     const missing = hashes.filter((hash) => !this.parts.has(hash));
--- a/packages/standins/src/store/store-server.ts
+++ b/packages/standins/src/store/store-server.ts
@@ -52,6 +52,8 @@
   readonly calls: StoreCalls = { reads: 0, writes: 0, watches: 0, hostLists: 0 };
   fault = StoreFault.None;
   slowMs = DEFAULT_SLOW_MS;
+  /** Goes down at the end of the next write of a watched key, its watch events and reply sent. */
+  refuseReadsAfterWrite = false;
   /** The platform's host list; whoever changes it decides how far it lags. */
   hosts: readonly ListedHostEntry[] = [];
   private server: Server | undefined;
@@ -151,6 +153,8 @@
       return;
     }
     res.end(JSON.stringify({ header: this.header(), succeeded }));
+    const watched = puts.some((put) => put.key.startsWith('/gladespool/state/'));
+    if (this.refuseReadsAfterWrite && watched) this.fault = StoreFault.Down;
   }
 
   private watch(body: string, res: ServerResponse): void {
