perf(proxy): replicas are asked again before a read falls to the primary

Change: before a read falls to the primary, replicas whose report is older than 10 ms are asked once, together with everyone else who asks, for at most 10 ms.

--- a/packages/measure/src/measure-main.ts
+++ b/packages/measure/src/measure-main.ts
@@ -9,6 +9,8 @@
 import { DrainCommand } from './commands/drain-command.js';
 import { OverloadCommand } from './commands/overload-command.js';
 import { RolloutCommand } from './commands/rollout-command.js';
+import { PlotCommand } from './commands/plot-command.js';
+import { SessionsCommand } from './commands/sessions-command.js';
 import { StabilityCommand } from './commands/stability-command.js';
 import { OverheadCommand } from './commands/overhead-command.js';
 
@@ -20,6 +22,8 @@
 cli.register(DrainCommand);
 cli.register(OverloadCommand);
 cli.register(RolloutCommand);
+cli.register(PlotCommand);
+cli.register(SessionsCommand);
 cli.register(StabilityCommand);
 cli.register(OverheadCommand);
 cli.register(Builtins.HelpCommand);
--- a/packages/proxy/src/home/request-flow.ts
+++ b/packages/proxy/src/home/request-flow.ts
@@ -91,6 +91,7 @@
 
   private async read(req: RunRequest): Promise<RunOutcome> {
     const tried = new Set<UpstreamId>();
+    let refreshed = false;
     let last = refusal(RefusalReason.NoCoveringUpstream);
     while (performance.now() < req.deadlineAt && !req.cancel.aborted) {
       const ground = this.ground();
@@ -101,6 +102,10 @@
         await this.waitForReplica(choice.forMs);
         continue;
       }
+      if (choice.isPrimary && !req.barrier && !refreshed) {
+        refreshed = true;
+        if (await this.refreshReplicas(ground)) continue;
+      }
       const attempt = await this.readOn(req, ground, choice.upstream);
       if (attempt.kind === 'final') return attempt.outcome;
       if (!this.retries.take()) return attempt.last;
@@ -130,6 +135,26 @@
     return routing.choose({ ...ground, az: board.az, views, need, tried }, random);
   }
 
+  /**
+   * Asks replicas that have not been asked lately, before a read falls to the primary: what is
+   * known of them may be as old as a status interval.
+   *
+   * @returns whether anything was asked.
+   */
+  private async refreshReplicas(ground: Ground): Promise<boolean> {
+    const now = performance.now();
+    const views = this.home.views(ground.spec, ground.record, now);
+    const stale = views.filter(
+      ({ spec, health }) =>
+        spec.id !== ground.record.primary &&
+        health.failures < FAILED_AFTER &&
+        now - (health.last?.sentAt ?? -Infinity) > FRESH_MS,
+    );
+    const asked = stale.map(({ spec }) => this.home.control(spec.id)?.status());
+    await Promise.race([Promise.all(asked), pause(REFRESH_LIMIT_MS)]);
+    return stale.length > 0;
+  }
+
   private async waitForReplica(forMs: number): Promise<void> {
     await pause(Math.max(SHORTEST_WAIT_MS, forMs));
     await this.home.watcher.round();
@@ -526,6 +551,10 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+/** A replica's report younger than this is not asked for again, milliseconds. */
+const FRESH_MS = 10;
+/** Longest wait for the reports of replicas before a read falls to the primary, milliseconds. */
+const REFRESH_LIMIT_MS = 10;
 /** Longest wait before a held write is looked at again, milliseconds. */
 const HOLD_REVIEW_MS = 50;
 /** Longest pause before a refused write is tried again, milliseconds. */
