--- a/packages/measure/src/chaos/fault-schedule.ts
+++ b/packages/measure/src/chaos/fault-schedule.ts
@@ -2,6 +2,7 @@
  * A random schedule of the faults that the users name, alone, together and twice, from a seed.
  */
 import type { RandomSource } from '@gladespool/coordination';
+import { createLogger } from '@gladespool/observability';
 import { StoreFault } from '@gladespool/standins';
 import type { Deployment } from '../embedded/deployment.js';
 
@@ -36,6 +37,7 @@
   /** Faults put on so far, by kind. */
   readonly counts = new Map<FaultKind, number>();
   private replaced = 0;
+  private readonly log = createLogger('chaos');
 
   constructor(
     private readonly deployment: Deployment,
@@ -47,11 +49,14 @@
   async step(): Promise<FaultKind | undefined> {
     const enough = this.active.length >= MOST_AT_ONCE;
     if (enough || (this.active.length > 0 && this.random.unit() < 0.5)) {
-      await this.active.shift()?.undo();
+      const fault = this.active.shift();
+      this.log.info('fault-ends', { kind: fault?.kind });
+      await fault?.undo();
       return undefined;
     }
     const kind = this.kinds[this.random.integer(0, this.kinds.length - 1)];
     if (kind === undefined) return undefined;
+    this.log.info('fault-begins', { kind });
     this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
     this.active.push({ kind, undo: await this.start(kind) });
     return kind;
--- a/packages/measure/src/commands/control-command.ts
+++ b/packages/measure/src/commands/control-command.ts
@@ -2,6 +2,7 @@
  * `npm run measure -- control`: the slopes behind docs/CAPACITY.md: what control costs a host by
  * homes and by hosts of a zone, and what a bundle costs by its groups.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { readBundle, splitBundle } from '@gladespool/protocol';
 import type { Bundle } from '@gladespool/protocol';
 import { Command, Option } from 'clipanion';
@@ -148,7 +149,3 @@
   const bundle = { version: 1, base: 0, threshold: 1 };
   return { bundle, operator: { alice: { key } }, group, upstream };
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/measure/src/commands/failover-command.ts
+++ b/packages/measure/src/commands/failover-command.ts
@@ -2,6 +2,7 @@
  * `npm run measure -- failover`: the time during which writes can't be accepted after a primary is
  * lost, for each way of losing it, against baselines in the same run.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { SeededRandom } from '@gladespool/coordination';
 import { Command, Option } from 'clipanion';
 import type { SettingsOverride } from '../embedded/deployment.js';
@@ -267,7 +268,3 @@
 
 const WRITES_PER_CONNECTION = 50;
 const RECONNECT_MS = 10;
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/measure/src/commands/stability-command.ts
+++ b/packages/measure/src/commands/stability-command.ts
@@ -2,6 +2,7 @@
  * `npm run measure -- stability`: promotions that nothing called for, under delay spikes and pauses
  * that no primary is lost by, at several suspicion times.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { SeededRandom } from '@gladespool/coordination';
 import { Command, Option } from 'clipanion';
 import { Deployment } from '../embedded/deployment.js';
@@ -107,7 +108,3 @@
     return pauses;
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/measure/src/load/session-workload.ts
+++ b/packages/measure/src/load/session-workload.ts
@@ -2,6 +2,7 @@
  * Callers whose requests make up a history: unique writes, some marked and sent twice, transactions,
  * and reads of the session's own confirmed rows, on hosts that change from request to request.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { RandomSource } from '@gladespool/coordination';
 import type { HistoryEvent } from '../history/history.js';
 import { Told } from '../history/history.js';
@@ -196,7 +197,3 @@
 }
 
 const SQLSTATE_LENGTH = 5;
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/measure/tests/faults.feature
+++ b/packages/measure/tests/faults.feature
@@ -72,6 +72,10 @@
 
   # Store outages
 
+  Scenario: A host starts while the platform can't be reached at all
+    When a zone is cut off from everything and a host starts in it
+    Then the host listens, and joins once the zone is healed
+
   Scenario: Writes go on while the store is down, and a host that starts meanwhile serves
     When the store goes down
     Then a write is confirmed
--- a/packages/measure/tests/faults.steps.ts
+++ b/packages/measure/tests/faults.steps.ts
@@ -343,6 +343,26 @@
 
 // Store outages
 
+When(
+  'a zone is cut off from everything and a host starts in it',
+  async function (this: FaultWorld) {
+    const deployment = deploymentOf(this);
+    isolate(deployment, 'az1');
+    this.host = await deployment.startHost('az1-alone', 'az1');
+  },
+);
+
+Then('the host listens, and joins once the zone is healed', async function (this: FaultWorld) {
+  assert.ok(this.host.callers.port > 0);
+  const deployment = deploymentOf(this);
+  deployment.network.heal();
+  deployment.refreshHostList();
+  await until(() => this.host.board.bundle !== undefined);
+  const caller = await callerOn(this, this.host);
+  const sql = `INSERT INTO deeds (id, state) VALUES ('joined', 'signed') ${DEADLINE}`;
+  assert.equal(await resultOf(caller.query(sql)), 'ok');
+});
+
 When('the store goes down', function (this: FaultWorld) {
   deploymentOf(this).store.setFault(StoreFault.Down);
 });
--- a/packages/measure/tests/operations.steps.ts
+++ b/packages/measure/tests/operations.steps.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import assert from 'node:assert/strict';
 import { randomBytes } from 'node:crypto';
 import { connect } from 'node:net';
@@ -532,7 +533,3 @@
     Array.from({ length: count }, (_, index) => `v${index}`),
   );
 });
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/platform/src/dialed-agent.ts
+++ b/packages/platform/src/dialed-agent.ts
@@ -12,6 +12,8 @@
   readonly address: string;
   readonly port: number;
   readonly connections: number;
+  /** Longest time to connect, milliseconds; a request can't be given up while its socket connects. */
+  readonly timeoutMs: number;
   readonly dial: Dial;
 }
 
@@ -21,10 +23,15 @@
     connections: options.connections,
     connect: (_options, callback) => {
       const socket = options.dial(options.port, options.address);
+      const timer = setTimeout(() => {
+        socket.destroy(new Error(`no connection within ${options.timeoutMs} ms`));
+      }, options.timeoutMs);
       socket.once('connect', () => {
+        clearTimeout(timer);
         callback(null, socket);
       });
       socket.once('error', (error) => {
+        clearTimeout(timer);
         callback(error, null);
       });
     },
--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -2,6 +2,7 @@
  * Watches the primaries of the groups that this host is a home of, and orders promotions, planned
  * handovers and the first record of a group. Nobody else orders any.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type {
   DampingRules,
   GroupId,
@@ -402,7 +403,3 @@
     return board.members.filter((member) => names.includes(member.host));
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/proxy/src/entry/caller-server.ts
+++ b/packages/proxy/src/entry/caller-server.ts
@@ -1,6 +1,7 @@
 /**
  * Accepts callers: login, session token at start-up, connection limit, cancel requests.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 import type { Blackboard, Refusal, SessionFloor } from '@gladespool/coordination';
@@ -89,7 +90,7 @@
     this.server?.close();
     for (const socket of this.sockets) if (!this.isLoggedIn(socket)) socket.destroy();
     const drained = Promise.all([...this.sessions.values()].map((session) => session.drain()));
-    await Promise.race([drained, pause(timeoutMs)]);
+    await Promise.race([drained, pause(timeoutMs, undefined, { ref: false })]);
     for (const session of this.sessions.values()) session.destroy();
   }
 
@@ -188,9 +189,3 @@
 }
 
 const LISTEN_BACKLOG = 4096;
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms).unref();
-  });
-}
--- a/packages/proxy/src/home/acknowledger.ts
+++ b/packages/proxy/src/home/acknowledger.ts
@@ -2,6 +2,7 @@
  * Holds answers until their positions can't be lost. Waiters of a group share one round of status
  * queries: each round answers everyone who waits.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type {
   AcknowledgementRule,
   Blackboard,
@@ -109,7 +110,3 @@
       .filter((timed) => timed !== undefined);
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/proxy/src/home/group-home.ts
+++ b/packages/proxy/src/home/group-home.ts
@@ -1,6 +1,7 @@
 /**
  * One group's home: its pools, its view of the upstreams, and the running of requests.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type {
   AcknowledgementRule,
   Blackboard,
@@ -224,7 +225,3 @@
 function sameEndpoint(a: UpstreamSpec, b: UpstreamSpec): boolean {
   return a.address === b.address && a.port === b.port;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- /dev/null
+++ b/packages/proxy/src/home/read-flow.ts
@@ -0,0 +1,229 @@
+/**
+ * Runs reads: on an upstream that covers the session, proved on the same connection ahead of the
+ * read; the answer is held until its position is confirmed.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type {
+  GroupRecord,
+  GroupSpec,
+  ReadChoice,
+  RefusalReason as Reason,
+  RetryAllowance,
+  UpstreamId,
+  UpstreamReport,
+} from '@gladespool/coordination';
+import {
+  AckVerdict,
+  coverage,
+  Coverage,
+  FAILED_AFTER,
+  Priority,
+  RefusalReason,
+  RetryReason,
+  SessionRule,
+  UpstreamRole,
+} from '@gladespool/coordination';
+import { RunIntent } from '@gladespool/protocol';
+import type { AnswerSegment, Lease } from '@gladespool/upstreams';
+import { errorStateOf, ExchangeFailure, isIdle } from '@gladespool/upstreams';
+import { planExchange, reportOf } from './exchange-plan.js';
+import type { GroupHome } from './group-home.js';
+import type { RunOutcome, RunRequest } from './run-request.js';
+import type { Attempt, Ground, UpstreamWork } from './upstream-work.js';
+import {
+  answerOf,
+  final,
+  READ_ONLY_STATE,
+  refusal,
+  retry,
+  SHORTEST_WAIT_MS,
+} from './upstream-work.js';
+
+const PRIORITY_OF_READS = Priority.Interactive;
+/** A replica's report younger than this is not asked for again, milliseconds. */
+const FRESH_MS = 10;
+/** Longest wait for the reports of replicas before a read falls to the primary, milliseconds. */
+const REFRESH_LIMIT_MS = 10;
+
+/** Options of the read flow. */
+export interface ReadFlowOptions {
+  readonly home: GroupHome;
+  readonly work: UpstreamWork;
+  readonly retries: RetryAllowance;
+  /** Runs a request that turned out to write. */
+  readonly writeInstead: (req: RunRequest) => Promise<RunOutcome>;
+}
+
+/** Reads of one home. */
+export class ReadFlow {
+  private readonly home: GroupHome;
+  private readonly work: UpstreamWork;
+  private readonly retries: RetryAllowance;
+
+  constructor(private readonly options: ReadFlowOptions) {
+    this.home = options.home;
+    this.work = options.work;
+    this.retries = options.retries;
+  }
+
+  /** Runs one read to its outcome. */
+  async read(req: RunRequest): Promise<RunOutcome> {
+    const tried = new Set<UpstreamId>();
+    let refreshed = false;
+    let last = refusal(RefusalReason.NoCoveringUpstream);
+    while (performance.now() < req.deadlineAt && !req.cancel.aborted) {
+      const ground = this.work.ground();
+      if (ground === undefined) return refusal(RefusalReason.NoBundle);
+      const choice = this.chooseRead(req, ground, tried);
+      if (choice.kind === 'refuse') return tried.size > 0 ? last : refusal(choice.reason);
+      if (choice.kind === 'wait') {
+        await this.waitForReplica(choice.forMs);
+        continue;
+      }
+      if (choice.isPrimary && !req.barrier && !refreshed) {
+        refreshed = true;
+        if (await this.refreshReplicas(ground)) continue;
+      }
+      const attempt = await this.readOn(req, ground, choice.upstream);
+      if (attempt.kind === 'final') return attempt.outcome;
+      if (!this.retries.take()) return attempt.last;
+      this.home.context.metrics.retries.inc({ reason: attempt.reason });
+      if (attempt.reason === RetryReason.ReadOnlyUpstream)
+        return this.options.writeInstead(asWrite(req));
+      tried.add(choice.upstream);
+      last = attempt.last;
+    }
+    return req.cancel.aborted ? refusal(RefusalReason.Canceled) : last;
+  }
+
+  private chooseRead(req: RunRequest, ground: Ground, tried: ReadonlySet<UpstreamId>): ReadChoice {
+    const { routing, random, rules, board } = this.home.context;
+    const now = performance.now();
+    const maxWaitMs = Math.min(rules.replicaWaitMs, req.deadlineAt - now);
+    const need = {
+      floor: req.floor,
+      barrier: req.barrier,
+      maxAgeMs: maxAgeOf(req, ground.spec),
+      maxWaitMs,
+    };
+    const views = this.home.views(ground.spec, ground.record, now);
+    return routing.choose({ ...ground, az: board.az, views, need, tried }, random);
+  }
+
+  /**
+   * Asks replicas that have not been asked lately, before a read falls to the primary: what is
+   * known of them may be as old as a status interval.
+   *
+   * @returns whether anything was asked.
+   */
+  private async refreshReplicas(ground: Ground): Promise<boolean> {
+    const now = performance.now();
+    const views = this.home.views(ground.spec, ground.record, now);
+    const stale = views.filter(
+      ({ spec, health }) =>
+        spec.id !== ground.record.primary &&
+        health.failures < FAILED_AFTER &&
+        now - (health.last?.sentAt ?? -Infinity) > FRESH_MS,
+    );
+    const controls = stale.map(({ spec }) => this.home.control(spec.id));
+    const asked = controls.filter((control) => control !== undefined).map((it) => it.status());
+    await Promise.race([Promise.all(asked), pause(REFRESH_LIMIT_MS)]);
+    return stale.length > 0;
+  }
+
+  private async waitForReplica(forMs: number): Promise<void> {
+    await pause(Math.max(SHORTEST_WAIT_MS, forMs));
+    await this.home.watcher.round();
+  }
+
+  private async readOn(req: RunRequest, ground: Ground, upstream: UpstreamId): Promise<Attempt> {
+    const lease = await this.work.lease(req, ground.spec, upstream, PRIORITY_OF_READS);
+    if (lease.kind === 'refusal') return retry(RetryReason.ConnectFailed, lease);
+    const isBegin = req.intent === RunIntent.BeginReadOnly;
+    const plan = planExchange(req.messages, { before: true, after: !isBegin });
+    const answer = await this.work.exchange(req, lease.value, plan.payload, plan.segments);
+    if (answer.isErr()) {
+      lease.value.release();
+      return retry(RetryReason.ReadLost, refusal(readFailure(answer.error)));
+    }
+    const [before, main, after] = answer.value;
+    const held = reportOf(upstream, before);
+    if (main === undefined || held === undefined) {
+      lease.value.connection.close();
+      lease.value.release();
+      return retry(RetryReason.ReadLost, refusal(RefusalReason.UpstreamLostReading));
+    }
+    const fault = this.readFault(req, ground, held);
+    if (fault !== undefined) {
+      if (!isIdle(main)) lease.value.connection.close();
+      lease.value.release();
+      return retry(RetryReason.StaleReplica, refusal(fault));
+    }
+    const isPrimary = upstream === ground.record.primary;
+    if (isBegin)
+      return final(this.work.pinned(lease.value, upstream, isPrimary, main, held.applied));
+    return this.finishRead(req, ground, lease.value, main, reportOf(upstream, after) ?? held);
+  }
+
+  /** Why an upstream must not serve the read, judged on what it held before the read ran. */
+  private readFault(req: RunRequest, ground: Ground, held: UpstreamReport): Reason | undefined {
+    const record = this.home.record ?? ground.record;
+    if (coverage(held.applied, req.floor, record.lineage) !== Coverage.Covered) {
+      return RefusalReason.NoCoveringUpstream;
+    }
+    const isPrimary = held.upstream === record.primary;
+    if (isPrimary && !servesAsPrimary(held, record)) return RefusalReason.NotPrimary;
+    if (req.barrier && !isPrimary) return RefusalReason.NoCoveringUpstream;
+    return undefined;
+  }
+
+  private async finishRead(
+    req: RunRequest,
+    ground: Ground,
+    lease: Lease,
+    main: AnswerSegment,
+    after: UpstreamReport,
+  ): Promise<Attempt> {
+    const replica = after.role === UpstreamRole.Replica;
+    lease.release();
+    const state = errorStateOf(main);
+    if (state === READ_ONLY_STATE) {
+      return retry(RetryReason.ReadOnlyUpstream, refusal(RefusalReason.NotPrimary));
+    }
+    const covered = await this.home.acknowledger.confirm(after.applied, req.deadlineAt);
+    const fresh = !req.barrier || (await this.authorityConfirmed(req, ground));
+    if (covered !== AckVerdict.Confirmed || !fresh) {
+      return final(refusal(RefusalReason.ReadNotCovered));
+    }
+    const seen = ground.spec.sessionRule === SessionRule.Monotonic ? after.applied : undefined;
+    return final(answerOf(main, 0, seen, replica));
+  }
+
+  /** Proves that the primary read from was not superseded when the request arrived. */
+  private async authorityConfirmed(req: RunRequest, ground: Ground): Promise<boolean> {
+    const { term } = ground.record;
+    const { arrivedAt, deadlineAt } = req;
+    const verdict = await this.home.acknowledger.confirmAuthority(term, arrivedAt, deadlineAt);
+    return verdict === AckVerdict.Confirmed;
+  }
+}
+
+function maxAgeOf(req: RunRequest, spec: GroupSpec): number | undefined {
+  if (req.marks.maxAgeMs !== undefined) return req.marks.maxAgeMs;
+  return spec.defaultMaxAgeMs === 0 ? undefined : spec.defaultMaxAgeMs;
+}
+
+function servesAsPrimary(report: UpstreamReport, record: GroupRecord): boolean {
+  if (report.role !== UpstreamRole.Primary) return false;
+  return report.received.term === record.term && report.fencedTerm <= record.term;
+}
+
+function asWrite(req: RunRequest): RunRequest {
+  const intent = req.intent === RunIntent.BeginReadOnly ? RunIntent.Begin : RunIntent.Write;
+  return { ...req, intent };
+}
+
+function readFailure(failure: ExchangeFailure): Reason {
+  if (failure === ExchangeFailure.TooLarge) return RefusalReason.AnswerTooLarge;
+  return RefusalReason.UpstreamLostReading;
+}
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -1,6 +1,7 @@
 /**
  * One entry host: puts the parts together around a blackboard.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { Socket } from 'node:net';
 import { Socket as NetSocket } from 'node:net';
 import type { AzId, GroupRecord, Member, ReadRouting } from '@gladespool/coordination';
@@ -143,7 +144,7 @@
     await this.callers.listen(listen.address, listen.caller_port);
     await this.status.listen(listen.address, listen.metrics_port);
     this.board.putMembers([this.self()]);
-    await this.readHostList();
+    void this.readHostList();
     this.membership.beat(performance.now());
     this.listTimer = setInterval(() => {
       void this.readHostList();
@@ -391,7 +392,3 @@
 } {
   return { address: from.address, port: from.port, timeoutMs: from.timeout_ms };
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
