test(measure): TLS towards callers

Cause: TLS from settings was built and never tried. Change: a scenario with certificates made in the test (selfsigned).

--- a/packages/measure/src/embedded/deployment.ts
+++ b/packages/measure/src/embedded/deployment.ts
@@ -15,6 +15,7 @@
   signManifest,
   splitBundle,
 } from '@gladespool/protocol';
+import type { CallerTls } from '@gladespool/proxy';
 import { Host } from '@gladespool/proxy';
 import type { FaultTargets, Party } from '@gladespool/standins';
 import { FaultNetwork, StoreServer, UpstreamNode, UpstreamServer } from '@gladespool/standins';
@@ -46,6 +47,8 @@
   readonly latency: boolean;
   readonly settings?: SettingsOverride;
   readonly routing?: ReadRouting;
+  /** Key and certificate towards callers; none refuses TLS. */
+  readonly tls?: CallerTls;
   /** Acknowledgement rule of every group, as a bundle names it. */
   readonly acknowledgement?: string;
   /** Session rule of every group, as a bundle names it. */
@@ -120,6 +123,7 @@
         createSocket: () => this.network.socketFor(party),
       },
       ...(this.options.routing === undefined ? {} : { routing: this.options.routing }),
+      ...(this.options.tls === undefined ? {} : { tls: this.options.tls }),
     });
     await host.start();
     this.hosts.push(host);
--- a/packages/measure/src/load/caller.ts
+++ b/packages/measure/src/load/caller.ts
@@ -15,6 +15,8 @@
   readonly token?: string;
   readonly user?: string;
   readonly password?: string;
+  /** Certificate to trust; makes the connection use TLS. */
+  readonly certificate?: string;
   /** Further start-up options, as in `-c name=value`. */
   readonly options?: string;
   /** Creates the socket; lets tests put latency and faults on it. */
@@ -61,6 +63,7 @@
       password: options.password ?? EMBEDDED_PASSWORD,
       database: options.group,
       ...(startOptions === '' ? {} : { options: startOptions }),
+      ...(options.certificate === undefined ? {} : { ssl: { ca: options.certificate } }),
       ...(options.createSocket === undefined ? {} : { stream: options.createSocket }),
     });
     const caller = new Caller(client);
@@ -93,6 +96,11 @@
     this.token = token;
   }
 
+  /** Whether the connection uses TLS. */
+  get encrypted(): boolean {
+    return 'encrypted' in this.stream;
+  }
+
   /** Sends bytes as they are. */
   sendRaw(bytes: Buffer): void {
     this.stream.write(bytes);
--- a/packages/measure/tests/operations.feature
+++ b/packages/measure/tests/operations.feature
@@ -85,6 +85,11 @@
     When 1000 connections are opened that never log in
     Then another caller is served, and all of them are closed and counted
 
+  Scenario: TLS towards callers
+    Given hosts with a certificate
+    Then a caller that trusts it is served over TLS, and one that trusts another is not
+    And a caller without TLS is served
+
   # The protocol as drivers speak it
 
   Scenario Outline: Statements that need server state
--- a/packages/measure/tests/operations.steps.ts
+++ b/packages/measure/tests/operations.steps.ts
@@ -19,7 +19,8 @@
 } from '@gladespool/protocol';
 import { StoreFault } from '@gladespool/standins';
 import { wordsOf } from '../src/commands/error-words.js';
-import { until } from '../src/embedded/deployment.js';
+import { generate } from 'selfsigned';
+import { Deployment, until } from '../src/embedded/deployment.js';
 import { Told } from '../src/history/history.js';
 import { Caller } from '../src/load/caller.js';
 import { toldBy } from '../src/load/session-workload.js';
@@ -42,6 +43,7 @@
   outcomes: string[];
   found: readonly string[];
   stranger: string;
+  certificate: string;
 }
 
 // Load
@@ -489,6 +491,43 @@
   },
 );
 
+// TLS
+
+Given('hosts with a certificate', async function (this: OperationsWorld) {
+  const running = deploymentOf(this);
+  await running.stop();
+  const pair = await selfsigned();
+  this.certificate = pair.cert;
+  const tls = { key: Buffer.from(pair.private), cert: Buffer.from(pair.cert) };
+  this.running = new Deployment({ ...running.options, tls });
+  await this.running.start();
+});
+
+Then(
+  'a caller that trusts it is served over TLS, and one that trusts another is not',
+  async function (this: OperationsWorld) {
+    const port = deploymentOf(this).hosts[0]?.callers.port ?? 0;
+    const { certificate } = this;
+    const caller = await Caller.connect({ port, group: GROUP, certificate });
+    this.callers.push(caller);
+    assert.ok(caller.encrypted);
+    const sql = "INSERT INTO deeds (id, state) VALUES ('tls', 'signed')";
+    assert.equal(await resultOf(caller.query(sql)), 'ok');
+    const other = (await selfsigned()).cert;
+    await assert.rejects(Caller.connect({ port, group: GROUP, certificate: other }));
+  },
+);
+
+Then('a caller without TLS is served', async function (this: OperationsWorld) {
+  await assertServed(this);
+});
+
+function selfsigned(): ReturnType<typeof generate> {
+  const altNames = [{ type: 7 as const, ip: '127.0.0.1' }];
+  const extensions = [{ name: 'subjectAltName' as const, altNames }];
+  return generate([{ name: 'commonName', value: 'test' }], { extensions });
+}
+
 // Protocol
 
 Then(
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,2 +1,3 @@
+export type { CallerTls } from './entry/caller-server.js';
 export * from './entry/local-statement.js';
 export * from './host.js';
