fix(proxy): a starting host takes a stored bundle only after its zone could tell of a newer one

Cause: in ten runs of the tests one failed ('A bundle is in force on every host and never goes back'): a host that started as its own relay read an older head, put back into the store by hand, before it heard of the newer one in force. Change: a head from the store waits until the zone's members are known. Conclusion: a race in the product, not in the test.

--- a/packages/coordination/src/blackboard.ts
+++ b/packages/coordination/src/blackboard.ts
@@ -58,8 +58,7 @@
   private readonly listeners = new Map<Section, Set<Listener>>();
   /** Whether this host is leaving. */
   draining = false;
-  /** Whether the members of this zone are known well enough to take homes. */
-  membersKnown = false;
+  private areMembersKnown = false;
 
   constructor(
     readonly host: HostId,
@@ -102,6 +101,18 @@
     return true;
   }
 
+  /** Whether the members of this zone are known well enough to take homes and a stored bundle. */
+  get membersKnown(): boolean {
+    return this.areMembersKnown;
+  }
+
+  /** Notes that the members of this zone are known; stays so. */
+  noteMembersKnown(): void {
+    if (this.areMembersKnown) return;
+    this.areMembersKnown = true;
+    this.notify(Section.Members);
+  }
+
   get members(): readonly Member[] {
     return this.memberList;
   }
--- a/packages/proxy/src/control/membership-service.ts
+++ b/packages/proxy/src/control/membership-service.ts
@@ -249,8 +249,8 @@
     const views = [...this.views.values()].map((view) => [...view.members.values()]);
     const joined = joinViews(views).filter((member) => member.host !== own.host);
     const members = [...joined, own];
-    board.membersKnown ||= this.knowsMembers(views.length);
     if (!sameList(members, board.members)) board.putMembers(members);
+    if (this.knowsMembers(views.length)) board.noteMembersKnown();
   }
 }
 
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -21,6 +21,7 @@
 import { HttpHostList, HttpStoreClient } from '@gladespool/platform';
 import type { HostSettings } from '@gladespool/protocol';
 import { TokenCodec } from '@gladespool/protocol';
+import type { PartFetch } from './control/bundle-service.js';
 import { BundleService } from './control/bundle-service.js';
 import { MembershipService } from './control/membership-service.js';
 import { PromotionService } from './control/promotion-service.js';
@@ -90,6 +91,7 @@
   private readonly log: Logger;
   private readonly zoneStatus: ZoneStatusReporter;
   private readonly ledgerCleaner: LedgerCleaner;
+  private storedHead: StoredHead | undefined;
   private listTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: HostOptions) {
@@ -134,6 +136,7 @@
     this.board.onChange(Section.Members, () => {
       this.metrics.liveHosts.set(workingHosts(this.board.members, az).length);
       this.storeRelay.setActive(this.membership.isRelay);
+      this.offerStoredHead();
     });
   }
 
@@ -218,6 +221,22 @@
     if (this.relay.news.putRecord(record)) this.relay.push();
   }
 
+  /**
+   * Takes a head from the store, but not before relays of the zone could tell of a newer one: a host
+   * that starts must not put in force what the others have left behind.
+   */
+  private takeStoredHead(stored: StoredHead): void {
+    if (this.board.membersKnown) this.bundle.offer(stored.head, stored.fetch);
+    else this.storedHead = stored;
+  }
+
+  private offerStoredHead(): void {
+    const stored = this.storedHead;
+    if (stored === undefined || !this.board.membersKnown) return;
+    this.storedHead = undefined;
+    this.bundle.offer(stored.head, stored.fetch);
+  }
+
   private createBundle(): BundleService {
     return new BundleService({
       board: this.board,
@@ -304,7 +323,7 @@
       maxRetryMs: STORE_MAX_RETRY_MS,
       listener: {
         onBundleHead: (head, fetch) => {
-          this.bundle.offer(head, fetch);
+          this.takeStoredHead({ head, fetch });
         },
         onRecord: (record) => {
           this.takeRecord(record);
@@ -379,6 +398,12 @@
   }
 }
 
+/** A bundle's head read from the store, and how to get its parts. */
+interface StoredHead {
+  readonly head: string;
+  readonly fetch: PartFetch;
+}
+
 interface Endpoint {
   readonly address: string;
   readonly port: number;
