refactor: one reader of JSON texts, code that nothing called removed

Cause: three decoders of the protocol package stood alike; a record that came in a frame was written to JSON and read again; some members had no caller (whenEmpty, contactAt, warm, allRecords). Change: readJson serves the three; recordOf takes the frame's record; the uncalled members are gone. Behaviour stays. Conclusion: warming connections ahead of need is thereby not built, as before: nothing called it.

--- a/packages/coordination/src/blackboard.ts
+++ b/packages/coordination/src/blackboard.ts
@@ -86,11 +86,6 @@
     return this.records.get(group);
   }
 
-  /** Every record held. */
-  get allRecords(): readonly GroupRecord[] {
-    return [...this.records.values()].map((held) => held.record);
-  }
-
   /** Takes a record; an older one changes nothing. */
   putRecord(record: GroupRecord, now: number): boolean {
     const held = this.records.get(record.group)?.record;
--- a/packages/protocol/src/config/bundle-head.ts
+++ b/packages/protocol/src/config/bundle-head.ts
@@ -4,6 +4,7 @@
  * bundle, or none, follow the change of signers.
  */
 import { z } from 'zod';
+import { readJson } from '../json-text.js';
 import type { BundleSignature } from './bundle-signature.js';
 
 const signed = z.object({
@@ -39,12 +40,7 @@
 
 /** Decodes a head; undefined when it is malformed. */
 export function decodeHead(text: string): BundleHead | undefined {
-  try {
-    const parsed = headSchema.safeParse(JSON.parse(text));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
+  return readJson(headSchema, text);
 }
 
 /** Signatures of a signed manifest. */
--- a/packages/protocol/src/store-keys.ts
+++ b/packages/protocol/src/store-keys.ts
@@ -3,6 +3,7 @@
  */
 import type { GroupId, GroupRecord } from '@gladespool/coordination';
 import { z } from 'zod';
+import { readJson } from './json-text.js';
 import { recordSchema } from './peer/frame.js';
 import { recordOf } from './peer/record-frame.js';
 
@@ -59,12 +60,7 @@
 
 /** Decodes a zone's report; undefined when it is malformed. */
 export function decodeZoneStatus(text: string): ZoneStatus | undefined {
-  try {
-    const parsed = zoneStatusSchema.safeParse(JSON.parse(text));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
+  return readJson(zoneStatusSchema, text);
 }
 
 /** Encodes a record. */
@@ -74,10 +70,6 @@
 
 /** Decodes a record; undefined when it is malformed. */
 export function decodeRecord(text: string): GroupRecord | undefined {
-  try {
-    const parsed = recordSchema.safeParse(JSON.parse(text));
-    return parsed.success ? recordOf(parsed.data) : undefined;
-  } catch {
-    return undefined;
-  }
+  const record = readJson(recordSchema, text);
+  return record === undefined ? undefined : recordOf(record);
 }
--- a/packages/proxy/src/control/membership-service.ts
+++ b/packages/proxy/src/control/membership-service.ts
@@ -69,7 +69,6 @@
   private readonly timer: NodeJS.Timeout;
   private readonly startedAt = performance.now();
   private lastBeatAt = Number.NEGATIVE_INFINITY;
-  private lastContactAt = performance.now();
 
   constructor(private readonly options: MembershipOptions) {
     options.network.addHandler(this);
@@ -88,11 +87,6 @@
     return this.relaysIn(this.options.board.az)[0] === this.options.board.host;
   }
 
-  /** When any other host last answered, local milliseconds. */
-  get contactAt(): number {
-    return this.lastContactAt;
-  }
-
   /** Zones that the platform lists. */
   get listedZones(): readonly AzId[] {
     return [...new Set(this.listed.map((host) => host.az))];
@@ -176,7 +170,6 @@
     const now = performance.now();
     this.askedAt.delete(host);
     this.silent.delete(host);
-    if (host !== this.options.board.host) this.lastContactAt = now;
     const view = this.viewOf(host, frame.incarnation);
     view.upTo = frame.upTo;
     view.heardAt = now;
--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -30,7 +30,7 @@
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { PlatformStore } from '@gladespool/platform';
 import { SwapOutcome } from '@gladespool/platform';
-import { decodeRecord, encodeRecord, FrameKind, recordKey } from '@gladespool/protocol';
+import { decodeRecord, encodeRecord, FrameKind, recordKey, recordOf } from '@gladespool/protocol';
 import type { Frame } from '@gladespool/protocol';
 import { followSql } from '@gladespool/upstreams';
 import type { GroupHome } from '../home/group-home.js';
@@ -99,9 +99,7 @@
   }
 
   onFrame(_link: PeerLink, frame: Frame): void {
-    if (frame.kind !== FrameKind.RecordNews) return;
-    const record = decodeRecord(JSON.stringify(frame.record));
-    if (record !== undefined) this.options.onRecord(record);
+    if (frame.kind === FrameKind.RecordNews) this.options.onRecord(recordOf(frame.record));
   }
 
   onLost(): void {
--- a/packages/proxy/src/home/open-transactions.ts
+++ b/packages/proxy/src/home/open-transactions.ts
@@ -18,7 +18,6 @@
 export class OpenTransactions {
   private readonly open = new Map<number, OpenTransaction>();
   private lastHandle = 0;
-  private readonly emptied: (() => void)[] = [];
 
   get size(): number {
     return this.open.size;
@@ -42,8 +41,6 @@
     if (transaction === undefined) return;
     this.open.delete(handle);
     transaction.lease.release();
-    if (this.open.size > 0) return;
-    for (const wake of this.emptied.splice(0)) wake();
   }
 
   /** Rolls back a transaction whose caller is gone, by closing its connection. */
@@ -51,10 +48,4 @@
     this.open.get(handle)?.lease.connection.close();
     this.unpin(handle);
   }
-
-  /** Resolves when no transaction is open. */
-  whenEmpty(): Promise<void> {
-    if (this.open.size === 0) return Promise.resolve();
-    return new Promise((resolve) => this.emptied.push(resolve));
-  }
 }
--- a/packages/upstreams/src/connection-pool.ts
+++ b/packages/upstreams/src/connection-pool.ts
@@ -100,12 +100,6 @@
     this.grow();
   }
 
-  /** Opens connections ahead of need, up to `count`. */
-  warm(count: number): void {
-    const wanted = Math.min(count, this.limits.maxConnections) - this.connections;
-    for (let i = 0; i < Math.min(wanted, MAX_CONNECTING); i += 1) void this.connect();
-  }
-
   /** Lends a connection, waiting at most `timeoutMs`. */
   acquire(
     priority: Priority,
