--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] },
   js.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
--- /dev/null
+++ b/packages/coordination/src/authority.ts
@@ -0,0 +1,50 @@
+/**
+ * Authority: whether a host may use the primary that it believes in. A host holds a proof, the time
+ * at which it (or the peer that passed the proof on) *sent* the read of the store that returned the
+ * record. Whoever changes the primary claims the record first, then waits until every host has
+ * given the former primary up, by message or because its proof has run out.
+ */
+import type { PrimaryRecord } from './primary-record.js';
+import { RecordPhase } from './primary-record.js';
+
+/** Times of the proofs. */
+export interface AuthorityRules {
+  /** Time for which a proof counts, from the sending of the read, milliseconds. */
+  readonly proofLifeMs: number;
+  /** Added when the end of another host's proof is waited for, milliseconds; covers clock rates. */
+  readonly marginMs: number;
+}
+
+/**
+ * 3 s: a silent host delays a promotion by this much, and an outage of the store up to this long
+ * stops no write. Longer than the outages of 2.8 to 3 s on the standard days minus a refresh.
+ */
+export const DEFAULT_AUTHORITY: AuthorityRules = { proofLifeMs: 3000, marginMs: 150 };
+
+/** What a host knows when it asks whether it may use the primary. */
+export interface AuthorityView {
+  readonly record: PrimaryRecord | undefined;
+  /** Local time at which the read behind the newest proof was sent; -Infinity without one. */
+  readonly provedAt: number;
+}
+
+/** Whether the primary of the view may be used at `now`. */
+export function hasAuthority(view: AuthorityView, now: number, rules: AuthorityRules): boolean {
+  if (view.record?.phase !== RecordPhase.Serving) return false;
+  return now - view.provedAt < rules.proofLifeMs;
+}
+
+/** Whether an answer that arrived at `now` counts: same epoch as when it was sent, proof still valid. */
+export function answerCounts(
+  sentUnder: PrimaryRecord,
+  view: AuthorityView,
+  now: number,
+  rules: AuthorityRules,
+): boolean {
+  return view.record?.epoch === sentUnder.epoch && hasAuthority(view, now, rules);
+}
+
+/** When a host that does not answer has surely given the former primary up. */
+export function silentHostFreeAt(claimConfirmedAt: number, rules: AuthorityRules): number {
+  return claimConfirmedAt + rules.proofLifeMs + rules.marginMs;
+}
--- /dev/null
+++ b/packages/coordination/src/connection-share.ts
@@ -0,0 +1,51 @@
+/**
+ * How many hosts of each zone hold connections to the upstreams of a group, and how many each.
+ * With few hosts every host holds its own; with many, a few of each zone hold them for the others.
+ */
+import { homesOf } from './homes.js';
+import type { AzId, GroupId, HostId } from './ids.js';
+
+/** A host as far as homes are concerned. */
+export interface HomeCandidate {
+  readonly host: HostId;
+  readonly az: AzId;
+}
+
+/** Bounds of the split. */
+export interface ShareRules {
+  /** Part of an upstream's connections that is used; the rest covers hosts that come and go. */
+  readonly usableShare: number;
+  /** Least number of connections for which it is worth being a home. */
+  readonly leastPerHome: number;
+}
+
+/** 0.85: an upstream counts a dark host's connections for 3 s more; two: one transaction and one read. */
+export const DEFAULT_SHARES: ShareRules = { usableShare: 0.85, leastPerHome: 2 };
+
+/** The homes of a group in all zones, and the connections to each upstream that each may hold. */
+export interface HomePlan {
+  readonly homes: ReadonlyMap<AzId, readonly HostId[]>;
+  readonly connectionsPerHome: number;
+}
+
+/** Plans the homes of a group from the hosts that live; every host computes the same plan. */
+export function planHomes(
+  group: GroupId,
+  hosts: readonly HomeCandidate[],
+  connectionsPerUpstream: number,
+  rules: ShareRules = DEFAULT_SHARES,
+): HomePlan {
+  const zones = hostsByZone(hosts);
+  const usable = Math.floor(connectionsPerUpstream * rules.usableShare);
+  const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
+  const homes = new Map<AzId, readonly HostId[]>();
+  for (const [az, ids] of zones) homes.set(az, homesOf(group, ids, perZone));
+  const count = [...homes.values()].reduce((sum, ids) => sum + ids.length, 0);
+  return { homes, connectionsPerHome: Math.max(1, Math.floor(usable / Math.max(1, count))) };
+}
+
+function hostsByZone(hosts: readonly HomeCandidate[]): Map<AzId, HostId[]> {
+  const zones = new Map<AzId, HostId[]>();
+  for (const { host, az } of hosts) zones.set(az, [...(zones.get(az) ?? []), host]);
+  return zones;
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -21,3 +21,8 @@
 export * from './suspicion.js';
 export * from './retry-allowance.js';
 export * from './retry-budget.js';
+export * from './authority.js';
+export * from './connection-share.js';
+export * from './mark-log.js';
+export * from './primary-record.js';
+export * from './upstream-choice.js';
--- a/packages/coordination/src/refusal.ts
+++ b/packages/coordination/src/refusal.ts
@@ -44,6 +44,12 @@
   Superseded = 'superseded',
   UpstreamUnreachable = 'upstream-unreachable',
   Canceled = 'canceled',
+  NoAuthority = 'no-authority',
+  AuthorityLapsed = 'authority-lapsed',
+  SessionMisuse = 'session-misuse',
+  UnknownStatement = 'unknown-statement',
+  TransactionIdle = 'transaction-idle',
+  StatementTimeout = 'statement-timeout',
 }
 
 /** What a refusal tells the caller. */
@@ -169,6 +175,37 @@
     SOON_MS,
   ),
   [RefusalReason.Canceled]: rule(Ran.No, '57014', 'canceled before running', 0),
+  [RefusalReason.NoAuthority]: rule(
+    Ran.No,
+    '57P03',
+    'no recent proof of which upstream is the primary',
+    SOON_MS,
+  ),
+  [RefusalReason.AuthorityLapsed]: rule(
+    Ran.Unknown,
+    '40003',
+    'ran, but the proof of the primary had lapsed when the answer came',
+    SOON_MS,
+  ),
+  [RefusalReason.SessionMisuse]: rule(
+    Ran.No,
+    '25000',
+    'statement does not fit the state of the session',
+    0,
+  ),
+  [RefusalReason.UnknownStatement]: rule(Ran.No, '26000', 'prepared statement is not known', 0),
+  [RefusalReason.TransactionIdle]: rule(
+    Ran.No,
+    '25P03',
+    'transaction was rolled back: it was idle for too long',
+    SOON_MS,
+  ),
+  [RefusalReason.StatementTimeout]: rule(
+    Ran.Unknown,
+    '57014',
+    'upstream did not answer within the time of the statement',
+    SOON_MS,
+  ),
   [RefusalReason.AlreadyRan]: rule(Ran.Yes, '23505', 'request id has run before', 0),
 };
 
--- a/packages/coordination/src/retry-reason.ts
+++ b/packages/coordination/src/retry-reason.ts
@@ -9,4 +9,6 @@
   StoreFailed = 'store-failed',
   StoreConflict = 'store-conflict',
   WatchLost = 'watch-lost',
+  UpstreamBusy = 'upstream-busy',
+  LostPreparation = 'lost-preparation',
 }
--- /dev/null
+++ b/packages/coordination/src/upstream-choice.ts
@@ -0,0 +1,53 @@
+/**
+ * Which upstream serves a read: the one with the least expected time, the primary at a surcharge.
+ */
+import type { UpstreamId } from './ids.js';
+import type { RandomSource } from './random.js';
+
+/** What a home knows of an upstream when it chooses. */
+export interface UpstreamLoad {
+  readonly id: UpstreamId;
+  readonly isPrimary: boolean;
+  /** Statements of this home that are at the upstream or wait for a connection to it. */
+  readonly inFlight: number;
+  /** Moving average of the time of an answer, milliseconds. */
+  readonly meanMs: number;
+  /** Until when the upstream is to be avoided (lagging, busy, failing), local milliseconds. */
+  readonly avoidUntil: number;
+}
+
+/** A read costs this much more at the primary, which also has all writes to do. */
+const PRIMARY_SURCHARGE = 2;
+/** Width of the random factor that spreads hosts over equal upstreams. */
+const SPREAD = 0.2;
+
+/**
+ * Upstream with the least expected time among those not to be avoided; if all are to be avoided,
+ * the one whose time of avoidance ends first.
+ */
+export function chooseUpstream(
+  loads: readonly UpstreamLoad[],
+  now: number,
+  random: RandomSource,
+): UpstreamId | undefined {
+  const open = loads.filter((load) => load.avoidUntil <= now);
+  if (open.length === 0) return leastBy(loads, (load) => load.avoidUntil);
+  return leastBy(open, (load) => expectedMs(load) * (1 + SPREAD * random.unit()));
+}
+
+function expectedMs(load: UpstreamLoad): number {
+  const surcharge = load.isPrimary ? PRIMARY_SURCHARGE : 1;
+  return load.meanMs * (1 + load.inFlight) * surcharge;
+}
+
+function leastBy(
+  loads: readonly UpstreamLoad[],
+  costOf: (load: UpstreamLoad) => number,
+): UpstreamId | undefined {
+  let best: { readonly id: UpstreamId; readonly cost: number } | undefined;
+  for (const load of loads) {
+    const cost = costOf(load);
+    if (best === undefined || cost < best.cost) best = { id: load.id, cost };
+  }
+  return best?.id;
+}
--- /dev/null
+++ b/packages/gateway/src/board.ts
@@ -0,0 +1,123 @@
+/**
+ * The blackboard of a gateway host: what it believes about configuration, upstreams, primaries and
+ * other hosts. Controllers write it, sessions and homes read it, listeners hear of changes.
+ */
+import type {
+  AuthorityView,
+  AzId,
+  GroupId,
+  HostId,
+  PrimaryRecord,
+  UpstreamId,
+} from '@gladespool/coordination';
+import { isNewerRecord } from '@gladespool/coordination';
+import type { Catalog, Route, UpstreamEntry } from './model/catalog.js';
+
+/** A host as it registered itself in the metadata store. */
+export interface HostEntry {
+  readonly host: HostId;
+  readonly az: AzId;
+  readonly address: string;
+  readonly port: number;
+  /** Start time of the process; a restart is a higher incarnation. */
+  readonly incarnation: number;
+}
+
+/** Parts of the board that listeners can watch. */
+export enum BoardSection {
+  Catalog = 'catalog',
+  Upstreams = 'upstreams',
+  Records = 'records',
+  Hosts = 'hosts',
+}
+
+/** What one host believes. */
+export class GatewayBoard {
+  catalog: Catalog | undefined;
+  upstreams: ReadonlyMap<UpstreamId, UpstreamEntry> = new Map();
+  hosts: ReadonlyMap<HostId, HostEntry> = new Map();
+  /** Whether this host is stopping. */
+  draining = false;
+  private readonly records = new Map<GroupId, PrimaryRecord>();
+  private provedAt = Number.NEGATIVE_INFINITY;
+  private readonly listeners = new Map<BoardSection, Set<() => void>>();
+
+  constructor(
+    readonly host: HostId,
+    readonly az: AzId,
+  ) {}
+
+  /** Calls `listener` at each change of a section; the result stops that. */
+  onChange(section: BoardSection, listener: () => void): () => void {
+    const listeners = this.listeners.get(section) ?? new Set();
+    this.listeners.set(section, listeners);
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  }
+
+  /** Takes a configuration; an older one than that in force is passed over. */
+  putCatalog(catalog: Catalog): boolean {
+    if (this.catalog !== undefined && catalog.version <= this.catalog.version) return false;
+    this.catalog = catalog;
+    this.notify(BoardSection.Catalog);
+    return true;
+  }
+
+  putUpstreams(upstreams: ReadonlyMap<UpstreamId, UpstreamEntry>): void {
+    this.upstreams = upstreams;
+    this.notify(BoardSection.Upstreams);
+  }
+
+  putHosts(hosts: ReadonlyMap<HostId, HostEntry>): void {
+    this.hosts = hosts;
+    this.notify(BoardSection.Hosts);
+  }
+
+  /** Takes a record; an older version of it is passed over. */
+  putRecord(record: PrimaryRecord): boolean {
+    if (!isNewerRecord(this.records.get(record.group), record)) return false;
+    this.records.set(record.group, record);
+    this.notify(BoardSection.Records);
+    return true;
+  }
+
+  /** Notes that the records held are those of a read sent at `sentAt`. */
+  prove(sentAt: number): void {
+    if (sentAt > this.provedAt) this.provedAt = sentAt;
+  }
+
+  /** Gives every proof up, so that no primary is used any more. */
+  forgetProof(): void {
+    this.provedAt = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Local time at which the read behind the newest proof was sent. */
+  get provenSince(): number {
+    return this.provedAt;
+  }
+
+  record(group: GroupId): PrimaryRecord | undefined {
+    return this.records.get(group);
+  }
+
+  get allRecords(): readonly PrimaryRecord[] {
+    return [...this.records.values()];
+  }
+
+  authority(group: GroupId): AuthorityView {
+    return { record: this.records.get(group), provedAt: this.provedAt };
+  }
+
+  route(database: string): Route | undefined {
+    return this.catalog?.routes.get(database);
+  }
+
+  /** Upstreams of a group, the leaving ones included. */
+  upstreamsOf(group: GroupId): readonly UpstreamEntry[] {
+    return [...this.upstreams.values()].filter((entry) => entry.group === group);
+  }
+
+  private notify(section: BoardSection): void {
+    for (const listener of this.listeners.get(section) ?? []) listener();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -0,0 +1,101 @@
+/**
+ * Renews this host's proof of who the primaries are, by reading the records from the store.
+ */
+import type { HostId } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { MetadataStore } from './metadata-store.js';
+import { StorePurpose } from './metadata-store.js';
+import type { Registrar } from './registrar.js';
+import type { StoreFollower } from './store-follower.js';
+import { OWN_PREFIX, readOwnDocument } from './store-documents.js';
+import type { StoreView } from './store-view.js';
+
+/** Times of the proofs' renewal. */
+export interface ProofRules {
+  /** Time between two reads, milliseconds: a third of a proof's life, so that two may fail. */
+  readonly intervalMs: number;
+  /** Longest time for one read, milliseconds. */
+  readonly timeoutMs: number;
+}
+
+export const DEFAULT_PROOFS: ProofRules = { intervalMs: 900, timeoutMs: 1200 };
+
+/** A proof read from the store by this host itself; only such ones are passed on. */
+export interface FirstHandProof {
+  readonly sentAt: number;
+  /** Incarnations of the hosts listed at that read. */
+  readonly hosts: ReadonlyMap<HostId, number>;
+}
+
+/** What the keeper works on. */
+export interface ProofKeeperOptions {
+  readonly self: HostEntry;
+  readonly board: GatewayBoard;
+  readonly store: MetadataStore;
+  readonly view: StoreView;
+  readonly follower: StoreFollower;
+  readonly registrar: Registrar;
+  readonly rules: ProofRules;
+  readonly log: Logger;
+}
+
+/** Reads records and hosts at intervals while it is wanted. */
+export class ProofKeeper {
+  firstHand: FirstHandProof | undefined;
+  private reading = false;
+  private lastSentAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: ProofKeeperOptions) {}
+
+  /** Starts a read if one is due at `now`. */
+  tick(now: number): void {
+    if (this.reading || now - this.lastSentAt < this.options.rules.intervalMs) return;
+    void this.read();
+  }
+
+  /** Reads at once. */
+  async read(): Promise<void> {
+    const { store, view, board, rules, log, registrar } = this.options;
+    this.reading = true;
+    const sentAt = performance.now();
+    this.lastSentAt = sentAt;
+    const range = await store.range(OWN_PREFIX, StorePurpose.Proof, rules.timeoutMs);
+    this.reading = false;
+    if (range.isErr()) {
+      const { step, peer, message } = range.error;
+      const age = Math.round(sentAt - board.provenSince);
+      log.warn('proof-read-failed', { step, peer, error: message, proof_age_ms: age });
+      return;
+    }
+    const behind = view.revision < range.value.revision;
+    view.replace(OWN_PREFIX, range.value, performance.now());
+    const hosts = listedHosts(range.value.items);
+    this.firstHand = { sentAt, hosts };
+    if (hosts.get(this.options.self.host) === this.options.self.incarnation) board.prove(sentAt);
+    else void registrar.ensure();
+    this.checkWatch(behind, range.value.revision);
+  }
+
+  /** A watch that has not brought a change within an interval has lost it. */
+  private checkWatch(behind: boolean, revision: number): void {
+    if (!behind) return;
+    const { view, follower, log, rules } = this.options;
+    setTimeout(() => {
+      if (view.revision >= revision) return;
+      log.info('watch-behind', { revision: view.revision, store_revision: revision });
+      follower.resync();
+    }, rules.intervalMs / 2);
+  }
+}
+
+function listedHosts(
+  items: readonly { readonly key: string; readonly value: string }[],
+): ReadonlyMap<HostId, number> {
+  const hosts = new Map<HostId, number>();
+  for (const item of items) {
+    const document = readOwnDocument(item.key, item.value);
+    if (document?.kind === 'host') hosts.set(document.entry.host, document.entry.incarnation);
+  }
+  return hosts;
+}
--- /dev/null
+++ b/packages/gateway/src/control/record-founder.ts
@@ -0,0 +1,84 @@
+/**
+ * Writes the first record of a group, naming the upstream that reports itself as the primary.
+ */
+import type { GroupId } from '@gladespool/coordination';
+import { rankCandidates, RecordPhase } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
+import type { GatewayBoard } from '../board.js';
+import type { UpstreamEntry } from '../model/catalog.js';
+import { ReportedRole } from '../model/catalog.js';
+import type { MetadataStore } from './metadata-store.js';
+import { StorePurpose } from './metadata-store.js';
+import { primaryKey } from './store-documents.js';
+import type { StoreView } from './store-view.js';
+
+/** What the founder works on. */
+export interface RecordFounderOptions {
+  readonly board: GatewayBoard;
+  readonly store: MetadataStore;
+  readonly view: StoreView;
+  readonly log: Logger;
+}
+
+/** Epoch of a group's first record. */
+const FIRST_EPOCH = 1;
+/** Longest time for the write, milliseconds. */
+const WRITE_TIMEOUT_MS = 1000;
+/** Time that each host leaves to those before it in rank, milliseconds: a few round trips. */
+const RANK_DELAY_MS = 300;
+
+/** Founds records of groups that have none. */
+export class RecordFounder {
+  private readonly missingSince = new Map<GroupId, number>();
+  private readonly writing = new Set<GroupId>();
+
+  constructor(private readonly options: RecordFounderOptions) {}
+
+  /** Founds what is missing at `now` and due to this host. */
+  tick(now: number): void {
+    const { board, view } = this.options;
+    if (view.revision === 0 || board.hosts.get(board.host) === undefined) return;
+    for (const group of board.catalog?.groups.keys() ?? []) {
+      if (board.record(group) !== undefined) continue;
+      const since = this.missingSince.get(group) ?? now;
+      this.missingSince.set(group, since);
+      if (now - since >= this.delayOf(group)) void this.found(group);
+    }
+  }
+
+  private delayOf(group: GroupId): number {
+    const { board } = this.options;
+    const ranked = rankCandidates(`found|${group}`, [...board.hosts.keys()]);
+    return ranked.indexOf(board.host) * RANK_DELAY_MS;
+  }
+
+  private async found(group: GroupId): Promise<void> {
+    const { board, store, log } = this.options;
+    const primary = soleCandidate(board.upstreamsOf(group));
+    if (primary === undefined || this.writing.has(group)) return;
+    this.writing.add(group);
+    const record = {
+      group,
+      epoch: FIRST_EPOCH,
+      phase: RecordPhase.Serving,
+      primary: primary.id,
+      holder: board.host,
+    };
+    const key = primaryKey(group);
+    const change = {
+      conditions: [{ key, revision: 0 }],
+      writes: [{ key, value: JSON.stringify(record) }],
+      removals: [],
+    };
+    const result = await store.change(change, StorePurpose.Record, WRITE_TIMEOUT_MS);
+    this.writing.delete(group);
+    const done = result.isOk() ? result.value.kind : result.error.message;
+    log.info('record-founded', { group, primary: primary.id, result: done });
+  }
+}
+
+/** The one upstream that reports itself as primary; undefined when none or several do. */
+function soleCandidate(entries: readonly UpstreamEntry[]): UpstreamEntry | undefined {
+  const primaries = entries.filter((entry) => entry.role === ReportedRole.Primary);
+  return primaries.length === 1 ? primaries[0] : undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/control/store-follower.ts
@@ -0,0 +1,120 @@
+/**
+ * Keeps the view of the store up to date: reads everything once, then watches; reads everything
+ * again when the watch has missed something.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { GladespoolError } from '@gladespool/coordination';
+import { RetryReason } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import type { MetadataStore } from './metadata-store.js';
+import { StorePurpose } from './metadata-store.js';
+import type { StoreView } from './store-view.js';
+
+/** Times of the follower. */
+export interface FollowerRules {
+  /** Longest time for one read, milliseconds. */
+  readonly readTimeoutMs: number;
+  /** Time after which a quiet watch is renewed, milliseconds. */
+  readonly watchMs: number;
+  /** Pause after a failed call, milliseconds. */
+  readonly retryMs: number;
+}
+
+/** 12 s a watch: three a day of 40 s; a lost one is noticed by the proofs long before. */
+export const DEFAULT_FOLLOWER: FollowerRules = {
+  readTimeoutMs: 1500,
+  watchMs: 12_000,
+  retryMs: 250,
+};
+
+/** What the follower works on. */
+export interface FollowerOptions {
+  readonly store: MetadataStore;
+  readonly view: StoreView;
+  readonly metrics: HostMetrics;
+  readonly log: Logger;
+  readonly rules: FollowerRules;
+}
+
+/** Follows the store for as long as it is active. */
+export class StoreFollower {
+  private active = false;
+  /** Changes whenever the running loop must end or start over. */
+  private turn = 0;
+  private reachable = true;
+
+  constructor(private readonly options: FollowerOptions) {}
+
+  /** Starts or stops to follow. */
+  setActive(active: boolean): void {
+    if (active === this.active) return;
+    this.active = active;
+    this.turn += 1;
+    if (active) void this.follow(this.turn);
+  }
+
+  /** Reads everything again, since the watch has missed a change. */
+  resync(): void {
+    if (!this.active) return;
+    this.turn += 1;
+    void this.follow(this.turn);
+  }
+
+  private async follow(turn: number): Promise<void> {
+    let complete = false;
+    while (this.turn === turn) {
+      if (!complete) {
+        complete = await this.readAll(turn);
+        if (!complete) await pause(this.options.rules.retryMs);
+        continue;
+      }
+      complete = await this.watchOnce(turn);
+    }
+  }
+
+  private async readAll(turn: number): Promise<boolean> {
+    const { store, view, rules } = this.options;
+    const range = await store.range('', StorePurpose.Follow, rules.readTimeoutMs);
+    if (this.turn !== turn) return false;
+    if (range.isErr()) {
+      this.noteLost(range.error);
+      return false;
+    }
+    this.noteReached();
+    view.replace('', range.value, performance.now());
+    return true;
+  }
+
+  /** @returns false when everything has to be read anew. */
+  private async watchOnce(turn: number): Promise<boolean> {
+    const { store, view, rules, metrics, log } = this.options;
+    const result = await store.watch('', view.revision, rules.watchMs);
+    if (this.turn !== turn) return true;
+    if (result.isErr()) {
+      this.noteLost(result.error);
+      metrics.retries.inc({ reason: RetryReason.WatchLost });
+      await pause(rules.retryMs);
+      return true;
+    }
+    this.noteReached();
+    if (result.value.kind === 'compacted') {
+      log.info('store-history-gone', { revision: view.revision });
+      return false;
+    }
+    view.apply(result.value.events, result.value.revision, performance.now());
+    return true;
+  }
+
+  private noteLost(error: GladespoolError): void {
+    const { step, peer, message } = error;
+    if (this.reachable) this.options.log.warn('store-lost', { step, peer, error: message });
+    this.reachable = false;
+  }
+
+  private noteReached(): void {
+    if (!this.reachable) {
+      this.options.log.info('store-regained', { revision: this.options.view.revision });
+    }
+    this.reachable = true;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/entry/request-journal.ts
@@ -0,0 +1,67 @@
+/**
+ * Tells the outcome of every statement to metrics, and to the log where a caller could ask about it.
+ */
+import { RefusalReason, REFUSAL_RULES } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import { ServedBy } from '@gladespool/observability';
+import type { Outcome } from '../model/outcome.js';
+import type { Statement } from '../model/statement.js';
+
+/** One statement and its end. */
+export interface RequestEnd {
+  readonly id: string;
+  readonly database: string;
+  readonly statement: Statement;
+  readonly outcome: Outcome;
+  readonly arrivedAt: number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Records the ends of statements. */
+export class RequestJournal {
+  constructor(
+    private readonly metrics: HostMetrics,
+    private readonly log: Logger,
+  ) {}
+
+  note(end: RequestEnd): void {
+    const tookMs = performance.now() - end.arrivedAt;
+    this.metrics.latency.observe(tookMs / MS_PER_SECOND);
+    const { outcome } = end;
+    if (outcome.kind === 'completed') {
+      this.metrics.statements.inc({ served_by: ServedBy.Proxy });
+      return;
+    }
+    if (outcome.kind === 'refused') this.metrics.refusals.inc({ reason: outcome.refusal.reason });
+    this.log.info('request-failed', {
+      ...fieldsOf(outcome),
+      ...placeOf(end),
+      ms: Math.round(tookMs),
+    });
+  }
+
+  /** Counts a refusal that concerns no statement. */
+  countRefusal(reason: RefusalReason): void {
+    this.metrics.refusals.inc({ reason });
+  }
+
+  noteIdle(database: string, idleMs: number): void {
+    this.metrics.refusals.inc({ reason: RefusalReason.TransactionIdle });
+    this.log.info('transaction-idle', { database, idle_ms: idleMs });
+  }
+}
+
+function placeOf(end: RequestEnd): { request: string; database: string; statement: string } {
+  return { request: end.id, database: end.database, statement: end.statement.kind };
+}
+
+function fieldsOf(
+  outcome: Exclude<Outcome, { kind: 'completed' }>,
+): Record<string, string | undefined> {
+  if (outcome.kind === 'faulted') {
+    return { told_by: 'upstream', reason: outcome.fault, code: outcome.code, text: outcome.text };
+  }
+  const { reason, detail } = outcome.refusal;
+  return { told_by: 'proxy', reason, ran: REFUSAL_RULES[reason].ran, detail: detail || undefined };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-rules.ts
@@ -0,0 +1,15 @@
+/**
+ * Times and bounds of a gateway host.
+ */
+import type { DrainTimes } from './entry/caller-server.js';
+import type { HomeRules } from './home/group-home.js';
+
+/** Rules of one host. */
+export interface GatewayRules {
+  readonly home: HomeRules;
+  readonly drain: DrainTimes;
+  /** Callers' connections at most. */
+  readonly maxCallers: number;
+  /** Time in which a caller has to start its session, milliseconds. */
+  readonly startTimeoutMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/home/await-authority.ts
@@ -0,0 +1,46 @@
+/**
+ * Holds a statement for a short time while the proof of the primary is being renewed or another
+ * primary takes over.
+ */
+import { BoardSection } from '../board.js';
+import type { GroupHome } from './group-home.js';
+import type { Job } from './job.js';
+
+/**
+ * Part of the statement's time for which it is held, counted from its arrival. A promotion takes
+ * most of a second; a caller that asks again later is served as well as one that is held longer.
+ */
+const HOLD_SHARE = 0.5;
+/** Longest wait before the authority is looked at again, milliseconds. */
+const REVIEW_MS = 25;
+
+/**
+ * Waits until the primary may be used.
+ *
+ * @returns false when the time for which the statement may be held is over.
+ */
+export async function awaitAuthority(home: GroupHome, job: Job, now: number): Promise<boolean> {
+  const until = job.arrivedAt + job.route.timeoutMs * HOLD_SHARE;
+  for (let time = now; time < until; time = performance.now()) {
+    if (home.hasAuthority(time) && primaryIsKnown(home)) return true;
+    await recordChange(home, Math.min(REVIEW_MS, until - time));
+  }
+  return false;
+}
+
+function primaryIsKnown(home: GroupHome): boolean {
+  const { record } = home;
+  return record !== undefined && home.context.board.upstreams.has(record.primary);
+}
+
+function recordChange(home: GroupHome, timeoutMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const done = (): void => {
+      clearTimeout(timer);
+      stop();
+      resolve();
+    };
+    const stop = home.context.board.onChange(BoardSection.Records, done);
+    const timer = setTimeout(done, timeoutMs);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/home/exchange.ts
@@ -0,0 +1,103 @@
+/**
+ * One exchange of a statement with an upstream: borrow a connection, set it up, send, note what was
+ * seen.
+ */
+import type { PrimaryRecord } from '@gladespool/coordination';
+import { RefusalReason } from '@gladespool/coordination';
+import type { Lease } from '@gladespool/pool';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { UpstreamFault } from '../model/outcome.js';
+import type { Work } from '../model/statement.js';
+import type { UpstreamAnswer, UpstreamCommand } from '../model/upstream-wire.js';
+import type { GroupHome } from './group-home.js';
+import { poolPriority } from './group-home.js';
+import type { Job } from './job.js';
+import type { PreparedConnection } from './prepared-connection.js';
+import type { UpstreamSlot } from './upstream-slot.js';
+
+/** A connection that was borrowed and set up. */
+export interface Borrowed {
+  readonly lease: Lease<PreparedConnection>;
+  readonly slot: UpstreamSlot;
+  /** Record in force when the connection was borrowed. */
+  readonly record: PrimaryRecord | undefined;
+}
+
+/** An answer with the time at which its question was sent. */
+export interface TimedAnswer {
+  readonly answer: UpstreamAnswer;
+  readonly sentAt: number;
+}
+
+/** Least time left for which an exchange is started, milliseconds. */
+export const LEAST_EXCHANGE_MS = 2;
+/**
+ * Part of an operation's target latency that a statement may wait for a connection. Longer waits
+ * seldom end in time, and the caller does better to ask again elsewhere.
+ */
+const WAIT_SHARE = 0.6;
+
+/** Borrows a connection and sets it up; nothing of the statement has run when that fails. */
+export async function borrow(
+  home: GroupHome,
+  slot: UpstreamSlot,
+  job: Job,
+  work: Work | undefined,
+): Promise<Result<Borrowed, RefusalReason>> {
+  const { record } = home;
+  const now = performance.now();
+  const leftMs = job.arrivedAt + job.route.timeoutMs - now;
+  const waitMs = Math.min(leftMs, job.route.targetLatencyMs * WAIT_SHARE);
+  if (waitMs < LEAST_EXCHANGE_MS) return err(RefusalReason.DeadlineBeforeRun);
+  const leased = await slot.acquire(poolPriority(job.route.priority), now, waitMs);
+  if (leased.isErr()) return err(leased.error);
+  const lease = leased.value;
+  const failed = await lease.connection.setUp(
+    job.values,
+    work,
+    Math.max(LEAST_EXCHANGE_MS, leftMs),
+  );
+  if (failed === undefined) return ok({ lease, slot, record });
+  noteAnswer(slot, failed, performance.now(), undefined);
+  lease.connection.close();
+  lease.release();
+  return err(RefusalReason.UpstreamUnreachable);
+}
+
+/** Sends one command on a borrowed connection and notes what the answer tells. */
+export async function send(
+  home: GroupHome,
+  borrowed: Borrowed,
+  command: UpstreamCommand,
+  timeoutMs: number,
+): Promise<TimedAnswer> {
+  const { lease, slot, record } = borrowed;
+  const sentAt = performance.now();
+  slot.health.inFlight += 1;
+  const answer = await lease.connection.exchange(command, Math.max(LEAST_EXCHANGE_MS, timeoutMs));
+  slot.health.inFlight -= 1;
+  const now = performance.now();
+  noteAnswer(slot, answer, now, now - sentAt);
+  const fromPrimary = record?.primary === slot.entry.id;
+  if (fromPrimary) home.noteMark(record, sentAt, answer, now);
+  return { answer, sentAt };
+}
+
+function noteAnswer(
+  slot: UpstreamSlot,
+  answer: UpstreamAnswer,
+  now: number,
+  tookMs: number | undefined,
+): void {
+  const { health } = slot;
+  if (answer.kind === 'lost') {
+    health.noteFailure(now);
+    return;
+  }
+  if (answer.kind === 'completed' && tookMs !== undefined) health.noteAnswer(now, tookMs);
+  else health.noteAlive(now);
+  if (answer.kind !== 'faulted') return;
+  if (answer.fault === UpstreamFault.Lagging) health.noteLagging(now);
+  if (answer.fault === UpstreamFault.Busy) health.noteBusy(now);
+}
--- /dev/null
+++ b/packages/gateway/src/home/group-home.ts
@@ -0,0 +1,175 @@
+/**
+ * One group's home: connections to its upstreams, marks of its primary, and the choice of where a
+ * statement may run.
+ */
+import type {
+  GladespoolError,
+  GroupId,
+  PrimaryRecord,
+  RandomSource,
+  UpstreamId,
+} from '@gladespool/coordination';
+import {
+  answerCounts,
+  chooseUpstream,
+  hasAuthority,
+  MarkLog,
+  planHomes,
+  Priority,
+  RetryReason,
+} from '@gladespool/coordination';
+import type { AuthorityRules } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import type { GatewayBoard } from '../board.js';
+import type { UpstreamEntry } from '../model/catalog.js';
+import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
+import { UpstreamSlot } from './upstream-slot.js';
+
+/** Times and bounds of homes. */
+export interface HomeRules {
+  readonly authority: AuthorityRules;
+  /** Longest time for opening a connection to an upstream, milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Statements waiting for a connection to one upstream at most. */
+  readonly maxWaiting: number;
+}
+
+/** What every home of a host shares. */
+export interface HomeContext {
+  readonly board: GatewayBoard;
+  readonly driver: UpstreamDriver;
+  readonly rules: HomeRules;
+  readonly random: RandomSource;
+  readonly metrics: HostMetrics;
+  readonly log: Logger;
+}
+
+/** Connections and knowledge of one group on one host. */
+export class GroupHome {
+  readonly marks = new MarkLog();
+  private readonly slots = new Map<UpstreamId, UpstreamSlot>();
+
+  constructor(
+    readonly group: GroupId,
+    readonly context: HomeContext,
+  ) {}
+
+  get record(): PrimaryRecord | undefined {
+    return this.context.board.record(this.group);
+  }
+
+  /** Whether the primary of the record may be used at `now`. */
+  hasAuthority(now: number): boolean {
+    const { board, rules } = this.context;
+    return hasAuthority(board.authority(this.group), now, rules.authority);
+  }
+
+  /** Whether an answer of the primary that arrived at `now` counts. */
+  answerCounts(sentUnder: PrimaryRecord, now: number): boolean {
+    const { board, rules } = this.context;
+    return answerCounts(sentUnder, board.authority(this.group), now, rules.authority);
+  }
+
+  /** Notes where the primary stood, if its answer counts. */
+  noteMark(sentUnder: PrimaryRecord, sentAt: number, answer: UpstreamAnswer, now: number): void {
+    if (answer.kind === 'lost' || answer.position === undefined) return;
+    if (!this.answerCounts(sentUnder, now)) return;
+    this.marks.startEpoch(sentUnder.epoch);
+    this.marks.add({ sentAt, position: answer.position });
+  }
+
+  /** The slot of an upstream; undefined when it is not registered. */
+  slot(id: UpstreamId): UpstreamSlot | undefined {
+    const entry = this.context.board.upstreams.get(id);
+    if (entry?.group !== this.group) return undefined;
+    const held = this.slots.get(id);
+    if (held !== undefined && sameAddress(held.entry, entry)) return held;
+    held?.stop();
+    const slot = this.openSlot(entry);
+    this.slots.set(id, slot);
+    return slot;
+  }
+
+  /** The upstream that would serve a read soonest, of those that pass `isAllowed`. */
+  choose(isAllowed: (entry: UpstreamEntry) => boolean, now: number): UpstreamEntry | undefined {
+    const { board, random } = this.context;
+    const primary = this.record?.primary;
+    const entries = board.upstreamsOf(this.group).filter(isAllowed);
+    const loads = entries.map((entry) => {
+      const slot = this.slot(entry.id);
+      return {
+        id: entry.id,
+        isPrimary: entry.id === primary,
+        inFlight: slot?.load ?? 0,
+        meanMs: slot?.health.meanMs ?? 0,
+        avoidUntil: slot?.health.avoidUntil ?? now,
+      };
+    });
+    const chosen = chooseUpstream(loads, now, random);
+    return entries.find((entry) => entry.id === chosen);
+  }
+
+  /** Fits pools to the hosts that live now, and drops those of upstreams that are gone. */
+  review(): void {
+    const { board } = this.context;
+    for (const [id, slot] of this.slots) {
+      if (board.upstreams.has(id)) {
+        slot.resize(this.limits());
+        continue;
+      }
+      slot.stop();
+      this.slots.delete(id);
+    }
+  }
+
+  /** Closes every idle connection; those in use close as they come back. */
+  stop(): void {
+    for (const slot of this.slots.values()) slot.stop();
+  }
+
+  private openSlot(entry: UpstreamEntry): UpstreamSlot {
+    const { driver, rules, metrics } = this.context;
+    return new UpstreamSlot(entry, {
+      group: this.group,
+      driver,
+      limits: this.limits(),
+      connectTimeoutMs: rules.connectTimeoutMs,
+      onConnected: () => {
+        metrics.upstreamConnections.inc();
+      },
+      onConnectFailure: (error) => {
+        this.noteConnectFailure(entry, error);
+      },
+    });
+  }
+
+  private noteConnectFailure(entry: UpstreamEntry, error: GladespoolError): void {
+    const { metrics, log } = this.context;
+    metrics.retries.inc({ reason: RetryReason.ConnectFailed });
+    const { step, peer, message } = error;
+    log.warn('connect-failed', {
+      group: this.group,
+      upstream: entry.id,
+      step,
+      peer,
+      error: message,
+    });
+  }
+
+  private limits(): { readonly maxConnections: number; readonly maxWaiting: number } {
+    const { board, rules } = this.context;
+    const budget = board.catalog?.groups.get(this.group)?.connectionsPerUpstream ?? 1;
+    const plan = planHomes(this.group, [...board.hosts.values()], budget);
+    return { maxConnections: plan.connectionsPerHome, maxWaiting: rules.maxWaiting };
+  }
+}
+
+/** Pool class of a route's priority number; the pool knows three. */
+export function poolPriority(priority: number): Priority {
+  if (priority <= 1) return Priority.Outcome;
+  return priority === 2 ? Priority.Interactive : Priority.Background;
+}
+
+function sameAddress(a: UpstreamEntry, b: UpstreamEntry): boolean {
+  return a.address === b.address && a.port === b.port;
+}
--- /dev/null
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -0,0 +1,134 @@
+/**
+ * A transaction on one upstream connection, from its begin to its end.
+ */
+import { RefusalReason } from '@gladespool/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { Outcome } from '../model/outcome.js';
+import { refused } from '../model/outcome.js';
+import { Access, accessOf } from '../model/statement.js';
+import type { UpstreamAnswer } from '../model/upstream-wire.js';
+import { WireLoss } from '../model/upstream-wire.js';
+import type { Borrowed } from './exchange.js';
+import { borrow, send } from './exchange.js';
+import type { GroupHome } from './group-home.js';
+import type { BeginJob, OpenTransaction, StepJob } from './job.js';
+import type { ReadTarget } from './read-plan.js';
+import { confirmed } from './write-flow.js';
+
+/** Longest time for a rollback before its connection is closed instead, milliseconds. */
+const ROLLBACK_TIMEOUT_MS = 1000;
+
+/** Opens a transaction on the upstream of `target`. */
+export async function openTransaction(
+  home: GroupHome,
+  job: BeginJob,
+  target: ReadTarget,
+): Promise<Result<PinnedTransaction, Outcome>> {
+  const slot = home.slot(target.entry.id);
+  if (slot === undefined) return err(refused(RefusalReason.NoCoveringUpstream, home.group));
+  const borrowed = await borrow(home, slot, job, undefined);
+  if (borrowed.isErr()) return err(refused(borrowed.error, home.group));
+  const { lease, record } = borrowed.value;
+  const { after } = target;
+  const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
+  const begin = { kind: 'begin', readOnly: job.readOnly, after } as const;
+  const { answer } = await send(home, borrowed.value, begin, leftMs);
+  const current = record !== undefined && home.answerCounts(record, performance.now());
+  if (answer.kind === 'completed' && (current || !target.needsAuthority)) {
+    return ok(new PinnedTransaction(home, borrowed.value, job));
+  }
+  if (answer.kind === 'completed') lease.connection.close();
+  lease.release();
+  return err(beginFailure(answer));
+}
+
+function beginFailure(answer: UpstreamAnswer): Outcome {
+  if (answer.kind === 'lost') return refused(RefusalReason.UpstreamUnreachable);
+  if (answer.kind === 'completed') return refused(RefusalReason.NoAuthority);
+  const { fault, code, text } = answer;
+  return { kind: 'faulted', fault, code, text };
+}
+
+/** An open transaction. */
+export class PinnedTransaction implements OpenTransaction {
+  private wrote = false;
+  private over = false;
+
+  constructor(
+    private readonly home: GroupHome,
+    private readonly borrowed: Borrowed,
+    private readonly begin: BeginJob,
+  ) {}
+
+  async run(step: StepJob): Promise<Outcome> {
+    if (this.over) return refused(RefusalReason.TransactionLost);
+    const { connection } = this.borrowed.lease;
+    const leftMs = step.arrivedAt + this.begin.route.timeoutMs - performance.now();
+    const failed = await connection.setUp(step.values, step.work, leftMs);
+    if (failed !== undefined) return this.fail(refused(RefusalReason.TransactionLost));
+    if (accessOf(step.work) === Access.Write) this.wrote = true;
+    const command = connection.commandFor(step.work, step.id, undefined);
+    const { answer } = await send(this.home, this.borrowed, command, leftMs);
+    if (answer.kind === 'completed') {
+      const { rows, signature } = answer;
+      return { kind: 'completed', rows, signature, committed: undefined };
+    }
+    if (answer.kind === 'lost') return this.fail(lostInside(answer.loss));
+    const { fault, code, text } = answer;
+    return this.fail({ kind: 'faulted', fault, code, text });
+  }
+
+  async commit(id: string, arrivedAt: number): Promise<Outcome> {
+    if (this.over) return refused(RefusalReason.TransactionLost);
+    if (this.wrote && !this.mayCommit()) return this.fail(refused(RefusalReason.NoAuthority));
+    this.over = true;
+    const leftMs = arrivedAt + this.begin.route.timeoutMs - performance.now();
+    const { answer } = await send(this.home, this.borrowed, { kind: 'commit', id }, leftMs);
+    this.borrowed.lease.release();
+    if (this.wrote) return confirmed(this.home, this.borrowed, answer);
+    return unconfirmedCommit(answer);
+  }
+
+  rollback(): void {
+    if (this.over) return;
+    this.over = true;
+    void this.rollBackAndRelease();
+  }
+
+  private mayCommit(): boolean {
+    const { record } = this.borrowed;
+    return record !== undefined && this.home.answerCounts(record, performance.now());
+  }
+
+  private async rollBackAndRelease(): Promise<void> {
+    const { lease } = this.borrowed;
+    if (lease.connection.usable) {
+      await send(this.home, this.borrowed, { kind: 'rollback' }, ROLLBACK_TIMEOUT_MS);
+    }
+    lease.release();
+  }
+
+  /** Ends the transaction, which keeps nothing of it, and gives back the outcome to tell. */
+  private fail(outcome: Outcome): Outcome {
+    this.rollback();
+    return outcome;
+  }
+}
+
+/** A transaction that wrote nothing keeps nothing, whatever became of its commit. */
+function unconfirmedCommit(answer: UpstreamAnswer): Outcome {
+  if (answer.kind === 'lost') return refused(RefusalReason.TransactionLost);
+  if (answer.kind === 'faulted') {
+    const { fault, code, text } = answer;
+    return { kind: 'faulted', fault, code, text };
+  }
+  const { rows, signature } = answer;
+  return { kind: 'completed', rows, signature, committed: undefined };
+}
+
+/** A lost connection ends the transaction at the upstream as well. */
+function lostInside(loss: WireLoss): Outcome {
+  const detail = loss === WireLoss.Timeout ? 'no answer in time' : 'connection ended';
+  return refused(RefusalReason.TransactionLost, detail);
+}
--- /dev/null
+++ b/packages/gateway/src/home/read-flow.ts
@@ -0,0 +1,121 @@
+/**
+ * Single reads: tried at one upstream after another within the statement's time.
+ */
+import type { RefusalReason as Reason, UpstreamId } from '@gladespool/coordination';
+import { RefusalReason, RetryReason } from '@gladespool/coordination';
+import type { Outcome } from '../model/outcome.js';
+import { refused, UpstreamFault } from '../model/outcome.js';
+import type { UpstreamAnswer } from '../model/upstream-wire.js';
+import { borrow, send } from './exchange.js';
+import type { GroupHome } from './group-home.js';
+import type { StatementJob } from './job.js';
+import { awaitAuthority } from './await-authority.js';
+import type { ReadTarget } from './read-plan.js';
+import { planRead } from './read-plan.js';
+
+/** Upstreams tried for one read at most. */
+const MAX_TRIES = 4;
+/** Part of the time left that one try may take while another could follow. */
+const TRY_SHARE = 0.6;
+
+/** Outcome of one try. */
+type Try =
+  | { readonly kind: 'final'; readonly outcome: Outcome }
+  | { readonly kind: 'again'; readonly reason: RetryReason; readonly last: Outcome };
+
+/** Runs one read to its outcome. */
+export async function runRead(home: GroupHome, job: StatementJob): Promise<Outcome> {
+  const tried = new Set<UpstreamId>();
+  let last: Outcome = refused(RefusalReason.NoCoveringUpstream, home.group);
+  for (let count = 0; count < MAX_TRIES; count += 1) {
+    const now = performance.now();
+    if (now >= job.arrivedAt + job.route.timeoutMs) return last;
+    const target = planRead(home, job, tried, now);
+    if (target.isErr()) {
+      last = { kind: 'refused', refusal: target.error };
+      if (!(await awaitAuthority(home, job, now))) return last;
+      continue;
+    }
+    const attempt = await tryRead(home, job, target.value);
+    if (attempt.kind === 'final') return attempt.outcome;
+    tried.add(target.value.entry.id);
+    noteRetry(home, job, target.value, attempt.reason);
+    last = attempt.last;
+  }
+  return last;
+}
+
+async function tryRead(home: GroupHome, job: StatementJob, target: ReadTarget): Promise<Try> {
+  const slot = home.slot(target.entry.id);
+  if (slot === undefined) return again(RetryReason.ConnectFailed, RefusalReason.NoCoveringUpstream);
+  const borrowed = await borrow(home, slot, job, job.work);
+  if (borrowed.isErr()) return again(RetryReason.ConnectFailed, borrowed.error);
+  const { lease, record } = borrowed.value;
+  const command = lease.connection.commandFor(job.work, job.id, target.after);
+  const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
+  const { answer } = await send(home, borrowed.value, command, leftMs * TRY_SHARE);
+  if (answer.kind === 'faulted' && answer.fault === UpstreamFault.UnknownStatement) {
+    lease.connection.forgetPrepared();
+  }
+  lease.release();
+  const now = performance.now();
+  if (target.needsAuthority && (record === undefined || !home.answerCounts(record, now))) {
+    return again(RetryReason.NotPrimary, RefusalReason.NoAuthority);
+  }
+  return judge(answer);
+}
+
+function judge(answer: UpstreamAnswer): Try {
+  if (answer.kind === 'completed') {
+    const { rows, signature } = answer;
+    return final({ kind: 'completed', rows, signature, committed: undefined });
+  }
+  if (answer.kind === 'lost') {
+    return again(RetryReason.ReadLost, RefusalReason.UpstreamLostReading);
+  }
+  const { fault, code, text } = answer;
+  const last: Outcome = { kind: 'faulted', fault, code, text };
+  if (fault === UpstreamFault.Other) return final(last);
+  return { kind: 'again', reason: retryReasonOf(fault), last };
+}
+
+function retryReasonOf(fault: UpstreamFault): RetryReason {
+  switch (fault) {
+    case UpstreamFault.Busy:
+    case UpstreamFault.Overloaded:
+      return RetryReason.UpstreamBusy;
+    case UpstreamFault.Lagging:
+      return RetryReason.StaleReplica;
+    case UpstreamFault.UnknownStatement:
+      return RetryReason.LostPreparation;
+    case UpstreamFault.ReadOnly:
+      return RetryReason.ReadOnlyUpstream;
+    default:
+      return RetryReason.ReadLost;
+  }
+}
+
+function noteRetry(
+  home: GroupHome,
+  job: StatementJob,
+  target: ReadTarget,
+  reason: RetryReason,
+): void {
+  const { metrics, log } = home.context;
+  metrics.retries.inc({ reason });
+  log.info('read-tried-again', {
+    request: job.id,
+    group: home.group,
+    upstream: target.entry.id,
+    reason,
+    after: target.after === undefined ? '-' : `${target.after.term}.${target.after.offset}`,
+  });
+}
+
+function final(outcome: Outcome): Try {
+  return { kind: 'final', outcome };
+}
+
+function again(reason: RetryReason, refusal: Reason): Try {
+  return { kind: 'again', reason, last: refused(refusal) };
+}
--- /dev/null
+++ b/packages/gateway/src/home/read-plan.ts
@@ -0,0 +1,65 @@
+/**
+ * Where a read may run, so that it shows every commit that it has to.
+ */
+import type { Position, Refusal, UpstreamId } from '@gladespool/coordination';
+import { readFloor, RefusalReason, refuse } from '@gladespool/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { UpstreamEntry } from '../model/catalog.js';
+import { Consistency } from '../model/catalog.js';
+import type { GroupHome } from './group-home.js';
+import type { Job } from './job.js';
+
+/** One place to run a read. */
+export interface ReadTarget {
+  readonly entry: UpstreamEntry;
+  /** Position that the upstream's log must hold. */
+  readonly after: Position | undefined;
+  /** Whether the answer counts only while the upstream is proved to be the primary. */
+  readonly needsAuthority: boolean;
+}
+
+/** Added to the age of marks, milliseconds: timers and steady clocks of a slowed host. */
+const MARK_MARGIN_MS = 20;
+
+/** Chooses where to run a read at `now`; `tried` upstreams come last. */
+export function planRead(
+  home: GroupHome,
+  job: Job,
+  tried: ReadonlySet<UpstreamId>,
+  now: number,
+): Result<ReadTarget, Refusal> {
+  const after = floorOf(home, job);
+  if (after === undefined) return planAtPrimary(home, now);
+  const primary = home.record?.primary;
+  const authority = home.hasAuthority(now);
+  const isAllowed = (entry: UpstreamEntry): boolean =>
+    (entry.id !== primary || authority) && !entry.draining;
+  const fresh = home.choose((entry) => isAllowed(entry) && !tried.has(entry.id), now);
+  const entry =
+    fresh ?? home.choose(isAllowed, now) ?? home.choose((any) => any.id !== primary, now);
+  if (entry === undefined) return err(refuse(RefusalReason.NoCoveringUpstream, home.group));
+  return ok({ entry, after, needsAuthority: false });
+}
+
+/** Position behind which the read may run anywhere; undefined when only the primary will do. */
+function floorOf(home: GroupHome, job: Job): Position | undefined {
+  const { consistency, maxStalenessMs } = job.route;
+  if (consistency === Consistency.Primary) return undefined;
+  const { marks } = home;
+  const mark = marks.oldestSince(job.beganAt - maxStalenessMs + MARK_MARGIN_MS);
+  if (mark === undefined) return undefined;
+  if (job.own !== undefined && job.own.epoch > marks.epochOfMarks) return undefined;
+  return readFloor(mark, marks.epochOfMarks, job.own);
+}
+
+/** The primary, if it is proved; for primary reads and whatever may write. */
+export function planAtPrimary(home: GroupHome, now: number): Result<ReadTarget, Refusal> {
+  const { record } = home;
+  if (record === undefined || !home.hasAuthority(now)) {
+    return err(refuse(RefusalReason.NoAuthority, home.group));
+  }
+  const entry = home.context.board.upstreams.get(record.primary);
+  if (entry === undefined) return err(refuse(RefusalReason.NoPrimary, home.group));
+  return ok({ entry, after: undefined, needsAuthority: true });
+}
--- /dev/null
+++ b/packages/gateway/src/home/upstream-health.ts
@@ -0,0 +1,56 @@
+/**
+ * What a home has seen of one upstream: how fast it answers, and until when to avoid it.
+ */
+
+/** Weight of the newest sample in the moving average. */
+const MEAN_WEIGHT = 0.1;
+/** Assumed time of an answer before the first one, milliseconds. */
+const FIRST_MEAN_MS = 20;
+/** First time for which an upstream is avoided after a failure, milliseconds; doubles each time. */
+const FIRST_AVOID_MS = 250;
+/** Longest time for which an upstream is avoided, milliseconds. */
+const MAX_AVOID_MS = 2000;
+/** Time for which a replica is avoided that lacked a position, milliseconds: two usual lags. */
+const LAGGING_AVOID_MS = 120;
+/** Time for which an upstream is avoided that shed a statement, milliseconds: one usual answer. */
+const BUSY_AVOID_MS = 30;
+
+/** Health of one upstream as one home sees it. */
+export class UpstreamHealth {
+  inFlight = 0;
+  meanMs = FIRST_MEAN_MS;
+  avoidUntil = Number.NEGATIVE_INFINITY;
+  /** Local time of the latest answer of any kind. */
+  lastAnswerAt = Number.NEGATIVE_INFINITY;
+  /** Local time of the first failure since the latest answer; undefined while it answers. */
+  failingSince: number | undefined;
+  private failures = 0;
+
+  noteAnswer(now: number, tookMs: number): void {
+    this.meanMs += (tookMs - this.meanMs) * MEAN_WEIGHT;
+    this.noteAlive(now);
+  }
+
+  /** Notes that it answered, without a time worth averaging. */
+  noteAlive(now: number): void {
+    this.lastAnswerAt = now;
+    this.failingSince = undefined;
+    this.failures = 0;
+  }
+
+  /** Notes a lost connection or a refused one. */
+  noteFailure(now: number): void {
+    this.failingSince ??= now;
+    const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** this.failures);
+    this.failures += 1;
+    this.avoidUntil = Math.max(this.avoidUntil, now + avoidMs);
+  }
+
+  noteLagging(now: number): void {
+    this.avoidUntil = Math.max(this.avoidUntil, now + LAGGING_AVOID_MS);
+  }
+
+  noteBusy(now: number): void {
+    this.avoidUntil = Math.max(this.avoidUntil, now + BUSY_AVOID_MS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -0,0 +1,77 @@
+/**
+ * One upstream of a home: its pool of connections and what was seen of it.
+ */
+import type { GladespoolError, GroupId, Priority } from '@gladespool/coordination';
+import type { RefusalReason } from '@gladespool/coordination';
+import type { Lease, PoolLimits } from '@gladespool/pool';
+import { ConnectionPool } from '@gladespool/pool';
+import type { Result } from 'neverthrow';
+import type { UpstreamEntry } from '../model/catalog.js';
+import type { UpstreamDriver } from '../model/upstream-wire.js';
+import { PreparedConnection } from './prepared-connection.js';
+import { UpstreamHealth } from './upstream-health.js';
+
+/** What a slot needs of its home. */
+export interface SlotOptions {
+  readonly group: GroupId;
+  readonly driver: UpstreamDriver;
+  readonly limits: PoolLimits;
+  readonly connectTimeoutMs: number;
+  readonly onConnected: () => void;
+  readonly onConnectFailure: (error: GladespoolError) => void;
+}
+
+/** Pool and health of one upstream. */
+export class UpstreamSlot {
+  readonly health = new UpstreamHealth();
+  private readonly pool: ConnectionPool<PreparedConnection>;
+
+  constructor(
+    readonly entry: UpstreamEntry,
+    private readonly options: SlotOptions,
+  ) {
+    this.pool = new ConnectionPool(
+      () => this.connect(),
+      options.limits,
+      (error) => {
+        this.health.noteFailure(performance.now());
+        options.onConnectFailure(error);
+      },
+    );
+  }
+
+  /** Statements at the upstream or waiting for a connection to it. */
+  get load(): number {
+    return this.health.inFlight + this.pool.queued;
+  }
+
+  get connections(): number {
+    return this.pool.connections;
+  }
+
+  acquire(
+    priority: Priority,
+    now: number,
+    timeoutMs: number,
+  ): Promise<Result<Lease<PreparedConnection>, RefusalReason>> {
+    return this.pool.acquire(priority, now, timeoutMs);
+  }
+
+  resize(limits: PoolLimits): void {
+    this.pool.resize(limits);
+  }
+
+  stop(): void {
+    this.pool.stop();
+  }
+
+  private async connect(): Promise<Result<PreparedConnection, GladespoolError>> {
+    const { driver, group, connectTimeoutMs, onConnected } = this.options;
+    const wire = await driver.connect(this.entry, group, connectTimeoutMs);
+    if (wire.isOk()) {
+      this.health.noteAlive(performance.now());
+      onConnected();
+    }
+    return wire.map((connected) => new PreparedConnection(connected));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/home/write-flow.ts
@@ -0,0 +1,77 @@
+/**
+ * Single writes: sent once to the primary under proved authority, confirmed only if the proof still
+ * holds when the answer comes.
+ */
+import { RefusalReason, RetryReason } from '@gladespool/coordination';
+import type { Outcome } from '../model/outcome.js';
+import { refused, UpstreamFault } from '../model/outcome.js';
+import type { UpstreamAnswer } from '../model/upstream-wire.js';
+import { WireLoss } from '../model/upstream-wire.js';
+import { awaitAuthority } from './await-authority.js';
+import type { Borrowed } from './exchange.js';
+import { borrow, send } from './exchange.js';
+import type { GroupHome } from './group-home.js';
+import type { StatementJob } from './job.js';
+
+/** Times that a write which did not run is sent again. */
+const MAX_TRIES = 3;
+
+/** Runs one write to its outcome. */
+export async function runWrite(home: GroupHome, job: StatementJob): Promise<Outcome> {
+  let last: Outcome = refused(RefusalReason.NoPrimary, home.group);
+  for (let count = 0; count < MAX_TRIES; count += 1) {
+    if (!(await awaitAuthority(home, job, performance.now()))) {
+      return refused(RefusalReason.NoAuthority, home.group);
+    }
+    const { record } = home;
+    const slot = record === undefined ? undefined : home.slot(record.primary);
+    if (slot === undefined) return last;
+    const borrowed = await borrow(home, slot, job, job.work);
+    if (borrowed.isErr()) return refused(borrowed.error, home.group);
+    const outcome = await writeOnce(home, job, borrowed.value);
+    if (!mayRepeat(outcome)) return outcome;
+    last = outcome;
+    home.context.metrics.retries.inc({ reason: RetryReason.LostPreparation });
+  }
+  return last;
+}
+
+async function writeOnce(home: GroupHome, job: StatementJob, borrowed: Borrowed): Promise<Outcome> {
+  const { lease, record } = borrowed;
+  if (record === undefined || !home.answerCounts(record, performance.now())) {
+    lease.release();
+    return refused(RefusalReason.NoAuthority, home.group);
+  }
+  const command = lease.connection.commandFor(job.work, job.id, undefined);
+  const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
+  const { answer } = await send(home, borrowed, command, leftMs);
+  if (answer.kind === 'faulted' && answer.fault === UpstreamFault.UnknownStatement) {
+    lease.connection.forgetPrepared();
+  }
+  lease.release();
+  return confirmed(home, borrowed, answer);
+}
+
+/** Outcome of a commit or single write, given what came back. */
+export function confirmed(home: GroupHome, borrowed: Borrowed, answer: UpstreamAnswer): Outcome {
+  if (answer.kind === 'lost') {
+    const timedOut = answer.loss === WireLoss.Timeout;
+    return refused(timedOut ? RefusalReason.StatementTimeout : RefusalReason.UpstreamLost);
+  }
+  if (answer.kind === 'faulted') {
+    const { fault, code, text } = answer;
+    return { kind: 'faulted', fault, code, text };
+  }
+  const { record } = borrowed;
+  if (record === undefined || !home.answerCounts(record, performance.now())) {
+    return refused(RefusalReason.AuthorityLapsed, home.group);
+  }
+  const { rows, signature, position } = answer;
+  const committed = position === undefined ? undefined : { epoch: record.epoch, position };
+  return { kind: 'completed', rows, signature, committed };
+}
+
+/** Only a write that certainly did not run, for want of a prepared statement, is sent again. */
+function mayRepeat(outcome: Outcome): boolean {
+  return outcome.kind === 'faulted' && outcome.fault === UpstreamFault.UnknownStatement;
+}
--- /dev/null
+++ b/packages/gateway/src/model/catalog.ts
@@ -0,0 +1,64 @@
+/**
+ * What the operators configure, as the gateway uses it.
+ */
+import type { AzId, GroupId, UpstreamId } from '@gladespool/coordination';
+
+/** Which commits a read has to see. */
+export enum Consistency {
+  /** Every commit confirmed before the read began. */
+  Primary = 'primary',
+  /** Every commit older than the bound. */
+  BoundedStaleness = 'bounded-staleness',
+  /** Every commit older than the bound, and all of the same session. */
+  ReadYourWrites = 'read-your-writes',
+}
+
+/** How statements for one database are served. */
+export interface Route {
+  readonly database: string;
+  readonly group: GroupId;
+  readonly consistency: Consistency;
+  /** Oldest data that a read may show, milliseconds; 0 on primary routes. */
+  readonly maxStalenessMs: number;
+  /** Longest time of one statement, milliseconds. */
+  readonly timeoutMs: number;
+  /** Time within which an operation is worth most, milliseconds. */
+  readonly targetLatencyMs: number;
+  /** 0 is the highest. */
+  readonly priority: number;
+}
+
+/** A group's bounds. */
+export interface GroupBounds {
+  readonly group: GroupId;
+  readonly connectionsPerUpstream: number;
+  /** Replicas that must have received a commit before it is confirmed. */
+  readonly syncReplicas: number;
+}
+
+/** The configuration in force. */
+export interface Catalog {
+  readonly version: number;
+  readonly routes: ReadonlyMap<string, Route>;
+  readonly groups: ReadonlyMap<GroupId, GroupBounds>;
+  /** A transaction idle for longer is rolled back, milliseconds. */
+  readonly transactionIdleMs: number;
+}
+
+/** Role that an upstream reports of itself. */
+export enum ReportedRole {
+  Primary = 'primary',
+  Replica = 'replica',
+}
+
+/** An upstream as it registered itself. */
+export interface UpstreamEntry {
+  readonly id: UpstreamId;
+  readonly group: GroupId;
+  readonly address: string;
+  readonly port: number;
+  readonly az: AzId;
+  readonly role: ReportedRole;
+  /** Whether it is about to leave and takes no new work. */
+  readonly draining: boolean;
+}
--- /dev/null
+++ b/packages/gateway/src/model/outcome.ts
@@ -0,0 +1,71 @@
+/**
+ * Outcomes of a statement: rows of an upstream, an error that the upstream told, or a refusal.
+ */
+import type { Refusal, RefusalReason, SessionPosition } from '@gladespool/coordination';
+import { refuse } from '@gladespool/coordination';
+
+/** Errors that an upstream tells. */
+export enum UpstreamFault {
+  Busy = 'busy',
+  Lagging = 'lagging',
+  ReadOnly = 'read-only',
+  Misrouted = 'misrouted',
+  Overloaded = 'overloaded',
+  UnknownStatement = 'unknown-statement',
+  Aborted = 'aborted',
+  Failed = 'failed',
+  TimedOut = 'timed-out',
+  Other = 'other',
+}
+
+/** Faults that tell that the statement did not run. */
+export const NOT_RUN: ReadonlySet<UpstreamFault> = new Set([
+  UpstreamFault.Busy,
+  UpstreamFault.Lagging,
+  UpstreamFault.ReadOnly,
+  UpstreamFault.Misrouted,
+  UpstreamFault.Overloaded,
+  UpstreamFault.UnknownStatement,
+]);
+
+/** Success: what the upstream answered, unchanged. */
+export interface Completed {
+  readonly kind: 'completed';
+  readonly rows: readonly string[];
+  readonly signature: string;
+  /** Position of a commit, for the session that made it. */
+  readonly committed: SessionPosition | undefined;
+}
+
+/** An error told by the upstream; code and text are passed on as they came. */
+export interface Faulted {
+  readonly kind: 'faulted';
+  readonly fault: UpstreamFault;
+  readonly code: string;
+  readonly text: string;
+}
+
+/** A refusal of the proxy. */
+export interface Refused {
+  readonly kind: 'refused';
+  readonly refusal: Refusal;
+}
+
+/** Outcome of one statement. */
+export type Outcome = Completed | Faulted | Refused;
+
+/** A refusal as an outcome. */
+export function refused(reason: RefusalReason, detail = ''): Refused {
+  return { kind: 'refused', refusal: refuse(reason, detail) };
+}
+
+/** Signature of answers that no upstream gave. */
+export const NO_SIGNATURE = '-';
+
+/** Success of a statement that the proxy answers itself. */
+export const DONE: Completed = {
+  kind: 'completed',
+  rows: [],
+  signature: NO_SIGNATURE,
+  committed: undefined,
+};
--- /dev/null
+++ b/packages/gateway/src/model/statement.ts
@@ -0,0 +1,52 @@
+/**
+ * Statements of a caller's session, whatever protocol brought them.
+ */
+
+/** Whether a statement reads or writes. */
+export enum Access {
+  Read = 'read',
+  Write = 'write',
+}
+
+/** Kinds of statements. */
+export enum StatementKind {
+  Begin = 'begin',
+  Commit = 'commit',
+  Rollback = 'rollback',
+  Run = 'run',
+  SetValue = 'set-value',
+  Prepare = 'prepare',
+  Execute = 'execute',
+  Deallocate = 'deallocate',
+}
+
+/** What a prepared name stands for. */
+export interface PreparedShape {
+  readonly access: Access;
+  readonly shape: string;
+}
+
+/** One statement as the caller sent it. */
+export type Statement =
+  | { readonly kind: StatementKind.Begin; readonly readOnly: boolean }
+  | { readonly kind: StatementKind.Commit }
+  | { readonly kind: StatementKind.Rollback }
+  | { readonly kind: StatementKind.Run; readonly access: Access; readonly text: string }
+  | { readonly kind: StatementKind.SetValue; readonly name: string; readonly value: string }
+  | {
+      readonly kind: StatementKind.Prepare;
+      readonly name: string;
+      readonly prepared: PreparedShape;
+    }
+  | { readonly kind: StatementKind.Execute; readonly name: string; readonly args: string }
+  | { readonly kind: StatementKind.Deallocate; readonly name: string };
+
+/** What runs at an upstream: a text passed on unchanged, or a prepared shape with its arguments. */
+export type Work =
+  | { readonly kind: 'text'; readonly access: Access; readonly text: string }
+  | { readonly kind: 'prepared'; readonly prepared: PreparedShape; readonly args: string };
+
+/** Whether the work reads or writes. */
+export function accessOf(work: Work): Access {
+  return work.kind === 'text' ? work.access : work.prepared.access;
+}
--- /dev/null
+++ b/packages/gateway/src/model/upstream-wire.ts
@@ -0,0 +1,85 @@
+/**
+ * What the gateway asks of a connection to an upstream; a codec for each protocol implements it.
+ */
+import type { GladespoolError, GroupId, Position } from '@gladespool/coordination';
+import type { PoolConnection } from '@gladespool/pool';
+import type { Result } from 'neverthrow';
+import type { UpstreamEntry } from './catalog.js';
+import type { UpstreamFault } from './outcome.js';
+import type { PreparedShape } from './statement.js';
+
+/** Id of statements that no caller sent. */
+export const OWN_STATEMENT = '-';
+
+/** One exchange with an upstream. `after` makes it fail unless the log holds that position. */
+export type UpstreamCommand =
+  | { readonly kind: 'begin'; readonly readOnly: boolean; readonly after: Position | undefined }
+  | { readonly kind: 'commit'; readonly id: string }
+  | { readonly kind: 'rollback' }
+  | {
+      readonly kind: 'run';
+      readonly id: string;
+      readonly text: string;
+      readonly after: Position | undefined;
+    }
+  | {
+      readonly kind: 'execute';
+      readonly id: string;
+      readonly name: string;
+      readonly args: string;
+      readonly after: Position | undefined;
+    }
+  | { readonly kind: 'set-value'; readonly name: string; readonly value: string }
+  | { readonly kind: 'prepare'; readonly name: string; readonly prepared: PreparedShape }
+  | { readonly kind: 'discard' }
+  | { readonly kind: 'status' }
+  | { readonly kind: 'step-down'; readonly term: number };
+
+/** Why no answer came. */
+export enum WireLoss {
+  /** The connection ended or broke the protocol. */
+  Closed = 'closed',
+  /** The time was over; the connection is closed. */
+  Timeout = 'timeout',
+}
+
+/** Answer to one command. */
+export type UpstreamAnswer =
+  | {
+      readonly kind: 'completed';
+      readonly rows: readonly string[];
+      readonly signature: string;
+      readonly position: Position | undefined;
+    }
+  | {
+      readonly kind: 'faulted';
+      readonly fault: UpstreamFault;
+      readonly code: string;
+      readonly text: string;
+      readonly position: Position | undefined;
+    }
+  | { readonly kind: 'lost'; readonly loss: WireLoss };
+
+/** What an upstream tells of itself. */
+export interface UpstreamStatus {
+  readonly isPrimary: boolean;
+  readonly term: number;
+  /** Position up to which it has received the log. */
+  readonly received: Position;
+}
+
+/** One connection to an upstream; runs one exchange at a time. */
+export interface UpstreamWire extends PoolConnection {
+  exchange(command: UpstreamCommand, timeoutMs: number): Promise<UpstreamAnswer>;
+}
+
+/** Opens connections to upstreams and reads their status rows. */
+export interface UpstreamDriver {
+  connect(
+    upstream: UpstreamEntry,
+    group: GroupId,
+    timeoutMs: number,
+  ): Promise<Result<UpstreamWire, GladespoolError>>;
+  /** Reads the row that answers a status command. */
+  readStatus(row: string): UpstreamStatus | undefined;
+}
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -78,6 +78,19 @@
     registers: [this.registry],
   });
 
+  readonly upstreamConnections = new Counter({
+    name: 'gladespool_upstream_connections_total',
+    help: 'Connections opened to upstreams',
+    registers: [this.registry],
+  });
+
+  readonly storeCalls = new Counter({
+    name: 'gladespool_store_calls_total',
+    help: 'Calls to the metadata store, by purpose and result',
+    labelNames: ['purpose', 'result'],
+    registers: [this.registry],
+  });
+
   readonly promotions = new Counter({
     name: 'gladespool_promotions_total',
     help: 'Promotions finished by this host',
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+export * from './peer-link.js';
+export * from './peer-network.js';
--- a/packages/upstreams/src/connection-pool.ts
+++ b/packages/pool/src/connection-pool.ts
@@ -2,13 +2,19 @@
  * Connections of one home to one upstream, within the home's part of the upstream's budget.
  * Waiters are served by priority class, first come first served inside a class.
  */
-import type { GladespoolError, UpstreamSpec } from '@gladespool/coordination';
+import type { GladespoolError } from '@gladespool/coordination';
 import { Priority, RefusalReason } from '@gladespool/coordination';
-import { TransactionStatus } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import type { UpstreamAccess } from './upstream-connection.js';
-import { UpstreamConnection } from './upstream-connection.js';
+
+/** What the pool needs of a connection. */
+export interface PoolConnection {
+  /** Whether it can take work now. */
+  readonly usable: boolean;
+  /** Whether another request may have it: nothing outstanding, no transaction open. */
+  readonly reusable: boolean;
+  close(): void;
+}
 
 /** Bounds of a pool. */
 export interface PoolLimits {
@@ -19,16 +25,16 @@
 }
 
 /** A connection lent to one request or transaction; give it back exactly once. */
-export interface Lease {
-  readonly connection: UpstreamConnection;
+export interface Lease<C extends PoolConnection> {
+  readonly connection: C;
   release(): void;
 }
 
-interface Waiter {
+interface Waiter<C extends PoolConnection> {
   readonly priority: Priority;
   /** When its caller stops waiting, local milliseconds. */
   readonly deadlineAt: number;
-  readonly settle: (result: Result<Lease, RefusalReason>) => void;
+  readonly settle: (result: Result<Lease<C>, RefusalReason>) => void;
 }
 
 const PRIORITY_ORDER: readonly Priority[] = [
@@ -50,9 +56,9 @@
 const RECONNECT_PAUSE_MS = 100;
 
 /** Pool of connections to one upstream. */
-export class ConnectionPool {
-  private readonly idle: UpstreamConnection[] = [];
-  private readonly waiting: Waiter[] = [];
+export class ConnectionPool<C extends PoolConnection> {
+  private readonly idle: C[] = [];
+  private readonly waiting: Waiter<C>[] = [];
   private open = 0;
   private connecting = 0;
   private lent = 0;
@@ -61,9 +67,7 @@
   private stopped = false;
 
   constructor(
-    private readonly spec: UpstreamSpec,
-    private readonly database: string,
-    private readonly access: UpstreamAccess,
+    private readonly dial: () => Promise<Result<C, GladespoolError>>,
     private limits: PoolLimits,
     private readonly onConnectFailure: (error: GladespoolError) => void,
   ) {}
@@ -105,7 +109,7 @@
     priority: Priority,
     now: number,
     timeoutMs: number,
-  ): Promise<Result<Lease, RefusalReason>> {
+  ): Promise<Result<Lease<C>, RefusalReason>> {
     const ready = this.stopped ? undefined : this.takeIdle();
     if (ready !== undefined) return Promise.resolve(ok(this.lend(ready, now)));
     const refusal = this.refusalAtDoor(timeoutMs);
@@ -131,13 +135,13 @@
     priority: Priority,
     now: number,
     timeoutMs: number,
-  ): Promise<Result<Lease, RefusalReason>> {
+  ): Promise<Result<Lease<C>, RefusalReason>> {
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.waiting.splice(this.waiting.indexOf(waiter), 1);
         resolve(err(RefusalReason.DeadlineBeforeRun));
       }, timeoutMs);
-      const waiter: Waiter = {
+      const waiter: Waiter<C> = {
         priority,
         deadlineAt: now + timeoutMs,
         settle: (result) => {
@@ -159,7 +163,7 @@
 
   private async connect(): Promise<void> {
     this.connecting += 1;
-    const result = await UpstreamConnection.connect(this.spec, this.database, this.access);
+    const result = await this.dial();
     this.connecting -= 1;
     if (result.isErr()) {
       this.onConnectFailure(result.error);
@@ -183,7 +187,7 @@
     }
   }
 
-  private offer(connection: UpstreamConnection): void {
+  private offer(connection: C): void {
     if (this.stopped || this.connections > this.limits.maxConnections) {
       this.discard(connection);
       return;
@@ -198,7 +202,7 @@
   }
 
   /** The next waiter that has time left to run; the others are refused while that is certain. */
-  private nextWaiterInTime(now: number): Waiter | undefined {
+  private nextWaiterInTime(now: number): Waiter<C> | undefined {
     for (;;) {
       const waiter = this.nextWaiter();
       if (waiter === undefined || waiter.deadlineAt - now >= this.holdMs) return waiter;
@@ -206,7 +210,7 @@
     }
   }
 
-  private nextWaiter(): Waiter | undefined {
+  private nextWaiter(): Waiter<C> | undefined {
     this.turns += 1;
     if (this.turns % FAIR_TURN === 0) return this.waiting.shift();
     for (const priority of PRIORITY_ORDER) {
@@ -216,7 +220,7 @@
     return undefined;
   }
 
-  private takeIdle(): UpstreamConnection | undefined {
+  private takeIdle(): C | undefined {
     for (;;) {
       const connection = this.idle.pop();
       if (connection === undefined) return undefined;
@@ -225,7 +229,7 @@
     }
   }
 
-  private lend(connection: UpstreamConnection, since: number): Lease {
+  private lend(connection: C, since: number): Lease<C> {
     this.lent += 1;
     let given = false;
     return {
@@ -245,8 +249,8 @@
   }
 
   /** A connection with an answer outstanding or a transaction open is closed, never reused. */
-  private takeBack(connection: UpstreamConnection): void {
-    if (!connection.usable || connection.status !== TransactionStatus.Idle) {
+  private takeBack(connection: C): void {
+    if (!connection.usable || !connection.reusable) {
       this.discard(connection);
       this.grow();
       return;
@@ -254,7 +258,7 @@
     this.offer(connection);
   }
 
-  private discard(connection: UpstreamConnection): void {
+  private discard(connection: C): void {
     this.open -= 1;
     connection.close();
   }
--- /dev/null
+++ b/packages/pool/src/index.ts
@@ -0,0 +1,1 @@
+export * from './connection-pool.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -13,6 +13,7 @@
 export * from './config/bundle-signature.js';
 export * from './config/host-settings.js';
 export * from './config/ini-document.js';
+export * from './json-text.js';
 export * from './peer/handshake.js';
 export * from './peer/record-frame.js';
 export * from './store-keys.js';
--- a/packages/proxy/src/control/bundle-service.ts
+++ b/packages/proxy/src/control/bundle-service.ts
@@ -16,8 +16,7 @@
   readManifest,
   signaturesOf,
 } from '@gladespool/protocol';
-import type { PeerLink } from '../peer/peer-link.js';
-import type { PeerHandler } from '../peer/peer-network.js';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import { trustAfterChain } from './trust-chain.js';
 
 /** Fetches parts by hash; parts not found are left out. */
--- a/packages/proxy/src/control/membership-service.ts
+++ b/packages/proxy/src/control/membership-service.ts
@@ -15,8 +15,7 @@
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind, recordOf } from '@gladespool/protocol';
 import type { ListedHost } from '@gladespool/platform';
-import type { PeerLink } from '../peer/peer-link.js';
-import type { PeerHandler, PeerNetwork } from '../peer/peer-network.js';
+import type { PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 import { membersOf } from './news-frame.js';
 
 /** Times of membership. */
--- a/packages/proxy/src/control/relay-service.ts
+++ b/packages/proxy/src/control/relay-service.ts
@@ -7,8 +7,7 @@
 import { azId, expiredMembers, hostId, MemberState, takeHeartbeat } from '@gladespool/coordination';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { PeerLink } from '../peer/peer-link.js';
-import type { PeerHandler } from '../peer/peer-network.js';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import { NewsBoard } from './news-board.js';
 import { newsFrame } from './news-frame.js';
 
--- a/packages/proxy/src/control/suspicion-poll.ts
+++ b/packages/proxy/src/control/suspicion-poll.ts
@@ -4,8 +4,7 @@
 import type { AzId, GroupId, Member, ZoneOpinion } from '@gladespool/coordination';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { PeerLink } from '../peer/peer-link.js';
-import type { PeerHandler, PeerNetwork } from '../peer/peer-network.js';
+import type { PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 
 /** Tells whether this host, as a home of the group, suspects the primary of a term. */
 export type OwnOpinion = (group: string, term: number) => boolean;
--- a/packages/proxy/src/entry/remote-homes.ts
+++ b/packages/proxy/src/entry/remote-homes.ts
@@ -7,8 +7,7 @@
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind, RunIntent } from '@gladespool/protocol';
 import type { RunOutcome, RunRequest } from '../home/run-request.js';
-import type { PeerLink } from '../peer/peer-link.js';
-import type { PeerHandler, PeerNetwork } from '../peer/peer-network.js';
+import type { PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 
 interface Pending {
   readonly link: PeerLink;
--- a/packages/proxy/src/home/group-home.ts
+++ b/packages/proxy/src/home/group-home.ts
@@ -25,8 +25,9 @@
 import type { UpstreamView } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { ControlTraffic } from '@gladespool/observability';
+import { ConnectionPool } from '@gladespool/pool';
 import type { UpstreamAccess } from '@gladespool/upstreams';
-import { ConnectionPool, UpstreamControl } from '@gladespool/upstreams';
+import { UpstreamConnection, UpstreamControl } from '@gladespool/upstreams';
 import { Acknowledger } from './acknowledger.js';
 import { OpenTransactions } from './open-transactions.js';
 import { StatusWatcher } from './status-watcher.js';
@@ -56,7 +57,7 @@
   readonly transactions = new OpenTransactions();
   readonly acknowledger: Acknowledger;
   readonly watcher: StatusWatcher;
-  private readonly pools = new Map<UpstreamId, ConnectionPool>();
+  private readonly pools = new Map<UpstreamId, ConnectionPool<UpstreamConnection>>();
   private readonly upstreamControls = new Map<UpstreamId, UpstreamControl>();
   private running = 0;
   private part = 1;
@@ -114,7 +115,7 @@
   }
 
   /** The pool of an upstream. */
-  pool(spec: UpstreamSpec): ConnectionPool {
+  pool(spec: UpstreamSpec): ConnectionPool<UpstreamConnection> {
     const held = this.pools.get(spec.id);
     if (held !== undefined) return held;
     const { access, log, metrics } = this.context;
@@ -123,7 +124,11 @@
       const { step, peer, message } = error;
       log.warn('connect-failed', { group: this.group, step, peer, error: message });
     };
-    const pool = new ConnectionPool(spec, this.group, access, this.limits(), onFailure);
+    const pool = new ConnectionPool(
+      () => UpstreamConnection.connect(spec, this.group, access),
+      this.limits(),
+      onFailure,
+    );
     this.pools.set(spec.id, pool);
     return pool;
   }
--- a/packages/proxy/src/home/home-service.ts
+++ b/packages/proxy/src/home/home-service.ts
@@ -16,8 +16,7 @@
 } from '@gladespool/coordination';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind, TransactionStatus } from '@gladespool/protocol';
-import type { PeerLink } from '../peer/peer-link.js';
-import type { PeerHandler } from '../peer/peer-network.js';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { HomeContext } from './group-home.js';
 import { GroupHome } from './group-home.js';
 import { RequestFlow } from './request-flow.js';
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -35,7 +35,7 @@
 import { LedgerCleaner } from './home/ledger-cleaner.js';
 import { HomeService } from './home/home-service.js';
 import { StatusServer } from './http/status-server.js';
-import { PeerNetwork } from './peer/peer-network.js';
+import { PeerNetwork } from '@gladespool/peers';
 
 /** Ways out of a host; tests and experiments put their own in place. */
 export interface HostPorts {
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,5 +1,4 @@
 export * from './answer-segment.js';
-export * from './connection-pool.js';
 export * from './control-sql.js';
 export * from './upstream-connection.js';
 export * from './upstream-control.js';
--- a/packages/upstreams/src/upstream-connection.ts
+++ b/packages/upstreams/src/upstream-connection.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import type { GladespoolError, UpstreamSpec } from '@gladespool/coordination';
 import { gladespoolError, Step } from '@gladespool/coordination';
+import type { Lease as PoolLease, PoolConnection } from '@gladespool/pool';
 import {
   BackendType,
   MessageSplitter,
@@ -58,7 +59,7 @@
 const CANCEL_REQUEST_CODE = 80877102;
 
 /** A connected upstream session; runs one exchange at a time. */
-export class UpstreamConnection {
+export class UpstreamConnection implements PoolConnection {
   private pending: PendingExchange | undefined;
   private readonly splitter: MessageSplitter;
   private closed = false;
@@ -119,6 +120,10 @@
     return !this.closed && this.pending === undefined;
   }
 
+  get reusable(): boolean {
+    return this.status === TransactionStatus.Idle;
+  }
+
   /** Whether the connection has ended. */
   get ended(): boolean {
     return this.closed;
@@ -218,3 +223,6 @@
     pending?.settle(err(failure));
   }
 }
+
+/** An upstream connection lent to one request or transaction. */
+export type Lease = PoolLease<UpstreamConnection>;
