feat(gateway): promotion by claim, revocation and the platform's call; documents and proofs pass between hosts

Ruled out: taking a vanished store entry for a dead primary (entries lapse while the upstream lives); one promoter by lease (keys are revoked unseen). A claim in the store, a question to every listed host and the end of silent hosts' proofs take their place. Change: failover decisions (coordination), promotion attempt and controller, monitor and probes, sync of documents and proofs over peers, holds of writes before a planned change, log lines to standard output, bounded, never waited for.

--- /dev/null
+++ b/packages/coordination/src/failover.ts
@@ -0,0 +1,128 @@
+/**
+ * Decisions about changing a group's primary: when to suspect it, who acts, which upstream follows
+ * it, and when a host may call for promotions.
+ */
+import type { HostId, UpstreamId } from './ids.js';
+import type { Position } from './position.js';
+import { comparePositions } from './position.js';
+
+/** Times of failover. */
+export interface FailoverRules {
+  /** Time for which a primary must have failed this host before it is suspected, milliseconds. */
+  readonly suspectAfterMs: number;
+  /**
+   * The same if other hosts are silent: they may be cut off together with a primary that still
+   * serves them, and what it confirms to them would be lost. Longer than usual cuts, milliseconds.
+   */
+  readonly suspectAfterWithSilentMs: number;
+  /** Time that each host leaves to those before it in rank, milliseconds. */
+  readonly rankDelayMs: number;
+  /** Time after which a claim that has not ended may be taken over, milliseconds. */
+  readonly stalledAfterMs: number;
+  /** Time from a claim of the duty in which its holder may call, milliseconds. */
+  readonly dutyWindowMs: number;
+  /** Time that must lie between the windows of two holders, milliseconds. */
+  readonly dutyGapMs: number;
+}
+
+export const DEFAULT_FAILOVER: FailoverRules = {
+  suspectAfterMs: 400,
+  suspectAfterWithSilentMs: 7000,
+  rankDelayMs: 900,
+  stalledAfterMs: 3500,
+  dutyWindowMs: 6000,
+  dutyGapMs: 2000,
+};
+
+/** What the hosts say about a suspected primary. */
+export interface ReachEvidence {
+  /** Hosts that reach it. */
+  readonly reaching: number;
+  /** Hosts that answered and don't reach it, the asking one included. */
+  readonly failing: number;
+  /** Hosts that did not answer. */
+  readonly silent: number;
+}
+
+/** What to do about a suspected primary. */
+export enum FailoverVerdict {
+  Promote = 'promote',
+  Wait = 'wait',
+}
+
+/** Judges a primary that has failed the asking host for `failedMs`. */
+export function judgeSuspicion(
+  evidence: ReachEvidence,
+  failedMs: number,
+  rules: FailoverRules,
+): FailoverVerdict {
+  const { reaching, failing, silent } = evidence;
+  if (reaching >= failing) return FailoverVerdict.Wait;
+  const neededMs = silent === 0 ? rules.suspectAfterMs : rules.suspectAfterWithSilentMs;
+  return failedMs >= neededMs ? FailoverVerdict.Promote : FailoverVerdict.Wait;
+}
+
+/** What an upstream reported, for the choice of a successor. */
+export interface SuccessorReport {
+  readonly id: UpstreamId;
+  readonly isPrimary: boolean;
+  readonly term: number;
+  readonly received: Position;
+  /** Whether it is about to leave. */
+  readonly draining: boolean;
+}
+
+/**
+ * The upstream that becomes primary: one that already leads a newer term than all others report,
+ * else the one that has received most. Leaving ones only if there is no other.
+ */
+export function chooseSuccessor(
+  reports: readonly SuccessorReport[],
+  former: UpstreamId,
+): SuccessorReport | undefined {
+  const others = reports.filter((report) => report.id !== former);
+  const staying = others.filter((report) => !report.draining);
+  const candidates = staying.length > 0 ? staying : others;
+  return [...candidates].sort(bySuitability)[0];
+}
+
+function bySuitability(a: SuccessorReport, b: SuccessorReport): number {
+  if (a.isPrimary !== b.isPrimary) return a.isPrimary ? -1 : 1;
+  if (a.isPrimary && a.term !== b.term) return b.term - a.term;
+  return comparePositions(b.received, a.received) || (a.id < b.id ? -1 : 1);
+}
+
+/** The duty record as seen by a host. */
+export interface SeenDuty {
+  readonly holder: HostId;
+  readonly incarnation: number;
+  readonly fence: number;
+  /** Local time at which this version was first seen. */
+  readonly seenAt: number;
+}
+
+/** Whether and with which fence a host may take the duty. */
+export type DutyClaim =
+  | { readonly kind: 'take'; readonly fence: number }
+  /** Another host may still be calling; its window is over at that local time. */
+  | { readonly kind: 'wait'; readonly until: number };
+
+/**
+ * How a host may take the duty at `now`. Another holder's window is waited out, counted from when
+ * its record was seen, which is later than its begin.
+ */
+export function claimDuty(
+  seen: SeenDuty | undefined,
+  self: { readonly host: HostId; readonly incarnation: number },
+  now: number,
+  rules: FailoverRules,
+): DutyClaim {
+  if (seen === undefined) return { kind: 'take', fence: 1 };
+  if (seen.holder === self.host) {
+    const same = seen.incarnation === self.incarnation;
+    return { kind: 'take', fence: same ? seen.fence : seen.fence + 1 };
+  }
+  const until = seen.seenAt + rules.dutyWindowMs + rules.dutyGapMs;
+  if (now < until) return { kind: 'wait', until };
+  return { kind: 'take', fence: seen.fence + 1 };
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -26,3 +26,4 @@
 export * from './mark-log.js';
 export * from './primary-record.js';
 export * from './upstream-choice.js';
+export * from './failover.js';
--- /dev/null
+++ b/packages/gateway/src/control/control-plane.ts
@@ -0,0 +1,176 @@
+/**
+ * The control side of a host: store, proofs, other hosts and promotions, driven by one timer.
+ */
+import type { GroupId } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import { ControlTraffic, createLogger } from '@gladespool/observability';
+import type { PeerAddress } from '@gladespool/peers';
+import { PeerNetwork } from '@gladespool/peers';
+import { connect } from 'node:net';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { GatewayRules } from '../gateway-rules.js';
+import type { GroupHome } from '../home/group-home.js';
+import { UpstreamProbe } from '../home/upstream-probe.js';
+import type { UpstreamDriver } from '../model/upstream-wire.js';
+import type { MetadataStore } from './metadata-store.js';
+import { PeerCalls } from './peer-calls.js';
+import { DEFAULT_MONITOR, PrimaryMonitor } from './primary-monitor.js';
+import type { PromotionPort } from './promotion-call.js';
+import { PromotionController } from './promotion-controller.js';
+import { DEFAULT_PROOFS, ProofKeeper } from './proof-keeper.js';
+import { RecordFounder } from './record-founder.js';
+import { Registrar } from './registrar.js';
+import { DEFAULT_FOLLOWER, StoreFollower } from './store-follower.js';
+import type { ForeignDocuments } from './store-view.js';
+import { StoreView } from './store-view.js';
+import { SyncService } from './sync-service.js';
+import type { WriteHolds } from './write-holds.js';
+
+/** What the control side is made of. */
+export interface ControlPlaneOptions {
+  readonly self: HostEntry;
+  readonly board: GatewayBoard;
+  readonly store: MetadataStore;
+  readonly documents: ForeignDocuments;
+  readonly driver: UpstreamDriver;
+  readonly promotions: PromotionPort;
+  readonly holds: WriteHolds;
+  readonly home: (group: GroupId) => GroupHome;
+  readonly peerKey: Buffer;
+  readonly seeds: readonly PeerAddress[];
+  readonly rules: GatewayRules;
+  readonly metrics: HostMetrics;
+}
+
+/** Time between two looks at what is due, milliseconds. */
+const TICK_MS = 100;
+const HANDSHAKE_TIMEOUT_MS = 1000;
+
+/** Control side of one host. */
+export class ControlPlane {
+  readonly network: PeerNetwork;
+  readonly calls: PeerCalls;
+  private readonly log: Logger;
+  private readonly view: StoreView;
+  private readonly follower: StoreFollower;
+  private readonly registrar: Registrar;
+  private readonly proofs: ProofKeeper;
+  private readonly founder: RecordFounder;
+  private readonly sync: SyncService;
+  private readonly probe: UpstreamProbe;
+  private readonly promotions: PromotionController;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: ControlPlaneOptions) {
+    const { self, board, store, documents, metrics, driver } = options;
+    this.log = createLogger('control', { host: self.host });
+    const { log } = this;
+    this.view = new StoreView(board, documents, log);
+    const { view } = this;
+    this.follower = new StoreFollower({ store, view, metrics, log, rules: DEFAULT_FOLLOWER });
+    this.registrar = new Registrar(self, board, store, log);
+    this.proofs = new ProofKeeper({
+      self,
+      board,
+      store,
+      view,
+      follower: this.follower,
+      registrar: this.registrar,
+      rules: DEFAULT_PROOFS,
+      log,
+    });
+    this.founder = new RecordFounder({ board, store, view, log });
+    this.network = this.createNetwork();
+    this.calls = new PeerCalls(this.network);
+    this.sync = this.createSync();
+    this.probe = new UpstreamProbe(driver, () => {
+      metrics.upstreamConnections.inc();
+    });
+    this.promotions = this.createPromotions();
+    for (const handler of [this.calls, this.sync, this.promotions]) {
+      this.network.addHandler(handler);
+    }
+  }
+
+  /** Listens for other hosts and begins to follow the store. */
+  async start(): Promise<void> {
+    const { self } = this.options;
+    await this.network.listen(self.address, self.port);
+    this.tick();
+    this.timer = setInterval(() => {
+      this.tick();
+    }, TICK_MS);
+  }
+
+  /** Gives every proof up, takes this host off the list, and closes everything. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.probe.stop();
+    this.options.board.forgetProof();
+    await this.registrar.remove();
+    this.follower.setActive(false);
+    await this.network.stop();
+  }
+
+  private tick(): void {
+    const now = performance.now();
+    if (!this.registrar.isListed && this.view.revision > 0) void this.registrar.ensure();
+    this.sync.tick(now);
+    this.view.review(now);
+    this.founder.tick(now);
+    this.promotions.tick(now);
+  }
+
+  private createNetwork(): PeerNetwork {
+    const { self, peerKey, metrics } = this.options;
+    const { host, az, incarnation } = self;
+    return new PeerNetwork({
+      identity: { host, az, key: peerKey, incarnation },
+      dial: (port, address) => connect(port, address),
+      handshakeTimeoutMs: HANDSHAKE_TIMEOUT_MS,
+      onControlBytes: (bytes) => {
+        metrics.controlBytes.inc({ traffic: ControlTraffic.Peers }, bytes);
+      },
+      log: this.log,
+    });
+  }
+
+  private createSync(): SyncService {
+    const { self, board, seeds, rules } = this.options;
+    return new SyncService({
+      self,
+      board,
+      view: this.view,
+      proofs: this.proofs,
+      follower: this.follower,
+      calls: this.calls,
+      seeds,
+      rules: rules.sync,
+      log: this.log,
+    });
+  }
+
+  private createPromotions(): PromotionController {
+    const { self, board, store, promotions, holds, home, rules, metrics } = this.options;
+    const monitor = new PrimaryMonitor({ board, home, probe: this.probe, rules: DEFAULT_MONITOR });
+    return new PromotionController({
+      monitor,
+      context: {
+        self,
+        board,
+        store,
+        view: this.view,
+        proofs: this.proofs,
+        calls: this.calls,
+        network: this.network,
+        probe: this.probe,
+        holds,
+        port: promotions,
+        authority: rules.home.authority,
+        rules: rules.failover,
+        metrics,
+        log: createLogger('promotion', { host: self.host }),
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/primary-monitor.ts
@@ -0,0 +1,99 @@
+/**
+ * Watches whether this host reaches the primaries: by the answers to callers' statements, and by
+ * probes while these are missing.
+ */
+import type { GroupId } from '@gladespool/coordination';
+import type { GatewayBoard } from '../board.js';
+import type { GroupHome } from '../home/group-home.js';
+import type { UpstreamHealth } from '../home/upstream-health.js';
+import type { UpstreamProbe } from '../home/upstream-probe.js';
+
+/** Times of the monitor. */
+export interface MonitorRules {
+  /** Time without an answer, with statements waiting for one, after which a probe is sent, milliseconds. */
+  readonly quietMs: number;
+  /** The same with nothing waiting, on the host that acts first, milliseconds. */
+  readonly idleQuietMs: number;
+  /** Longest time for a probe, milliseconds. */
+  readonly probeTimeoutMs: number;
+  /** Age up to which an answer shows that the primary is reached, milliseconds. */
+  readonly freshMs: number;
+}
+
+/** Usual answers take 30 ms and the slowest 300 ms; two of a hundred probes at most are needless. */
+export const DEFAULT_MONITOR: MonitorRules = {
+  quietMs: 350,
+  idleQuietMs: 1000,
+  probeTimeoutMs: 400,
+  freshMs: 200,
+};
+
+/** What the monitor works on. */
+export interface PrimaryMonitorOptions {
+  readonly board: GatewayBoard;
+  readonly home: (group: GroupId) => GroupHome;
+  readonly probe: UpstreamProbe;
+  readonly rules: MonitorRules;
+}
+
+/** Reach of the primaries from this host. */
+export class PrimaryMonitor {
+  private readonly probing = new Map<GroupId, Promise<boolean>>();
+
+  constructor(private readonly options: PrimaryMonitorOptions) {}
+
+  /** Sends the probes that are due at `now`; `actsFirst` hosts also watch quiet groups. */
+  tick(now: number, actsFirst: boolean): void {
+    const { board, rules } = this.options;
+    for (const record of board.allRecords) {
+      const health = this.healthOf(record.group);
+      if (health === undefined) continue;
+      const quietMs = now - health.lastAnswerAt;
+      const waiting = health.inFlight > 0 && quietMs > rules.quietMs;
+      const idle = actsFirst && quietMs > rules.idleQuietMs;
+      if (waiting || idle || health.failingSince !== undefined) void this.probe(record.group);
+    }
+  }
+
+  /** Time for which the primary has failed this host, milliseconds; 0 while it answers. */
+  failedMs(group: GroupId, now: number): number {
+    const since = this.healthOf(group)?.failingSince;
+    return since === undefined ? 0 : now - since;
+  }
+
+  /** Whether this host reaches the primary of the group, probed if that is not clear. */
+  async reaches(group: GroupId): Promise<boolean> {
+    const health = this.healthOf(group);
+    const freshMs = performance.now() - (health?.lastAnswerAt ?? Number.NEGATIVE_INFINITY);
+    if (freshMs < this.options.rules.freshMs) return true;
+    return this.probe(group);
+  }
+
+  private healthOf(group: GroupId): UpstreamHealth | undefined {
+    const record = this.options.board.record(group);
+    return record && this.options.home(group).slot(record.primary)?.health;
+  }
+
+  private probe(group: GroupId): Promise<boolean> {
+    const running = this.probing.get(group);
+    if (running !== undefined) return running;
+    const started = this.probeOnce(group);
+    this.probing.set(group, started);
+    void started.finally(() => this.probing.delete(group));
+    return started;
+  }
+
+  private async probeOnce(group: GroupId): Promise<boolean> {
+    const { board, home, probe, rules } = this.options;
+    const record = board.record(group);
+    const slot = record && home(group).slot(record.primary);
+    if (slot === undefined) return false;
+    const result = await probe.ask(slot.entry, group, rules.probeTimeoutMs);
+    const now = performance.now();
+    const reached =
+      result.kind === 'alive' || (result.kind === 'status' && result.status.isPrimary);
+    if (reached) slot.health.noteAlive(now);
+    else slot.health.noteFailure(now);
+    return reached;
+  }
+}
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -54,8 +54,8 @@
     void this.read();
   }
 
-  /** Reads at once. */
-  async read(): Promise<void> {
+  /** Reads at once; false when the store did not answer. */
+  async read(): Promise<boolean> {
     const { store, view, board, rules, log, registrar } = this.options;
     this.reading = true;
     const sentAt = performance.now();
@@ -66,7 +66,7 @@
       const { step, peer, message } = range.error;
       const age = Math.round(sentAt - board.provenSince);
       log.warn('proof-read-failed', { step, peer, error: message, proof_age_ms: age });
-      return;
+      return false;
     }
     const behind = view.revision < range.value.revision;
     view.replace(OWN_PREFIX, range.value, performance.now());
@@ -75,6 +75,7 @@
     if (hosts.get(this.options.self.host) === this.options.self.incarnation) board.prove(sentAt);
     else void registrar.ensure();
     this.checkWatch(behind, range.value.revision);
+    return true;
   }
 
   /** A watch that has not brought a change within an interval has lost it. */
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -27,7 +27,25 @@
   readonly seenAt: number;
 }
 
-type Held = (OwnDocument | ForeignDocument) & { readonly revision: number };
+type Held = (OwnDocument | ForeignDocument) & { readonly item: StoreItem };
+
+/** What another host is missing. */
+export interface ViewDelta {
+  /** Whether `items` are all there are. */
+  readonly complete: boolean;
+  readonly revision: number;
+  readonly items: readonly StoreItem[];
+  readonly removed: readonly RemovedKey[];
+}
+
+/** A key that was removed. */
+export interface RemovedKey {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** Removals remembered for other hosts. */
+const MAX_REMOVED = 500;
 
 /**
  * Time for which an upstream is still used after its entry vanished, milliseconds. Entries lapse
@@ -41,6 +59,9 @@
   revision = 0;
   duty: HeldDuty | undefined;
   private readonly held = new Map<string, Held>();
+  private removed: RemovedKey[] = [];
+  /** Changes at or below this revision are not all remembered as removals. */
+  private removalsSince = 0;
   private readonly missing = new Map<UpstreamId, { entry: UpstreamEntry; since: number }>();
 
   constructor(
@@ -51,18 +72,51 @@
 
   /** Revision of a key's latest change; 0 when it is not there. */
   revisionOf(key: string): number {
-    return this.held.get(key)?.revision ?? 0;
+    return this.held.get(key)?.item.revision ?? 0;
   }
 
   /** Replaces everything under `prefix` by what a read returned. */
   replace(prefix: string, range: StoreRange, now: number): void {
     const present = new Set(range.items.map((item) => item.key));
     for (const [key, held] of [...this.held]) {
-      const covered = key.startsWith(prefix) && held.revision <= range.revision;
-      if (covered && !present.has(key)) this.remove(key, now);
+      const covered = key.startsWith(prefix) && held.item.revision <= range.revision;
+      if (covered && !present.has(key)) this.remove({ key, revision: range.revision }, now);
     }
     for (const item of range.items) this.write(item, now);
-    if (prefix === '') this.revision = Math.max(this.revision, range.revision);
+    if (prefix === '') this.noteComplete(range.revision);
+    this.publish(now);
+  }
+
+  /** What a host lacks that is complete up to `revision`. */
+  deltaSince(revision: number): ViewDelta {
+    const items = [...this.held.values()].map((held) => held.item);
+    if (revision === 0 || revision < this.removalsSince) {
+      return { complete: true, revision: this.revision, items, removed: [] };
+    }
+    return {
+      complete: false,
+      revision: this.revision,
+      items: items.filter((item) => item.revision > revision),
+      removed: this.removed.filter((removal) => removal.revision > revision),
+    };
+  }
+
+  /** Takes what another host passed on. */
+  merge(delta: ViewDelta, now: number): void {
+    if (delta.complete) {
+      this.replace('', delta, now);
+      return;
+    }
+    const events: StoreEvent[] = [
+      ...delta.items.map((item) => ({ kind: 'written' as const, item })),
+      ...delta.removed.map((removal) => ({ kind: 'removed' as const, ...removal })),
+    ];
+    this.apply(events, delta.revision, now);
+  }
+
+  /** Applies single items that others pushed, without knowing what lies between. */
+  takeItems(items: readonly StoreItem[], now: number): void {
+    for (const item of items) this.write(item, now);
     this.publish(now);
   }
 
@@ -70,7 +124,7 @@
   apply(events: readonly StoreEvent[], revision: number, now: number): void {
     for (const event of events) {
       if (event.kind === 'written') this.write(event.item, now);
-      else if (event.revision > this.revisionOf(event.key)) this.remove(event.key, now);
+      else if (event.revision > this.revisionOf(event.key)) this.remove(event, now);
     }
     this.revision = Math.max(this.revision, revision);
     if (events.length > 0) this.publish(now);
@@ -88,14 +142,14 @@
 
   private write(item: StoreItem, now: number): void {
     const held = this.held.get(item.key);
-    if (held !== undefined && held.revision >= item.revision) return;
+    if (held !== undefined && held.item.revision >= item.revision) return;
     const document =
       readOwnDocument(item.key, item.value) ?? this.documents.read(item.key, item.value);
     if (document === undefined) {
       this.log.trace('store-key-ignored', { key: item.key, revision: item.revision });
       return;
     }
-    this.held.set(item.key, { ...document, revision: item.revision });
+    this.held.set(item.key, { ...document, item });
     this.take(document, item.revision, now);
   }
 
@@ -123,9 +177,22 @@
     }
   }
 
-  private remove(key: string, now: number): void {
+  /** After a complete read, removals before it are no longer known one by one. */
+  private noteComplete(revision: number): void {
+    if (revision <= this.revision) return;
+    this.revision = revision;
+    this.removalsSince = revision;
+    this.removed = [];
+  }
+
+  private remove(removal: RemovedKey, now: number): void {
+    const { key, revision } = removal;
     const held = this.held.get(key);
     this.held.delete(key);
+    this.removed.push({ key, revision });
+    if (this.removed.length > MAX_REMOVED) {
+      this.removalsSince = Math.max(this.removalsSince, this.removed.shift()?.revision ?? 0);
+    }
     if (held?.kind !== 'upstream') return;
     this.missing.set(held.entry.id, { entry: held.entry, since: now });
     this.log.info('upstream-entry-missing', { upstream: held.entry.id, group: held.entry.group });
--- /dev/null
+++ b/packages/gateway/src/control/sync-service.ts
@@ -0,0 +1,162 @@
+/**
+ * Passes the store's documents and proofs between hosts: a few relays of each zone read the store,
+ * the others ask them; whoever loses the store asks any host that still has it.
+ */
+import type { AzId, HostId } from '@gladespool/coordination';
+import { relaysOf } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
+import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
+import type { Frame, FrameOf } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { PeerCalls } from './peer-calls.js';
+import type { ProofKeeper } from './proof-keeper.js';
+import type { StoreFollower } from './store-follower.js';
+import type { StoreView } from './store-view.js';
+
+/** Times and numbers of the passing on. */
+export interface SyncRules {
+  /** Relays in each zone. */
+  readonly relays: number;
+  /** Time between two questions to relays, milliseconds. */
+  readonly intervalMs: number;
+  /** Longest time for an answer, milliseconds. */
+  readonly timeoutMs: number;
+  /** Age of the proof from which a host turns to the store and to other zones itself, milliseconds. */
+  readonly staleMs: number;
+}
+
+/** Two relays: one may be gone. Stale at 1.6 s, so that half of a proof's life is left to renew it. */
+export const DEFAULT_SYNC: SyncRules = {
+  relays: 2,
+  intervalMs: 500,
+  timeoutMs: 400,
+  staleMs: 1600,
+};
+
+/** What the service works on. */
+export interface SyncServiceOptions {
+  readonly self: HostEntry;
+  readonly board: GatewayBoard;
+  readonly view: StoreView;
+  readonly proofs: ProofKeeper;
+  readonly follower: StoreFollower;
+  readonly calls: PeerCalls;
+  /** Hosts to ask before any is known. */
+  readonly seeds: readonly PeerAddress[];
+  readonly rules: SyncRules;
+  readonly log: Logger;
+}
+
+/** Keeps this host up to date by way of others, and others by way of this one. */
+export class SyncService implements PeerHandler {
+  private lastAskAt = Number.NEGATIVE_INFINITY;
+  private lastReplyAt = Number.NEGATIVE_INFINITY;
+  private turn = 0;
+
+  constructor(private readonly options: SyncServiceOptions) {}
+
+  /** Does what is due at `now`. */
+  tick(now: number): void {
+    const { proofs, follower, rules } = this.options;
+    const direct = this.readsStore(now);
+    follower.setActive(direct);
+    if (direct) proofs.tick(now);
+    const due = now - this.lastAskAt >= rules.intervalMs;
+    if (!due || (this.isRelay && !this.isStale(now))) return;
+    this.lastAskAt = now;
+    for (const peer of this.peersToAsk(now)) void this.ask(peer);
+  }
+
+  onFrame(link: PeerLink, frame: Frame): void {
+    if (frame.kind === FrameKind.SyncAsk) this.answer(link, frame);
+    if (frame.kind === FrameKind.StoreNews) {
+      this.options.view.takeItems(frame.items, performance.now());
+    }
+  }
+
+  onLost(): void {
+    // The next question goes to another host.
+  }
+
+  private get isRelay(): boolean {
+    const { board, rules } = this.options;
+    return relaysOf(board.az, this.hostsOf(board.az), rules.relays).includes(board.host);
+  }
+
+  private isStale(now: number): boolean {
+    return now - this.options.board.provenSince > this.options.rules.staleMs;
+  }
+
+  private readsStore(now: number): boolean {
+    const { rules } = this.options;
+    return this.isRelay || now - this.lastReplyAt > rules.staleMs || this.isStale(now);
+  }
+
+  private hostsOf(az: AzId): HostId[] {
+    const hosts = [...this.options.board.hosts.values()];
+    return hosts.filter((entry) => entry.az === az).map((entry) => entry.host);
+  }
+
+  /** A relay of the own zone in turn; while the proof is stale also one of another zone. */
+  private peersToAsk(now: number): readonly PeerAddress[] {
+    const { board, seeds, rules } = this.options;
+    this.turn += 1;
+    const zones = [...new Set([...board.hosts.values()].map((entry) => entry.az))];
+    const others = zones.filter((az) => az !== board.az);
+    const home = this.pick(relaysOf(board.az, this.hostsOf(board.az), rules.relays));
+    if (!this.isStale(now)) return home === undefined ? [] : [home];
+    const az = others[this.turn % Math.max(1, others.length)];
+    const far = az === undefined ? undefined : this.pick(this.hostsOf(az));
+    const seed = board.hosts.size > 1 ? undefined : seeds[this.turn % Math.max(1, seeds.length)];
+    return [home, far, seed].filter((peer) => peer !== undefined);
+  }
+
+  private pick(hosts: readonly HostId[]): HostEntry | undefined {
+    const { board } = this.options;
+    const others = hosts.filter((host) => host !== board.host);
+    const host = others[this.turn % Math.max(1, others.length)];
+    return host === undefined ? undefined : board.hosts.get(host);
+  }
+
+  private async ask(peer: PeerAddress): Promise<void> {
+    const { self, view, calls, board, rules } = this.options;
+    const sentAt = performance.now();
+    const { host, incarnation } = self;
+    const { revision } = view;
+    const result = await calls.ask(
+      peer,
+      (id) => ({ kind: FrameKind.SyncAsk, id, host, incarnation, revision }),
+      rules.timeoutMs,
+    );
+    if (result.isErr() || result.value.kind !== FrameKind.SyncReply) return;
+    const now = performance.now();
+    view.merge(result.value, now);
+    const { proofAgeMs } = result.value;
+    if (proofAgeMs === undefined) return;
+    board.prove(sentAt - proofAgeMs);
+    if (proofAgeMs < rules.staleMs) this.lastReplyAt = now;
+  }
+
+  private answer(link: PeerLink, ask: FrameOf<FrameKind.SyncAsk>): void {
+    const { view, proofs } = this.options;
+    const delta = view.deltaSince(ask.revision);
+    const { firstHand } = proofs;
+    const listed = [...(firstHand?.hosts ?? [])].some(
+      ([host, incarnation]) => host === ask.host && incarnation === ask.incarnation,
+    );
+    const reply: FrameOf<FrameKind.SyncReply> = {
+      kind: FrameKind.SyncReply,
+      id: ask.id,
+      complete: delta.complete,
+      revision: delta.revision,
+      items: [...delta.items],
+      removed: [...delta.removed],
+    };
+    if (firstHand === undefined || !listed) {
+      link.send(reply);
+      return;
+    }
+    link.send({ ...reply, proofAgeMs: performance.now() - firstHand.sentAt });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/write-holds.ts
@@ -0,0 +1,46 @@
+/**
+ * Short holds of a group's writes before a planned change of its primary, so that writes in flight
+ * end before the former primary is given up.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { GroupId } from '@gladespool/coordination';
+import type { GatewayBoard } from '../board.js';
+
+/** Time between two looks at what is in flight, milliseconds. */
+const POLL_MS = 5;
+
+/** Time left for the claim that follows a hold, milliseconds: a few calls to the store. */
+const CLAIM_MS = 200;
+
+/** Holds of one host. */
+export class WriteHolds {
+  private readonly until = new Map<GroupId, { readonly epoch: number; readonly until: number }>();
+  private readonly inFlight = new Map<GroupId, number>();
+
+  constructor(private readonly board: GatewayBoard) {}
+
+  /** Whether new writes of the group wait at `now`. */
+  isHeld(group: GroupId, now: number): boolean {
+    const hold = this.until.get(group);
+    if (hold === undefined) return false;
+    return now < hold.until && this.board.record(group)?.epoch === hold.epoch;
+  }
+
+  /** Notes that a write or writing transaction begins; the result notes its end. */
+  enter(group: GroupId): () => void {
+    this.inFlight.set(group, (this.inFlight.get(group) ?? 0) + 1);
+    let over = false;
+    return () => {
+      if (over) return;
+      over = true;
+      this.inFlight.set(group, (this.inFlight.get(group) ?? 1) - 1);
+    };
+  }
+
+  /** Holds new writes of `epoch`; resolves when none is in flight or the time is over. */
+  async hold(group: GroupId, epoch: number, holdMs: number, now: number): Promise<void> {
+    const until = now + holdMs;
+    this.until.set(group, { epoch, until: until + CLAIM_MS });
+    while ((this.inFlight.get(group) ?? 0) > 0 && performance.now() < until) await pause(POLL_MS);
+  }
+}
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -1,12 +1,16 @@
 /**
  * Times and bounds of a gateway host.
  */
+import type { FailoverRules } from '@gladespool/coordination';
 import type { DrainTimes } from './entry/caller-server.js';
+import type { SyncRules } from './control/sync-service.js';
 import type { HomeRules } from './home/group-home.js';
 
 /** Rules of one host. */
 export interface GatewayRules {
   readonly home: HomeRules;
+  readonly sync: SyncRules;
+  readonly failover: FailoverRules;
   readonly drain: DrainTimes;
   /** Callers' connections at most. */
   readonly maxCallers: number;
--- a/packages/gateway/src/home/await-authority.ts
+++ b/packages/gateway/src/home/await-authority.ts
@@ -10,7 +10,7 @@
  * Part of the statement's time for which it is held, counted from its arrival. A promotion takes
  * most of a second; a caller that asks again later is served as well as one that is held longer.
  */
-const HOLD_SHARE = 0.5;
+const HOLD_SHARE = 0.3;
 /** Longest wait before the authority is looked at again, milliseconds. */
 const REVIEW_MS = 25;
 
@@ -22,15 +22,16 @@
 export async function awaitAuthority(home: GroupHome, job: Job, now: number): Promise<boolean> {
   const until = job.arrivedAt + job.route.timeoutMs * HOLD_SHARE;
   for (let time = now; time < until; time = performance.now()) {
-    if (home.hasAuthority(time) && primaryIsKnown(home)) return true;
+    if (mayUsePrimary(home, time)) return true;
     await recordChange(home, Math.min(REVIEW_MS, until - time));
   }
   return false;
 }
 
-function primaryIsKnown(home: GroupHome): boolean {
-  const { record } = home;
-  return record !== undefined && home.context.board.upstreams.has(record.primary);
+function mayUsePrimary(home: GroupHome, now: number): boolean {
+  const { record, context } = home;
+  if (record === undefined || !context.board.upstreams.has(record.primary)) return false;
+  return home.hasAuthority(now) && !context.holds.isHeld(home.group, now);
 }
 
 function recordChange(home: GroupHome, timeoutMs: number): Promise<void> {
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -21,6 +21,7 @@
 import type { AuthorityRules } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../board.js';
+import type { WriteHolds } from '../control/write-holds.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
 import { UpstreamSlot } from './upstream-slot.js';
@@ -39,6 +40,7 @@
   readonly board: GatewayBoard;
   readonly driver: UpstreamDriver;
   readonly rules: HomeRules;
+  readonly holds: WriteHolds;
   readonly random: RandomSource;
   readonly metrics: HostMetrics;
   readonly log: Logger;
--- a/packages/gateway/src/home/local-executor.ts
+++ b/packages/gateway/src/home/local-executor.ts
@@ -56,7 +56,10 @@
     for (let count = 0; count < MAX_BEGINS; count += 1) {
       const now = performance.now();
       if (now >= job.arrivedAt + job.route.timeoutMs) break;
-      const target = this.beginTarget(home, job, tried, now);
+      if (!job.readOnly && home.context.holds.isHeld(home.group, now)) {
+        if (!(await awaitAuthority(home, job, now))) break;
+      }
+      const target = this.beginTarget(home, job, tried, performance.now());
       if (target.isErr()) {
         last = { kind: 'refused', refusal: target.error };
         if (!(await awaitAuthority(home, job, now))) break;
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -54,12 +54,16 @@
 export class PinnedTransaction implements OpenTransaction {
   private wrote = false;
   private over = false;
+  /** Ends the count of transactions that a planned change of the primary waits for. */
+  private readonly leave: () => void;
 
   constructor(
     private readonly home: GroupHome,
     private readonly borrowed: Borrowed,
     private readonly begin: BeginJob,
-  ) {}
+  ) {
+    this.leave = begin.readOnly ? () => undefined : home.context.holds.enter(home.group);
+  }
 
   async run(step: StepJob): Promise<Outcome> {
     if (this.over) return refused(RefusalReason.TransactionLost);
@@ -85,6 +89,7 @@
     this.over = true;
     const leftMs = arrivedAt + this.begin.route.timeoutMs - performance.now();
     const { answer } = await send(this.home, this.borrowed, { kind: 'commit', id }, leftMs);
+    this.leave();
     this.borrowed.lease.release();
     if (this.wrote) return confirmed(this.home, this.borrowed, answer);
     return unconfirmedCommit(answer);
@@ -93,6 +98,7 @@
   rollback(): void {
     if (this.over) return;
     this.over = true;
+    this.leave();
     void this.rollBackAndRelease();
   }
 
--- /dev/null
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -0,0 +1,98 @@
+/**
+ * Asks upstreams for their status on connections of its own, so that a full pool or a dead pooled
+ * connection does not pass for a dead upstream.
+ */
+import type { GroupId, UpstreamId } from '@gladespool/coordination';
+import type { UpstreamEntry } from '../model/catalog.js';
+import { UpstreamFault } from '../model/outcome.js';
+import type { UpstreamDriver, UpstreamStatus, UpstreamWire } from '../model/upstream-wire.js';
+
+/** What a probe found. */
+export type ProbeResult =
+  | { readonly kind: 'status'; readonly status: UpstreamStatus }
+  /** It answers, but gave no status. */
+  | { readonly kind: 'alive' }
+  | { readonly kind: 'silent' };
+
+/** Time after which an unused connection is closed, milliseconds: they count against the budget. */
+const IDLE_MS = 1500;
+
+interface Channel {
+  readonly wire: UpstreamWire;
+  timer: NodeJS.Timeout;
+}
+
+/** Probes of one host. */
+export class UpstreamProbe {
+  private readonly channels = new Map<UpstreamId, Channel>();
+
+  constructor(
+    private readonly driver: UpstreamDriver,
+    private readonly onConnected: () => void,
+  ) {}
+
+  /** Asks one upstream within `timeoutMs`. */
+  async ask(entry: UpstreamEntry, group: GroupId, timeoutMs: number): Promise<ProbeResult> {
+    const held = this.takeChannel(entry.id);
+    if (held !== undefined) return this.askOn(held, entry, timeoutMs);
+    const startedAt = performance.now();
+    const wire = await this.driver.connect(entry, group, timeoutMs);
+    if (wire.isErr())
+      return { kind: wire.error.message.includes('OVERLOADED') ? 'alive' : 'silent' };
+    this.onConnected();
+    const leftMs = Math.max(1, timeoutMs - (performance.now() - startedAt));
+    return this.askOn(wire.value, entry, leftMs);
+  }
+
+  /** Sends a step-down of terms below `term`; the answer does not matter. */
+  async stepDown(entry: UpstreamEntry, group: GroupId, term: number, ms: number): Promise<void> {
+    const wire = await this.driver.connect(entry, group, ms);
+    if (wire.isErr()) return;
+    await wire.value.exchange({ kind: 'step-down', term }, ms);
+    wire.value.close();
+  }
+
+  stop(): void {
+    for (const { wire, timer } of this.channels.values()) {
+      clearTimeout(timer);
+      wire.close();
+    }
+    this.channels.clear();
+  }
+
+  private async askOn(
+    wire: UpstreamWire,
+    entry: UpstreamEntry,
+    timeoutMs: number,
+  ): Promise<ProbeResult> {
+    const answer = await wire.exchange({ kind: 'status' }, timeoutMs);
+    if (answer.kind === 'lost') return { kind: 'silent' };
+    this.keepChannel(entry.id, wire);
+    if (answer.kind === 'faulted') {
+      return { kind: answer.fault === UpstreamFault.Misrouted ? 'silent' : 'alive' };
+    }
+    const status = this.driver.readStatus(answer.rows[0] ?? '');
+    return status === undefined ? { kind: 'alive' } : { kind: 'status', status };
+  }
+
+  private takeChannel(id: UpstreamId): UpstreamWire | undefined {
+    const channel = this.channels.get(id);
+    if (channel === undefined) return undefined;
+    clearTimeout(channel.timer);
+    this.channels.delete(id);
+    return channel.wire.usable ? channel.wire : undefined;
+  }
+
+  private keepChannel(id: UpstreamId, wire: UpstreamWire): void {
+    const held = this.channels.get(id);
+    if (held !== undefined) {
+      wire.close();
+      return;
+    }
+    const timer = setTimeout(() => {
+      this.channels.delete(id);
+      wire.close();
+    }, IDLE_MS);
+    this.channels.set(id, { wire, timer });
+  }
+}
--- a/packages/gateway/src/home/write-flow.ts
+++ b/packages/gateway/src/home/write-flow.ts
@@ -44,7 +44,9 @@
   }
   const command = lease.connection.commandFor(job.work, job.id, undefined);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
+  const leave = home.context.holds.enter(home.group);
   const { answer } = await send(home, borrowed, command, leftMs);
+  leave();
   if (answer.kind === 'faulted' && answer.fault === UpstreamFault.UnknownStatement) {
     lease.connection.forgetPrepared();
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,3 +19,5 @@
 export * from './model/upstream-wire.js';
 export * from './gateway-host.js';
 export * from './gateway-rules.js';
+export * from './control/promotion-call.js';
+export * from './control/sync-service.js';
--- a/packages/observability/src/log.ts
+++ b/packages/observability/src/log.ts
@@ -1,7 +1,10 @@
 /**
  * Structured log lines through `debug`: one line of key=value pairs an event.
  */
+import { format } from 'node:util';
 import createDebug from 'debug';
+import { LogLimiter } from './log-limiter.js';
+import { LogOutput } from './log-output.js';
 
 /** Values of a log line; undefined fields are left out. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -19,6 +22,13 @@
 /** Namespaces enabled when the DEBUG environment variable is not set. */
 export const DEFAULT_NAMESPACES = 'gladespool:*:info,gladespool:*:warn';
 
+/** Lines of one kind of event in a second at most; about 60 KB/s for the busiest ten kinds. */
+const MAX_LINES_OF_EVENT = 30;
+const REPORT_INTERVAL_MS = 1000;
+const STANDARD_OUTPUT = 1;
+
+let limiter: LogLimiter | undefined;
+
 const NEEDS_QUOTES = /[\s"=]|^$/;
 
 /** Formats one event as a line of key=value pairs; values are quoted where needed. */
@@ -38,12 +48,35 @@
   const write = (level: string) => {
     const sink = createDebug(`gladespool:${component}:${level}`);
     return (event: string, fields: LogFields = {}): void => {
-      if (sink.enabled) sink('%s', formatEvent(event, { ...common, ...fields }));
+      if (!sink.enabled || limiter?.allows(event, performance.now()) === false) return;
+      sink('%s', formatEvent(event, { ...common, ...fields }));
     };
   };
   return { info: write('info'), warn: write('warn'), trace: write('trace') };
 }
 
+/**
+ * Sends every line to standard output, bounded in volume and without waiting for its reader; once a
+ * second a line tells what was left out.
+ */
+export function boundLogs(): void {
+  const output = new LogOutput(STANDARD_OUTPUT);
+  const ownLimiter = new LogLimiter(MAX_LINES_OF_EVENT);
+  limiter = ownLimiter;
+  createDebug.log = (line: string, ...rest: unknown[]) => {
+    output.write(rest.length === 0 ? line : format(line, ...rest));
+  };
+  const log = createLogger('log');
+  const timer = setInterval(() => {
+    const lost = output.takeLost();
+    if (lost > 0) log.warn('lines-lost', { lines: lost });
+    for (const { event, lines } of ownLimiter.takeSuppressed()) {
+      log.info('lines-suppressed', { of: event, lines });
+    }
+  }, REPORT_INTERVAL_MS);
+  timer.unref();
+}
+
 /** Enables the default namespaces unless the environment chose others. */
 export function enableDefaultLogs(environment: NodeJS.ProcessEnv): void {
   if (environment.DEBUG === undefined) createDebug.enable(DEFAULT_NAMESPACES);
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -25,6 +25,16 @@
   SuspicionAsk = 'suspicion-ask',
   SuspicionReply = 'suspicion-reply',
   RecordNews = 'record-news',
+  SyncAsk = 'sync-ask',
+  SyncReply = 'sync-reply',
+  StoreNews = 'store-news',
+  RevokeAsk = 'revoke-ask',
+  RevokeReply = 'revoke-reply',
+  HoldAsk = 'hold-ask',
+  HoldReply = 'hold-reply',
+  ReachAsk = 'reach-ask',
+  ReachReply = 'reach-reply',
+  Suspect = 'suspect',
 }
 
 /** What a request does, as the entry classified it. */
@@ -78,6 +88,11 @@
   })
   .readonly();
 
+/** A key of the metadata store as it travels between hosts. */
+const storeItemSchema = z
+  .object({ key: z.string(), value: z.string(), revision: count })
+  .readonly();
+
 const partSchema = z.object({ hash: z.string(), text: z.string() }).readonly();
 const id = z.int().nonnegative();
 
@@ -162,6 +177,40 @@
     suspects: z.boolean(),
   }),
   z.object({ kind: z.literal(FrameKind.RecordNews), record: recordSchema }),
+  z.object({
+    kind: z.literal(FrameKind.SyncAsk),
+    id,
+    host: z.string(),
+    incarnation: count,
+    /** Revision of the store up to which the asker is complete. */
+    revision: count,
+  }),
+  z.object({
+    kind: z.literal(FrameKind.SyncReply),
+    id,
+    /** Whether `items` are all there are; else what changed since the revision asked for. */
+    complete: z.boolean(),
+    revision: count,
+    items: z.array(storeItemSchema),
+    removed: z.array(z.object({ key: z.string(), revision: count }).readonly()),
+    /** Age of a proof that the sender read itself, milliseconds, if the asker was listed in it. */
+    proofAgeMs: z.number().nonnegative().optional(),
+  }),
+  z.object({ kind: z.literal(FrameKind.StoreNews), items: z.array(storeItemSchema) }),
+  z.object({ kind: z.literal(FrameKind.RevokeAsk), id, item: storeItemSchema }),
+  z.object({ kind: z.literal(FrameKind.RevokeReply), id }),
+  z.object({
+    kind: z.literal(FrameKind.HoldAsk),
+    id,
+    group: z.string(),
+    epoch: count,
+    /** Time for which new writes wait, milliseconds. */
+    holdMs: count,
+  }),
+  z.object({ kind: z.literal(FrameKind.HoldReply), id }),
+  z.object({ kind: z.literal(FrameKind.ReachAsk), id, group: z.string(), epoch: count }),
+  z.object({ kind: z.literal(FrameKind.ReachReply), id, reaches: z.boolean() }),
+  z.object({ kind: z.literal(FrameKind.Suspect), group: z.string(), epoch: count }),
 ]);
 
 /** A frame of any kind. */
