--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -15,12 +15,26 @@
 export interface ShareRules {
   /** Part of an upstream's connections that is used; the rest covers hosts that come and go. */
   readonly usableShare: number;
+  /** Connections for each statement that an upstream runs at once; more only make its queue longer. */
+  readonly perSlot: number;
   /** Least number of connections for which it is worth being a home. */
   readonly leastPerHome: number;
 }
 
-/** 0.85: an upstream counts a dark host's connections for 3 s more; two: one transaction and one read. */
-export const DEFAULT_SHARES: ShareRules = { usableShare: 0.85, leastPerHome: 2 };
+/**
+ * 0.85: an upstream counts a dark host's connections for 3 s more. Six a slot: one running, one
+ * queued, the others in transactions or hosts with nothing to do; what is left of the budget lets all
+ * hosts connect again at once after they lost power. Two a home: one transaction and one read.
+ */
+export const DEFAULT_SHARES: ShareRules = { usableShare: 0.85, perSlot: 6, leastPerHome: 2 };
+
+/** What upstreams of a group allow. */
+export interface UpstreamRoom {
+  /** Connections to one upstream over all hosts. */
+  readonly connections: number;
+  /** Statements that one upstream runs at once. */
+  readonly slots: number;
+}
 
 /** The homes of a group in all zones, and the connections to each upstream that each may hold. */
 export interface HomePlan {
@@ -32,11 +46,12 @@
 export function planHomes(
   group: GroupId,
   hosts: readonly HomeCandidate[],
-  connectionsPerUpstream: number,
+  room: UpstreamRoom,
   rules: ShareRules = DEFAULT_SHARES,
 ): HomePlan {
   const zones = hostsByZone(hosts);
-  const usable = Math.floor(connectionsPerUpstream * rules.usableShare);
+  const allowed = Math.floor(room.connections * rules.usableShare);
+  const usable = Math.min(allowed, room.slots * rules.perSlot);
   const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
   const homes = new Map<AzId, readonly HostId[]>();
   for (const [az, ids] of zones) homes.set(az, homesOf(group, ids, perZone));
--- a/packages/coordination/src/failover.ts
+++ b/packages/coordination/src/failover.ts
@@ -10,11 +10,6 @@
 export interface FailoverRules {
   /** Time for which a primary must have failed this host before it is suspected, milliseconds. */
   readonly suspectAfterMs: number;
-  /**
-   * The same if every host of the primary's zone is silent: the zone may be cut off and the primary
-   * still serve it, and what it confirms there would be lost. Longer than usual cuts, milliseconds.
-   */
-  readonly suspectAfterCutMs: number;
   /** Time that each host leaves to those before it in rank, milliseconds. */
   readonly rankDelayMs: number;
   /** Time after which a claim that has not ended may be taken over, milliseconds. */
@@ -27,8 +22,7 @@
 
 export const DEFAULT_FAILOVER: FailoverRules = {
   suspectAfterMs: 400,
-  suspectAfterCutMs: 600,
-  rankDelayMs: 900,
+  rankDelayMs: 100,
   stalledAfterMs: 3500,
   dutyWindowMs: 6000,
   dutyGapMs: 2000,
@@ -42,8 +36,6 @@
   readonly failing: number;
   /** Hosts that did not answer; a refused connection tells no more than silence. */
   readonly silent: number;
-  /** Whether the primary's zone has hosts and all of them are silent. */
-  readonly zoneSilent: boolean;
 }
 
 /** What to do about a suspected primary. */
@@ -62,11 +54,10 @@
   failedMs: number,
   rules: FailoverRules,
 ): FailoverVerdict {
-  const { reaching, failing, silent, zoneSilent } = evidence;
+  const { reaching, failing, silent } = evidence;
   const listed = reaching + failing + silent;
   if (failing * 2 <= listed) return FailoverVerdict.Wait;
-  const neededMs = zoneSilent ? rules.suspectAfterCutMs : rules.suspectAfterMs;
-  return failedMs >= neededMs ? FailoverVerdict.Promote : FailoverVerdict.Wait;
+  return failedMs >= rules.suspectAfterMs ? FailoverVerdict.Promote : FailoverVerdict.Wait;
 }
 
 /** What an upstream reported, for the choice of a successor. */
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -27,3 +27,4 @@
 export * from './primary-record.js';
 export * from './upstream-choice.js';
 export * from './failover.js';
+export * from './statement-terms.js';
--- /dev/null
+++ b/packages/coordination/src/statement-terms.ts
@@ -0,0 +1,33 @@
+/**
+ * Closed sets of terms about statements, shared by every protocol.
+ */
+
+/** Whether a statement reads or writes. */
+export enum Access {
+  Read = 'read',
+  Write = 'write',
+}
+
+/** Which commits a read has to see. */
+export enum Consistency {
+  /** Every commit confirmed before the read began. */
+  Primary = 'primary',
+  /** Every commit older than the bound. */
+  BoundedStaleness = 'bounded-staleness',
+  /** Every commit older than the bound, and all of the same session. */
+  ReadYourWrites = 'read-your-writes',
+}
+
+/** Errors that an upstream tells. */
+export enum UpstreamFault {
+  Busy = 'busy',
+  Lagging = 'lagging',
+  ReadOnly = 'read-only',
+  Misrouted = 'misrouted',
+  Overloaded = 'overloaded',
+  UnknownStatement = 'unknown-statement',
+  Aborted = 'aborted',
+  Failed = 'failed',
+  TimedOut = 'timed-out',
+  Other = 'other',
+}
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -9,6 +9,7 @@
 import { connect } from 'node:net';
 import type { GatewayBoard, HostEntry } from '../board.js';
 import type { GatewayRules } from '../gateway-rules.js';
+import type { ReachNotes } from '../forward/reach-notes.js';
 import type { GroupHome } from '../home/group-home.js';
 import { UpstreamProbe } from '../home/upstream-probe.js';
 import type { UpstreamDriver } from '../model/upstream-wire.js';
@@ -36,6 +37,7 @@
   readonly promotions: PromotionPort;
   readonly holds: WriteHolds;
   readonly home: (group: GroupId) => GroupHome;
+  readonly reach: ReachNotes;
   readonly peerKey: Buffer;
   readonly seeds: readonly PeerAddress[];
   readonly rules: GatewayRules;
@@ -151,10 +153,11 @@
   }
 
   private createPromotions(): PromotionController {
-    const { self, board, store, promotions, holds, home, rules, metrics } = this.options;
+    const { self, board, store, promotions, holds, home, reach, rules, metrics } = this.options;
     const monitor = new PrimaryMonitor({ board, home, probe: this.probe, rules: DEFAULT_MONITOR });
     return new PromotionController({
       monitor,
+      reach,
       context: {
         self,
         board,
--- a/packages/gateway/src/control/peer-calls.ts
+++ b/packages/gateway/src/control/peer-calls.ts
@@ -39,6 +39,11 @@
     return this.exchange(peer, link.value, id, build(id), leftMs);
   }
 
+  /** Sends a frame that needs no answer; false when it could not be sent. */
+  tell(peer: PeerAddress, frame: Frame): Promise<boolean> {
+    return this.network.sendTo(peer, frame);
+  }
+
   onFrame(_link: PeerLink, frame: Frame): void {
     if (!isReply(frame)) return;
     this.pending.get(frame.id)?.settle(ok(frame));
--- a/packages/gateway/src/control/primary-monitor.ts
+++ b/packages/gateway/src/control/primary-monitor.ts
@@ -16,7 +16,7 @@
   readonly idleQuietMs: number;
   /** Longest time for a probe, milliseconds. */
   readonly probeTimeoutMs: number;
-  /** Age up to which an answer shows that the primary is reached, milliseconds. */
+  /** Age up to which an answer or a failure shows whether the primary is reached, milliseconds. */
   readonly freshMs: number;
 }
 
@@ -64,8 +64,10 @@
   /** Whether this host reaches the primary of the group, probed if that is not clear. */
   async reaches(group: GroupId): Promise<boolean> {
     const health = this.healthOf(group);
-    const freshMs = performance.now() - (health?.lastAnswerAt ?? Number.NEGATIVE_INFINITY);
-    if (freshMs < this.options.rules.freshMs) return true;
+    const { freshMs } = this.options.rules;
+    const now = performance.now();
+    if (now - (health?.lastAnswerAt ?? Number.NEGATIVE_INFINITY) < freshMs) return true;
+    if (now - (health?.lastFailureAt ?? Number.NEGATIVE_INFINITY) < freshMs) return false;
     return this.probe(group);
   }
 
@@ -94,7 +96,7 @@
     const reached =
       result.kind === 'alive' || (result.kind === 'status' && result.status.isPrimary);
     if (reached) slot.health.noteAlive(now);
-    else slot.health.noteFailure(now, startedAt);
+    else slot.health.noteFailure(now, startedAt - rules.quietMs);
     return reached;
   }
 }
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -71,6 +71,8 @@
 /** Longest time for a promotion to take effect, milliseconds; the platform's takes 300 to 600. */
 const EFFECT_MS = 2500;
 const POLL_MS = 40;
+/** Time for choosing the successor, taken from the end of the wait for silent hosts, milliseconds. */
+const CHOICE_MS = 250;
 
 /** A claimed record and the fence under which calls may be made. */
 interface Claim {
@@ -99,8 +101,13 @@
     if (this.cause === PromotionCause.Draining) await this.holdWrites();
     const claim = await this.claim();
     if (claim === undefined) return false;
-    if (!(await this.revoke(claim))) return this.giveUp('hosts-unknown');
-    const successor = await this.successor(claim);
+    const freeAt = await this.revoke(claim);
+    if (freeAt === undefined) return this.giveUp('hosts-unknown');
+    await pause(Math.max(0, freeAt - performance.now() - CHOICE_MS));
+    const [successor] = await Promise.all([
+      this.successor(claim),
+      pause(Math.max(0, freeAt - performance.now())),
+    ]);
     if (successor === undefined) return this.giveUp('no-successor');
     if (!(await this.promote(claim, successor.id))) return this.giveUp('not-promoted');
     if (!(await this.takesEffect(successor))) return this.giveUp('no-effect');
@@ -173,20 +180,18 @@
    * Makes sure that no host uses the former primary any more. Hosts that listed themselves later read
    * the claim before they hold a proof.
    *
-   * @returns false when the listed hosts are not known for sure.
+   * @returns local time from which that holds; undefined when the listed hosts are not known for sure.
    */
-  private async revoke(claim: Claim): Promise<boolean> {
-    if (!(await this.ctx.proofs.read())) return false;
+  private async revoke(claim: Claim): Promise<number | undefined> {
+    if (!(await this.ctx.proofs.read())) return undefined;
     const answers = await this.askAll(
       (id) => ({ kind: FrameKind.RevokeAsk, id, item: claim.item }),
       REVOKE_TIMEOUT_MS,
     );
     const silent = answers.filter((answered) => !answered).length;
     this.tell('promotion-revoked', { asked: answers.length, silent });
-    if (silent === 0) return true;
-    const freeAt = silentHostFreeAt(claim.confirmedAt, this.ctx.authority);
-    await pause(Math.max(0, freeAt - performance.now()));
-    return true;
+    if (silent === 0) return performance.now();
+    return silentHostFreeAt(claim.confirmedAt, this.ctx.authority);
   }
 
   /** The upstream to promote; after a planned hold one that holds all that the former one has. */
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -1,11 +1,12 @@
 /**
  * Watches every group's primary and starts the change of it when this host is the one to act.
  */
-import type { AzId, GroupId, PrimaryRecord, ReachEvidence } from '@gladespool/coordination';
+import type { GroupId, HostId, PrimaryRecord, ReachEvidence } from '@gladespool/coordination';
 import {
   FailoverVerdict,
   judgeSuspicion,
   groupId,
+  hostId,
   rankCandidates,
   recordRank,
   RecordPhase,
@@ -13,6 +14,7 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
+import type { ReachNotes } from '../forward/reach-notes.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
 import type { PromotionContext } from './promotion-attempt.js';
 import { PromotionAttempt, PromotionCause } from './promotion-attempt.js';
@@ -21,12 +23,17 @@
 export interface PromotionControllerOptions {
   readonly context: PromotionContext;
   readonly monitor: PrimaryMonitor;
+  readonly reach: ReachNotes;
 }
 
 /** Key by which hosts are ranked for acting; one for all groups, so that the duty seldom moves. */
 const DUTY_RANK_KEY = 'duty';
 /** Longest time for other hosts to say whether they reach a primary, milliseconds. */
 const REACH_TIMEOUT_MS = 400;
+/** Hosts asked while another one is left to act. */
+const SAMPLE_HOSTS = 8;
+/** Time left to a host that has asked, before this one asks as well, milliseconds. */
+const LEAVE_TO_OTHER_MS = 1200;
 /** Pause before an attempt that failed is followed by another, milliseconds. */
 const RETRY_PAUSE_MS = 500;
 
@@ -46,8 +53,8 @@
   notBefore: number;
   unlistedSince: number | undefined;
   drainingSince: number | undefined;
-  /** Until when another host's suspicion counts as one of our own. */
-  toldUntil: number;
+  /** Until when a host that comes before this one in rank is expected to act. */
+  leftToOtherUntil: number;
 }
 
 /** Controller of one host. */
@@ -81,9 +88,6 @@
       case FrameKind.ReachAsk:
         void this.answerReach(link, frame);
         return;
-      case FrameKind.Suspect:
-        this.noteTold(groupId(frame.group), frame.epoch);
-        return;
       default:
     }
   }
@@ -92,9 +96,12 @@
     // Nothing is kept by link.
   }
 
+  private get ranked(): readonly HostId[] {
+    return rankCandidates(DUTY_RANK_KEY, [...this.options.context.board.hosts.keys()]);
+  }
+
   private get rank(): number {
-    const { board } = this.options.context;
-    return rankCandidates(DUTY_RANK_KEY, [...board.hosts.keys()]).indexOf(board.host);
+    return this.ranked.indexOf(this.options.context.board.host);
   }
 
   private review(record: PrimaryRecord, now: number): void {
@@ -102,7 +109,6 @@
     if (state.busy || now < state.notBefore || this.rank < 0) return;
     const occasion = this.occasionOf(record, state, now);
     if (occasion === undefined) return;
-    if (occasion.cause === PromotionCause.Suspect) this.tellFirst(record);
     const delayMs = this.rank * this.options.context.rules.rankDelayMs;
     if (now - occasion.since >= delayMs) void this.act(record, occasion, state);
   }
@@ -131,35 +137,55 @@
     if (failedMs >= rules.suspectAfterMs) {
       return { cause: PromotionCause.Suspect, since: now - failedMs + rules.suspectAfterMs };
     }
-    if (now < state.toldUntil) return { cause: PromotionCause.Suspect, since: now };
     return undefined;
   }
 
   private async act(record: PrimaryRecord, occasion: Occasion, state: GroupState): Promise<void> {
     state.busy = true;
     const agreed =
-      occasion.cause !== PromotionCause.Suspect || (await this.othersAgree(record, occasion));
+      occasion.cause !== PromotionCause.Suspect ||
+      (await this.othersAgree(record, occasion, state));
     const attempt = new PromotionAttempt(record, occasion.cause, this.options.context);
     const done = agreed && (await attempt.run());
     state.busy = false;
     state.notBefore = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
   }
 
-  /** Asks every host whether it reaches the suspected primary. */
-  private async othersAgree(record: PrimaryRecord, occasion: Occasion): Promise<boolean> {
-    const { context, monitor } = this.options;
+  /**
+   * Asks every host whether it reaches the suspected primary. While another host is left to act, this
+   * one asks only a few, to learn by way of whom it can reach the primary meanwhile.
+   */
+  private async othersAgree(
+    record: PrimaryRecord,
+    occasion: Occasion,
+    state: GroupState,
+  ): Promise<boolean> {
+    const leaves = performance.now() < state.leftToOtherUntil;
+    const { context, reach } = this.options;
     const { board, calls, rules, log } = context;
     const { group, epoch } = record;
-    const others = [...board.hosts.values()].filter((host) => host.host !== board.host);
+    const everyone = rankCandidates(`reach|${board.host}`, [...board.hosts.keys()]);
+    const others = everyone
+      .filter((host) => host !== board.host)
+      .slice(0, leaves ? SAMPLE_HOSTS : undefined)
+      .map((host) => board.hosts.get(host))
+      .filter((entry) => entry !== undefined);
     const asked = others.map(async (host): Promise<ReachAnswer> => {
       const ask = (id: number) => ({ kind: FrameKind.ReachAsk, id, group, epoch }) as const;
       const answer = await calls.ask(host, ask, REACH_TIMEOUT_MS);
       const told = answer.isOk() && answer.value.kind === FrameKind.ReachReply;
-      return { az: host.az, reaches: told ? answer.value.reaches : undefined };
+      return { host: host.host, reaches: told ? answer.value.reaches : undefined };
     });
-    const own = { az: board.az, reaches: await monitor.reaches(group) };
-    const answers = [own, ...(await Promise.all(asked))];
-    const evidence = gatherEvidence(answers, board.upstreams.get(record.primary)?.az);
+    asked.push(this.ownReach(group));
+    const answers = await this.collect(asked);
+    const evidence = gatherEvidence(answers);
+    const reaching = answers.filter((answer) => answer.reaches === true);
+    reach.put(
+      group,
+      epoch,
+      reaching.map((answer) => answer.host),
+      performance.now(),
+    );
     const failedMs = performance.now() - occasion.since + rules.suspectAfterMs;
     const verdict = judgeSuspicion(evidence, failedMs, rules);
     log.info('suspicion-judged', {
@@ -170,7 +196,27 @@
       failed_ms: Math.round(failedMs),
       verdict,
     });
-    return verdict === FailoverVerdict.Promote;
+    return !leaves && verdict === FailoverVerdict.Promote;
+  }
+
+  private async ownReach(group: GroupId): Promise<ReachAnswer> {
+    const { monitor, context } = this.options;
+    return { host: context.board.host, reaches: await monitor.reaches(group) };
+  }
+
+  /** Collects answers until more than half of all hosts miss the primary, or all have answered. */
+  private collect(asked: readonly Promise<ReachAnswer>[]): Promise<readonly ReachAnswer[]> {
+    return new Promise((resolve) => {
+      const answers: ReachAnswer[] = [];
+      const missing = (): number => answers.filter((answer) => answer.reaches === false).length;
+      for (const pending of asked) {
+        void pending.then((answer) => {
+          answers.push(answer);
+          const decided = missing() * 2 > asked.length;
+          if (decided || answers.length === asked.length) resolve(padded(answers, asked.length));
+        });
+      }
+    });
   }
 
   private async answerHold(link: PeerLink, ask: FrameOf<FrameKind.HoldAsk>): Promise<void> {
@@ -180,25 +226,20 @@
   }
 
   private async answerReach(link: PeerLink, ask: FrameOf<FrameKind.ReachAsk>): Promise<void> {
+    this.leaveToOther(link.host as HostId, groupId(ask.group));
     const reaches = await this.options.monitor.reaches(groupId(ask.group));
     link.send({ kind: FrameKind.ReachReply, id: ask.id, reaches });
   }
 
-  /** Tells the host that acts first, which may itself still reach the primary. */
-  private tellFirst(record: PrimaryRecord): void {
-    const { board, network } = this.options.context;
-    const [first] = rankCandidates(DUTY_RANK_KEY, [...board.hosts.keys()]);
-    const entry = first === undefined ? undefined : board.hosts.get(first);
-    if (entry === undefined || entry.host === board.host) return;
-    const { group, epoch } = record;
-    void network.sendTo(entry, { kind: FrameKind.Suspect, group, epoch });
-  }
-
-  private noteTold(group: GroupId, epoch: number): void {
-    const record = this.options.context.board.record(group);
-    if (record?.epoch !== epoch) return;
+  /** A host that comes first in rank and asks about a primary is left to act. */
+  private leaveToOther(other: HostId, group: GroupId): void {
+    const { board } = this.options.context;
+    const ranked = this.ranked;
+    if (ranked.indexOf(other) > ranked.indexOf(board.host)) return;
+    const record = board.record(group);
+    if (record === undefined) return;
     const now = performance.now();
-    this.stateOf(record, now).toldUntil = now + RETRY_PAUSE_MS;
+    this.stateOf(record, now).leftToOtherUntil = now + LEAVE_TO_OTHER_MS;
   }
 
   private stateOf(record: PrimaryRecord, now: number): GroupState {
@@ -212,7 +253,7 @@
       notBefore: held?.notBefore ?? now,
       unlistedSince: undefined,
       drainingSince: undefined,
-      toldUntil: Number.NEGATIVE_INFINITY,
+      leftToOtherUntil: Number.NEGATIVE_INFINITY,
     };
     this.groups.set(record.group, state);
     return state;
@@ -221,21 +262,24 @@
 
 /** One host's answer to the question whether it reaches a primary. */
 interface ReachAnswer {
-  readonly az: AzId;
+  readonly host: HostId;
   /** Undefined when the host did not answer. */
   readonly reaches: boolean | undefined;
 }
 
-/** Counts who reaches the primary in zone `primaryAz`. */
-function gatherEvidence(
-  answers: readonly ReachAnswer[],
-  primaryAz: AzId | undefined,
-): ReachEvidence {
-  const inZone = answers.filter((answer) => answer.az === primaryAz);
+/** Answers with those that did not come in time counted as silence. */
+function padded(answers: readonly ReachAnswer[], count: number): readonly ReachAnswer[] {
+  const late = Array.from({ length: count - answers.length }, () => ({
+    host: hostId(''),
+    reaches: undefined,
+  }));
+  return [...answers, ...late];
+}
+
+function gatherEvidence(answers: readonly ReachAnswer[]): ReachEvidence {
   return {
     reaching: answers.filter((answer) => answer.reaches === true).length,
     failing: answers.filter((answer) => answer.reaches === false).length,
     silent: answers.filter((answer) => answer.reaches === undefined).length,
-    zoneSilent: inZone.length > 0 && inZone.every((answer) => answer.reaches === undefined),
   };
 }
--- /dev/null
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -0,0 +1,98 @@
+/**
+ * Serves other hosts: runs the statements that they forward on this host's own homes, and rolls
+ * their transactions back when the link is lost.
+ */
+import { RefusalReason } from '@gladespool/coordination';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
+import type { Frame, FrameOf } from '@gladespool/protocol';
+import { ForwardOperation, FrameKind } from '@gladespool/protocol';
+import type { Executor, OpenTransaction } from '../home/job.js';
+import type { Outcome } from '../model/outcome.js';
+import { refused } from '../model/outcome.js';
+import { decodeJob, decodeStep, decodeWork, encodeReply } from './forward-frames.js';
+
+type ForwardAsk = FrameOf<FrameKind.ForwardAsk>;
+
+interface HeldTransaction {
+  readonly link: PeerLink;
+  readonly transaction: OpenTransaction;
+}
+
+/** Outcome of a question, with the handle of a transaction that it opened. */
+interface Served {
+  readonly handle: number;
+  readonly outcome: Outcome | undefined;
+}
+
+/** Serving side of forwarding. */
+export class ForwardService implements PeerHandler {
+  private readonly held = new Map<number, HeldTransaction>();
+  private nextHandle = 1;
+
+  constructor(private readonly executor: Executor) {}
+
+  onFrame(link: PeerLink, frame: Frame): void {
+    if (frame.kind === FrameKind.ForwardAsk) void this.answer(link, frame);
+    if (frame.kind === FrameKind.ForwardRollback) this.rollBack(frame.transaction);
+  }
+
+  onLost(link: PeerLink): void {
+    for (const [handle, held] of this.held) if (held.link === link) this.rollBack(handle);
+  }
+
+  private async answer(link: PeerLink, ask: ForwardAsk): Promise<void> {
+    const { handle, outcome } = await this.serve(link, ask, performance.now());
+    const sent = link.send(encodeReply(ask.id, handle, outcome));
+    if (!sent && handle !== 0) this.rollBack(handle);
+  }
+
+  private async serve(link: PeerLink, ask: ForwardAsk, now: number): Promise<Served> {
+    const work = decodeWork(ask.work);
+    switch (ask.operation) {
+      case ForwardOperation.Run:
+        if (ask.route === undefined || work === undefined) return misuse();
+        return served(await this.executor.run({ ...decodeJob(ask, ask.route, now), work }));
+      case ForwardOperation.Begin:
+        return this.begin(link, ask, now);
+      case ForwardOperation.Step: {
+        const held = this.held.get(ask.transaction);
+        if (held === undefined) return served(refused(RefusalReason.TransactionLost));
+        if (work === undefined) return misuse();
+        const outcome = await held.transaction.run(decodeStep(ask, work, now));
+        if (outcome.kind !== 'completed') this.held.delete(ask.transaction);
+        return served(outcome);
+      }
+      case ForwardOperation.Commit: {
+        const held = this.held.get(ask.transaction);
+        if (held === undefined) return served(refused(RefusalReason.TransactionLost));
+        this.held.delete(ask.transaction);
+        return served(await held.transaction.commit(ask.request, now - ask.arrivedMs));
+      }
+    }
+  }
+
+  private async begin(link: PeerLink, ask: ForwardAsk, now: number): Promise<Served> {
+    if (ask.route === undefined) return misuse();
+    const job = { ...decodeJob(ask, ask.route, now), readOnly: ask.readOnly };
+    const opened = await this.executor.begin(job);
+    if (opened.isErr()) return served(opened.error);
+    const handle = this.nextHandle;
+    this.nextHandle += 1;
+    this.held.set(handle, { link, transaction: opened.value });
+    if (!link.ready) this.rollBack(handle);
+    return { handle, outcome: undefined };
+  }
+
+  private rollBack(handle: number): void {
+    this.held.get(handle)?.transaction.rollback();
+    this.held.delete(handle);
+  }
+}
+
+function served(outcome: Outcome): Served {
+  return { handle: 0, outcome };
+}
+
+function misuse(): Served {
+  return served(refused(RefusalReason.SessionMisuse, 'incomplete question'));
+}
--- /dev/null
+++ b/packages/gateway/src/forward/home-directory.ts
@@ -0,0 +1,49 @@
+/**
+ * Which hosts are homes of a group, from the hosts listed now.
+ */
+import type { GroupId, HomePlan, HostId, UpstreamRoom } from '@gladespool/coordination';
+import { planHomes, rankCandidates } from '@gladespool/coordination';
+import type { GatewayBoard } from '../board.js';
+import { BoardSection } from '../board.js';
+
+/** Homes as this host sees them. */
+export class HomeDirectory {
+  private plans = new Map<GroupId, HomePlan>();
+
+  constructor(private readonly board: GatewayBoard) {
+    const reset = (): void => {
+      this.plans = new Map();
+    };
+    board.onChange(BoardSection.Hosts, reset);
+    board.onChange(BoardSection.Catalog, reset);
+    board.onChange(BoardSection.Upstreams, reset);
+  }
+
+  /** The plan of a group. */
+  plan(group: GroupId): HomePlan {
+    const held = this.plans.get(group);
+    if (held !== undefined) return held;
+    const plan = planHomes(group, [...this.board.hosts.values()], this.room(group));
+    this.plans.set(group, plan);
+    return plan;
+  }
+
+  private room(group: GroupId): UpstreamRoom {
+    const connections = this.board.catalog?.groups.get(group)?.connectionsPerUpstream ?? 1;
+    const slots = this.board.upstreamsOf(group).map((entry) => entry.slots);
+    return { connections, slots: Math.max(1, ...slots) };
+  }
+
+  /** Whether this host holds connections of the group; a host that is not listed yet does. */
+  isHome(group: GroupId): boolean {
+    const { board } = this;
+    if (!board.hosts.has(board.host)) return true;
+    return this.plan(group).homes.get(board.az)?.includes(board.host) ?? true;
+  }
+
+  /** Homes of the own zone in the order in which `host` asks them, so that hosts spread over them. */
+  homesFor(group: GroupId, host: HostId): readonly HostId[] {
+    const homes = this.plan(group).homes.get(this.board.az) ?? [];
+    return rankCandidates(`entry|${host}`, homes);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forward/remote-executor.ts
@@ -0,0 +1,135 @@
+/**
+ * Runs the work of sessions on another host.
+ */
+import { Access, RefusalReason } from '@gladespool/coordination';
+import type { PeerAddress } from '@gladespool/peers';
+import type { FrameOf } from '@gladespool/protocol';
+import { ForwardOperation, FrameKind } from '@gladespool/protocol';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { PeerCalls } from '../control/peer-calls.js';
+import type { BeginJob, Job, OpenTransaction, StatementJob, StepJob } from '../home/job.js';
+import type { Outcome } from '../model/outcome.js';
+import { refused } from '../model/outcome.js';
+import { accessOf } from '../model/statement.js';
+import { decodeOutcome, encodeTimes, encodeWork } from './forward-frames.js';
+
+type ForwardReply = FrameOf<FrameKind.ForwardReply>;
+type AskFields = Omit<FrameOf<FrameKind.ForwardAsk>, 'kind' | 'id'>;
+
+/** Added to a statement's time before the other host counts as silent, milliseconds. */
+const SLACK_MS = 50;
+
+/** Work on one other host. */
+export class RemoteExecutor {
+  constructor(
+    private readonly calls: PeerCalls,
+    private readonly peer: PeerAddress,
+  ) {}
+
+  /** Runs a single statement. A write whose answer is lost may have run. */
+  async run(job: StatementJob): Promise<Outcome> {
+    const fields = {
+      ...askOf(ForwardOperation.Run, job, performance.now()),
+      work: encodeWork(job.work),
+    };
+    const reply = await this.ask(fields, timeLeft(job));
+    if (reply !== undefined) return decodeOutcome(reply.outcome) ?? refused(RefusalReason.PeerLost);
+    const isRead = accessOf(job.work) === Access.Read;
+    return refused(isRead ? RefusalReason.UpstreamLostReading : RefusalReason.PeerLost);
+  }
+
+  async begin(job: BeginJob): Promise<Result<OpenTransaction, Outcome>> {
+    const fields = {
+      ...askOf(ForwardOperation.Begin, job, performance.now()),
+      readOnly: job.readOnly,
+    };
+    const reply = await this.ask(fields, timeLeft(job));
+    if (reply === undefined) return err(refused(RefusalReason.PeerUnreachable));
+    const outcome = decodeOutcome(reply.outcome);
+    if (outcome !== undefined) return err(outcome);
+    return ok(new RemoteTransaction(this, job, reply.transaction));
+  }
+
+  /** Asks the other host; undefined when no answer came. */
+  async ask(fields: AskFields, timeoutMs: number): Promise<ForwardReply | undefined> {
+    const build = (id: number) => ({ kind: FrameKind.ForwardAsk, id, ...fields }) as const;
+    const answer = await this.calls.ask(this.peer, build, timeoutMs + SLACK_MS);
+    if (answer.isErr() || answer.value.kind !== FrameKind.ForwardReply) return undefined;
+    return answer.value;
+  }
+
+  /** Tells the other host to roll a transaction back. */
+  rollBack(transaction: number): void {
+    void this.calls.tell(this.peer, { kind: FrameKind.ForwardRollback, transaction });
+  }
+}
+
+/** A transaction that is open on another host. */
+class RemoteTransaction implements OpenTransaction {
+  private over = false;
+  private wrote = false;
+
+  constructor(
+    private readonly executor: RemoteExecutor,
+    private readonly begin: BeginJob,
+    private readonly handle: number,
+  ) {}
+
+  async run(step: StepJob): Promise<Outcome> {
+    if (accessOf(step.work) === Access.Write) this.wrote = true;
+    const fields = this.fields(ForwardOperation.Step, step.id, step);
+    const ask = { ...fields, work: encodeWork(step.work) };
+    const reply = await this.executor.ask(ask, this.begin.route.timeoutMs);
+    const outcome =
+      decodeOutcome(reply?.outcome) ?? refused(RefusalReason.TransactionLost, 'host was lost');
+    if (outcome.kind !== 'completed') this.rollback();
+    return outcome;
+  }
+
+  async commit(id: string, arrivedAt: number): Promise<Outcome> {
+    if (this.over) return refused(RefusalReason.TransactionLost);
+    this.over = true;
+    const fields = this.fields(ForwardOperation.Commit, id, { values: new Map(), arrivedAt });
+    const reply = await this.executor.ask(fields, this.begin.route.timeoutMs);
+    const outcome = decodeOutcome(reply?.outcome);
+    if (outcome !== undefined) return outcome;
+    return refused(this.wrote ? RefusalReason.PeerLost : RefusalReason.TransactionLost);
+  }
+
+  rollback(): void {
+    if (this.over) return;
+    this.over = true;
+    this.executor.rollBack(this.handle);
+  }
+
+  private fields(
+    operation: ForwardOperation,
+    request: string,
+    job: Pick<Job, 'values' | 'arrivedAt'>,
+  ): AskFields {
+    return {
+      operation,
+      request,
+      transaction: this.handle,
+      readOnly: this.begin.readOnly,
+      ...encodeTimes(job, performance.now()),
+    };
+  }
+}
+
+function askOf(operation: ForwardOperation, job: Job, now: number): AskFields {
+  const fields = {
+    operation,
+    request: job.id,
+    transaction: 0,
+    route: job.route,
+    readOnly: false,
+    ...encodeTimes(job, now),
+  };
+  return job.own === undefined ? fields : { ...fields, own: job.own };
+}
+
+function timeLeft(job: Job): number {
+  return Math.max(1, job.arrivedAt + job.route.timeoutMs - performance.now());
+}
--- /dev/null
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -0,0 +1,122 @@
+/**
+ * Decides which host runs a session's work: this one if it is a home of the group, else a home of
+ * the zone; and for what needs a primary that this host can't reach, a host that does.
+ */
+import type { GroupId, HostId } from '@gladespool/coordination';
+import { Access, Consistency, Ran, ranOf, RetryReason } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import type { PeerAddress } from '@gladespool/peers';
+import type { Result } from 'neverthrow';
+import type { GatewayBoard } from '../board.js';
+import type { PeerCalls } from '../control/peer-calls.js';
+import type { GroupHome } from '../home/group-home.js';
+import type { BeginJob, Executor, Job, OpenTransaction, StatementJob } from '../home/job.js';
+import type { LocalExecutor } from '../home/local-executor.js';
+import type { Outcome } from '../model/outcome.js';
+import { accessOf } from '../model/statement.js';
+import type { HomeDirectory } from './home-directory.js';
+import type { ReachNotes } from './reach-notes.js';
+import { RemoteExecutor } from './remote-executor.js';
+
+/** What the routing works with. */
+export interface RoutedExecutorOptions {
+  readonly board: GatewayBoard;
+  readonly local: LocalExecutor;
+  readonly calls: PeerCalls;
+  readonly directory: HomeDirectory;
+  readonly reach: ReachNotes;
+  readonly metrics: HostMetrics;
+  readonly log: Logger;
+}
+
+/** Time for which the primary must have failed this host before others are asked, milliseconds. */
+const DETOUR_AFTER_MS = 150;
+/** Other hosts asked for one statement at most. */
+const MAX_DETOURS = 2;
+
+/** Executor that knows the other hosts. */
+export class RoutedExecutor implements Executor {
+  constructor(private readonly options: RoutedExecutorOptions) {}
+
+  run(job: StatementJob): Promise<Outcome> {
+    const needsPrimary = accessOf(job.work) === Access.Write || this.readsPrimary(job);
+    return this.route(
+      job,
+      needsPrimary,
+      (executor) => executor.run(job),
+      (outcome) => outcome,
+    );
+  }
+
+  begin(job: BeginJob): Promise<Result<OpenTransaction, Outcome>> {
+    const needsPrimary = !job.readOnly || this.readsPrimary(job);
+    return this.route(
+      job,
+      needsPrimary,
+      (executor) => executor.begin(job),
+      (opened) => (opened.isErr() ? opened.error : undefined),
+    );
+  }
+
+  /** Tries hosts in turn as long as the work has certainly not run and another could do better. */
+  private async route<Value>(
+    job: Job,
+    needsPrimary: boolean,
+    attempt: (executor: LocalExecutor | RemoteExecutor) => Promise<Value>,
+    outcomeOf: (value: Value) => Outcome | undefined,
+  ): Promise<Value> {
+    const { local, calls, metrics, log } = this.options;
+    const peers = this.detours(job.route.group, needsPrimary, performance.now());
+    for (const peer of peers) {
+      const value = await attempt(new RemoteExecutor(calls, peer));
+      const outcome = outcomeOf(value);
+      if (outcome === undefined || !couldGoElsewhere(outcome)) return value;
+      metrics.retries.inc({ reason: RetryReason.PeerUnreachable });
+      const { reason } = outcome.refusal;
+      log.info('detour-failed', {
+        request: job.id,
+        group: job.route.group,
+        via: peer.host,
+        reason,
+      });
+      this.options.reach.forget(job.route.group, peer.host as HostId);
+    }
+    return attempt(local);
+  }
+
+  /** Other hosts to ask first, the best one first; none when this host does it itself. */
+  private detours(group: GroupId, needsPrimary: boolean, now: number): readonly PeerAddress[] {
+    const { board, directory, reach, local } = this.options;
+    const home = local.home(group);
+    if (needsPrimary && this.missesPrimary(home, now)) {
+      const reaching = reach.reaching(group, now).slice(0, MAX_DETOURS);
+      if (reaching.length > 0) return this.addresses(reaching);
+    }
+    if (directory.isHome(group)) return [];
+    return this.addresses(directory.homesFor(group, board.host).slice(0, MAX_DETOURS));
+  }
+
+  private missesPrimary(home: GroupHome, now: number): boolean {
+    const { record } = home;
+    const since = record && home.slot(record.primary)?.health.failingSince;
+    return since !== undefined && now - since >= DETOUR_AFTER_MS;
+  }
+
+  private addresses(hosts: readonly HostId[]): readonly PeerAddress[] {
+    const { board } = this.options;
+    return hosts.map((host) => board.hosts.get(host)).filter((entry) => entry !== undefined);
+  }
+
+  private readsPrimary(job: Job): boolean {
+    if (job.route.consistency === Consistency.Primary) return true;
+    const { marks } = this.options.local.home(job.route.group);
+    return marks.oldestSince(job.beganAt - job.route.maxStalenessMs) === undefined;
+  }
+}
+
+/** Whether the work has certainly not run, for a reason that another host may not have. */
+function couldGoElsewhere(
+  outcome: Outcome,
+): outcome is Extract<Outcome, { readonly kind: 'refused' }> {
+  return outcome.kind === 'refused' && ranOf(outcome.refusal) === Ran.No;
+}
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -16,6 +16,10 @@
 import type { CallerCodec } from './entry/caller-codec.js';
 import { CallerServer } from './entry/caller-server.js';
 import { RequestJournal } from './entry/request-journal.js';
+import { ForwardService } from './forward/forward-service.js';
+import { HomeDirectory } from './forward/home-directory.js';
+import { ReachNotes } from './forward/reach-notes.js';
+import { RoutedExecutor } from './forward/routed-executor.js';
 import type { GatewayRules } from './gateway-rules.js';
 import { LocalExecutor } from './home/local-executor.js';
 import type { UpstreamDriver } from './model/upstream-wire.js';
@@ -44,6 +48,8 @@
   readonly board: GatewayBoard;
   private readonly log: Logger;
   private readonly holds: WriteHolds;
+  private readonly directory: HomeDirectory;
+  private readonly reach = new ReachNotes();
   private readonly executor: LocalExecutor;
   private readonly control: ControlPlane;
   private readonly callers: CallerServer;
@@ -53,13 +59,16 @@
     this.board = new GatewayBoard(self.host, self.az);
     this.log = createLogger('gateway', { host: self.host });
     this.holds = new WriteHolds(this.board);
+    this.directory = new HomeDirectory(this.board);
     this.executor = this.createExecutor();
     this.control = new ControlPlane({
       ...options,
       board: this.board,
       holds: this.holds,
+      reach: this.reach,
       home: (group) => this.executor.home(group),
     });
+    this.control.network.addHandler(new ForwardService(this.executor));
     this.callers = this.createCallers();
     this.board.onChange(BoardSection.Hosts, () => {
       metrics.liveHosts.set(this.board.hosts.size);
@@ -95,18 +104,32 @@
       driver,
       rules: rules.home,
       holds: this.holds,
+      directory: this.directory,
       random: new SeededRandom(seed),
       metrics,
       log: createLogger('home', { host: self.host }),
     });
   }
 
+  private createRouting(): RoutedExecutor {
+    const { self, metrics } = this.options;
+    return new RoutedExecutor({
+      board: this.board,
+      local: this.executor,
+      calls: this.control.calls,
+      directory: this.directory,
+      reach: this.reach,
+      metrics,
+      log: createLogger('forward', { host: self.host }),
+    });
+  }
+
   private createCallers(): CallerServer {
     const { createCodec, rules, self, metrics } = this.options;
     const log = createLogger('caller', { host: self.host });
     const journal = new RequestJournal(metrics, log);
     return new CallerServer({
-      session: { board: this.board, executor: this.executor, journal },
+      session: { board: this.board, executor: this.createRouting(), journal },
       createCodec,
       maxCallers: rules.maxCallers,
       startTimeoutMs: rules.startTimeoutMs,
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -3,11 +3,10 @@
  * seen.
  */
 import type { PrimaryRecord } from '@gladespool/coordination';
-import { RefusalReason } from '@gladespool/coordination';
+import { RefusalReason, UpstreamFault } from '@gladespool/coordination';
 import type { Lease } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import { UpstreamFault } from '../model/outcome.js';
 import type { Work } from '../model/statement.js';
 import type { UpstreamAnswer, UpstreamCommand } from '../model/upstream-wire.js';
 import type { GroupHome } from './group-home.js';
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -14,13 +14,13 @@
   chooseUpstream,
   hasAuthority,
   MarkLog,
-  planHomes,
   Priority,
   RetryReason,
 } from '@gladespool/coordination';
 import type { AuthorityRules } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../board.js';
+import type { HomeDirectory } from '../forward/home-directory.js';
 import type { WriteHolds } from '../control/write-holds.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
@@ -41,6 +41,7 @@
   readonly driver: UpstreamDriver;
   readonly rules: HomeRules;
   readonly holds: WriteHolds;
+  readonly directory: HomeDirectory;
   readonly random: RandomSource;
   readonly metrics: HostMetrics;
   readonly log: Logger;
@@ -159,10 +160,9 @@
   }
 
   private limits(): { readonly maxConnections: number; readonly maxWaiting: number } {
-    const { board, rules } = this.context;
-    const budget = board.catalog?.groups.get(this.group)?.connectionsPerUpstream ?? 1;
-    const plan = planHomes(this.group, [...board.hosts.values()], budget);
-    return { maxConnections: plan.connectionsPerHome, maxWaiting: rules.maxWaiting };
+    const { directory, rules } = this.context;
+    const { connectionsPerHome } = directory.plan(this.group);
+    return { maxConnections: connectionsPerHome, maxWaiting: rules.maxWaiting };
   }
 }
 
--- a/packages/gateway/src/home/local-executor.ts
+++ b/packages/gateway/src/home/local-executor.ts
@@ -2,13 +2,13 @@
  * Runs the work of sessions on this host's own homes.
  */
 import type { GroupId, Refusal, UpstreamId } from '@gladespool/coordination';
-import { RefusalReason, RetryReason } from '@gladespool/coordination';
+import { Access, RefusalReason, RetryReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
 import { BoardSection } from '../board.js';
 import type { Outcome } from '../model/outcome.js';
 import { NOT_RUN, refused } from '../model/outcome.js';
-import { Access, accessOf } from '../model/statement.js';
+import { accessOf } from '../model/statement.js';
 import { awaitAuthority } from './await-authority.js';
 import type { HomeContext } from './group-home.js';
 import { GroupHome } from './group-home.js';
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -1,12 +1,12 @@
 /**
  * A transaction on one upstream connection, from its begin to its end.
  */
-import { RefusalReason } from '@gladespool/coordination';
+import { Access, RefusalReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { Outcome } from '../model/outcome.js';
 import { refused } from '../model/outcome.js';
-import { Access, accessOf } from '../model/statement.js';
+import { accessOf } from '../model/statement.js';
 import type { UpstreamAnswer } from '../model/upstream-wire.js';
 import { WireLoss } from '../model/upstream-wire.js';
 import type { Borrowed } from './exchange.js';
--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -2,9 +2,9 @@
  * Single reads: tried at one upstream after another within the statement's time.
  */
 import type { RefusalReason as Reason, UpstreamId } from '@gladespool/coordination';
-import { RefusalReason, RetryReason } from '@gladespool/coordination';
+import { RefusalReason, RetryReason, UpstreamFault } from '@gladespool/coordination';
 import type { Outcome } from '../model/outcome.js';
-import { refused, UpstreamFault } from '../model/outcome.js';
+import { refused } from '../model/outcome.js';
 import type { UpstreamAnswer } from '../model/upstream-wire.js';
 import { borrow, send } from './exchange.js';
 import type { GroupHome } from './group-home.js';
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -2,11 +2,10 @@
  * Where a read may run, so that it shows every commit that it has to.
  */
 import type { Position, Refusal, UpstreamId } from '@gladespool/coordination';
-import { readFloor, RefusalReason, refuse } from '@gladespool/coordination';
+import { Consistency, readFloor, RefusalReason, refuse } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { UpstreamEntry } from '../model/catalog.js';
-import { Consistency } from '../model/catalog.js';
 import type { GroupHome } from './group-home.js';
 import type { Job } from './job.js';
 
--- a/packages/gateway/src/home/upstream-health.ts
+++ b/packages/gateway/src/home/upstream-health.ts
@@ -24,6 +24,8 @@
   lastAnswerAt = Number.NEGATIVE_INFINITY;
   /** Local time of the first failure since the latest answer; undefined while it answers. */
   failingSince: number | undefined;
+  /** Local time of the latest failure. */
+  lastFailureAt = Number.NEGATIVE_INFINITY;
   private failures = 0;
 
   noteAnswer(now: number, tookMs: number): void {
@@ -40,6 +42,7 @@
 
   /** Notes a lost connection or a refused one, for work that began at `since`. */
   noteFailure(now: number, since = now): void {
+    this.lastFailureAt = now;
     this.failingSince ??= Math.max(since, this.lastAnswerAt);
     const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** this.failures);
     this.failures += 1;
--- a/packages/gateway/src/home/upstream-probe.ts
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -2,9 +2,9 @@
  * Asks upstreams for their status on connections of its own, so that a full pool or a dead pooled
  * connection does not pass for a dead upstream.
  */
+import { UpstreamFault } from '@gladespool/coordination';
 import type { GroupId, UpstreamId } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../model/catalog.js';
-import { UpstreamFault } from '../model/outcome.js';
 import type { UpstreamDriver, UpstreamStatus, UpstreamWire } from '../model/upstream-wire.js';
 
 /** What a probe found. */
--- a/packages/gateway/src/home/write-flow.ts
+++ b/packages/gateway/src/home/write-flow.ts
@@ -2,9 +2,9 @@
  * Single writes: sent once to the primary under proved authority, confirmed only if the proof still
  * holds when the answer comes.
  */
-import { RefusalReason, RetryReason } from '@gladespool/coordination';
+import { RefusalReason, RetryReason, UpstreamFault } from '@gladespool/coordination';
 import type { Outcome } from '../model/outcome.js';
-import { refused, UpstreamFault } from '../model/outcome.js';
+import { refused } from '../model/outcome.js';
 import type { UpstreamAnswer } from '../model/upstream-wire.js';
 import { WireLoss } from '../model/upstream-wire.js';
 import { awaitAuthority } from './await-authority.js';
--- a/packages/gateway/src/model/catalog.ts
+++ b/packages/gateway/src/model/catalog.ts
@@ -1,17 +1,7 @@
 /**
  * What the operators configure, as the gateway uses it.
  */
-import type { AzId, GroupId, UpstreamId } from '@gladespool/coordination';
-
-/** Which commits a read has to see. */
-export enum Consistency {
-  /** Every commit confirmed before the read began. */
-  Primary = 'primary',
-  /** Every commit older than the bound. */
-  BoundedStaleness = 'bounded-staleness',
-  /** Every commit older than the bound, and all of the same session. */
-  ReadYourWrites = 'read-your-writes',
-}
+import type { AzId, Consistency, GroupId, UpstreamId } from '@gladespool/coordination';
 
 /** How statements for one database are served. */
 export interface Route {
@@ -59,6 +49,8 @@
   readonly port: number;
   readonly az: AzId;
   readonly role: ReportedRole;
+  /** Statements that it runs at once. */
+  readonly slots: number;
   /** Whether it is about to leave and takes no new work. */
   readonly draining: boolean;
 }
--- a/packages/gateway/src/model/outcome.ts
+++ b/packages/gateway/src/model/outcome.ts
@@ -2,21 +2,7 @@
  * Outcomes of a statement: rows of an upstream, an error that the upstream told, or a refusal.
  */
 import type { Refusal, RefusalReason, SessionPosition } from '@gladespool/coordination';
-import { refuse } from '@gladespool/coordination';
-
-/** Errors that an upstream tells. */
-export enum UpstreamFault {
-  Busy = 'busy',
-  Lagging = 'lagging',
-  ReadOnly = 'read-only',
-  Misrouted = 'misrouted',
-  Overloaded = 'overloaded',
-  UnknownStatement = 'unknown-statement',
-  Aborted = 'aborted',
-  Failed = 'failed',
-  TimedOut = 'timed-out',
-  Other = 'other',
-}
+import { refuse, UpstreamFault } from '@gladespool/coordination';
 
 /** Faults that tell that the statement did not run. */
 export const NOT_RUN: ReadonlySet<UpstreamFault> = new Set([
--- a/packages/gateway/src/model/statement.ts
+++ b/packages/gateway/src/model/statement.ts
@@ -2,11 +2,7 @@
  * Statements of a caller's session, whatever protocol brought them.
  */
 
-/** Whether a statement reads or writes. */
-export enum Access {
-  Read = 'read',
-  Write = 'write',
-}
+import type { Access } from '@gladespool/coordination';
 
 /** Kinds of statements. */
 export enum StatementKind {
--- a/packages/gateway/src/model/upstream-wire.ts
+++ b/packages/gateway/src/model/upstream-wire.ts
@@ -1,11 +1,10 @@
 /**
  * What the gateway asks of a connection to an upstream; a codec for each protocol implements it.
  */
-import type { GladespoolError, GroupId, Position } from '@gladespool/coordination';
+import type { GladespoolError, GroupId, Position, UpstreamFault } from '@gladespool/coordination';
 import type { PoolConnection } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
 import type { UpstreamEntry } from './catalog.js';
-import type { UpstreamFault } from './outcome.js';
 import type { PreparedShape } from './statement.js';
 
 /** Id of statements that no caller sent. */
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -1,7 +1,15 @@
 /**
  * Messages between the system's own processes: CBOR behind a 32-bit length, checked on arrival.
  */
-import { GroupPhase, MemberState, Priority, RefusalReason } from '@gladespool/coordination';
+import {
+  Access,
+  Consistency,
+  GroupPhase,
+  MemberState,
+  Priority,
+  RefusalReason,
+  UpstreamFault,
+} from '@gladespool/coordination';
 import { z } from 'zod';
 import { TransactionStatus } from '../pg/message-type.js';
 
@@ -35,6 +43,19 @@
   ReachAsk = 'reach-ask',
   ReachReply = 'reach-reply',
   Suspect = 'suspect',
+  ForwardAsk = 'forward-ask',
+  ForwardReply = 'forward-reply',
+  ForwardRollback = 'forward-rollback',
+}
+
+/** What a host asks of another one that holds better connections for it. */
+export enum ForwardOperation {
+  /** A single statement. */
+  Run = 'run',
+  Begin = 'begin',
+  /** A statement inside a transaction. */
+  Step = 'step',
+  Commit = 'commit',
 }
 
 /** What a request does, as the entry classified it. */
@@ -93,6 +114,47 @@
   .object({ key: z.string(), value: z.string(), revision: count })
   .readonly();
 
+const sessionPositionSchema = z.object({ epoch: count, position: positionSchema }).readonly();
+
+/** How statements for one database are served, as the forwarding host has it. */
+const forwardRouteSchema = z
+  .object({
+    database: z.string(),
+    group: z.string(),
+    consistency: z.enum(Consistency),
+    maxStalenessMs: z.number(),
+    timeoutMs: z.number(),
+    targetLatencyMs: z.number(),
+    priority: z.number(),
+  })
+  .readonly();
+
+/** A text passed on unchanged, or a prepared shape with its arguments. */
+const forwardWorkSchema = z
+  .object({
+    access: z.enum(Access),
+    text: z.string().optional(),
+    shape: z.string().optional(),
+    args: z.string().optional(),
+  })
+  .readonly();
+
+const forwardOutcomeSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('completed'),
+    rows: z.array(z.string()).readonly(),
+    signature: z.string(),
+    committed: sessionPositionSchema.optional(),
+  }),
+  z.object({
+    kind: z.literal('faulted'),
+    fault: z.enum(UpstreamFault),
+    code: z.string(),
+    text: z.string(),
+  }),
+  z.object({ kind: z.literal('refused'), reason: z.enum(RefusalReason), detail: z.string() }),
+]);
+
 const partSchema = z.object({ hash: z.string(), text: z.string() }).readonly();
 const id = z.int().nonnegative();
 
@@ -211,6 +273,32 @@
   z.object({ kind: z.literal(FrameKind.ReachAsk), id, group: z.string(), epoch: count }),
   z.object({ kind: z.literal(FrameKind.ReachReply), id, reaches: z.boolean() }),
   z.object({ kind: z.literal(FrameKind.Suspect), group: z.string(), epoch: count }),
+  z.object({
+    kind: z.literal(FrameKind.ForwardAsk),
+    id,
+    operation: z.enum(ForwardOperation),
+    /** Id that the caller gave the statement. */
+    request: z.string(),
+    /** Handle of the open transaction; 0 when there is none. */
+    transaction: count,
+    route: forwardRouteSchema.optional(),
+    readOnly: z.boolean(),
+    work: forwardWorkSchema.optional(),
+    values: z.array(z.tuple([z.string(), z.string()])),
+    own: sessionPositionSchema.optional(),
+    /** Time since the statement or its transaction began, milliseconds. */
+    beganMs: z.number().nonnegative(),
+    /** Time since the statement arrived, milliseconds. */
+    arrivedMs: z.number().nonnegative(),
+  }),
+  z.object({
+    kind: z.literal(FrameKind.ForwardReply),
+    id,
+    /** Handle of the transaction that a begin opened; else 0. */
+    transaction: count,
+    outcome: forwardOutcomeSchema.optional(),
+  }),
+  z.object({ kind: z.literal(FrameKind.ForwardRollback), transaction: count }),
 ]);
 
 /** A frame of any kind. */
