feat(gateway): a majority of the listed hosts renews proofs while the store is away

Ruled out: longer proofs (3 s: a zone cut then costs 4.4 s instead of 2.9 s); renewal by any peer (a host that has acknowledged a claim could be among those not asked). Change: a host renews by the word of more than half of the hosts in the list that it last read (for 20 s at most); a promotion needs the acknowledgement of more than half, and waits for silent hosts from that moment on.

--- a/packages/coordination/src/authority.ts
+++ b/packages/coordination/src/authority.ts
@@ -3,6 +3,10 @@
  * at which it (or the peer that passed the proof on) *sent* the read of the store that returned the
  * record. Whoever changes the primary claims the record first, then waits until every host has
  * given the former primary up, by message or because its proof has run out.
+ *
+ * While the store is away a proof may also be renewed by other hosts: more than half of those listed
+ * say that they have acknowledged no claim. Whoever changes a primary needs the acknowledgement of
+ * more than half as well, so one host at least answers both, and it answers the renewal first.
  */
 import type { PrimaryRecord } from './primary-record.js';
 import { RecordPhase } from './primary-record.js';
@@ -13,6 +17,11 @@
   readonly proofLifeMs: number;
   /** Added when the end of another host's proof is waited for, milliseconds; covers clock rates. */
   readonly marginMs: number;
+  /**
+   * Time for which the list of hosts may be used for renewals, milliseconds. Hosts that join meanwhile
+   * are not in it; too many of them could outvote it.
+   */
+  readonly listLifeMs: number;
 }
 
 /**
@@ -20,7 +29,11 @@
  * and every 250 ms by the others, so that one failed renewal does no harm. docs/MEASUREMENTS.md
  * compares it with 3 s.
  */
-export const DEFAULT_AUTHORITY: AuthorityRules = { proofLifeMs: 1500, marginMs: 100 };
+export const DEFAULT_AUTHORITY: AuthorityRules = {
+  proofLifeMs: 1500,
+  marginMs: 100,
+  listLifeMs: 20_000,
+};
 
 /** What a host knows when it asks whether it may use the primary. */
 export interface AuthorityView {
@@ -45,7 +58,31 @@
   return view.record?.epoch === sentUnder.epoch && hasAuthority(view, now, rules);
 }
 
-/** When a host that does not answer has surely given the former primary up. */
-export function silentHostFreeAt(claimConfirmedAt: number, rules: AuthorityRules): number {
-  return claimConfirmedAt + rules.proofLifeMs + rules.marginMs;
+/**
+ * When a host that does not answer has surely given the former primary up: its proof is from before
+ * the claim, or was renewed before more than half of the hosts had acknowledged the claim.
+ */
+export function silentHostFreeAt(majorityAckedAt: number, rules: AuthorityRules): number {
+  return majorityAckedAt + rules.proofLifeMs + rules.marginMs;
+}
+
+/** Whether `count` hosts are more than half of `listed`. */
+export function isMajority(count: number, listed: number): boolean {
+  return count * 2 > listed;
+}
+
+/** A renewal of a proof by other hosts. */
+export interface PeerRenewal {
+  /** Hosts listed when the store was last read, this one included. */
+  readonly listed: number;
+  /** Hosts that answered, this one included. */
+  readonly answered: number;
+  /** Local time of the read of the list. */
+  readonly listReadAt: number;
+}
+
+/** Whether a renewal by other hosts counts at `now`. */
+export function renewalCounts(renewal: PeerRenewal, now: number, rules: AuthorityRules): boolean {
+  if (now - renewal.listReadAt > rules.listLifeMs) return false;
+  return isMajority(renewal.answered, renewal.listed);
 }
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -15,6 +15,7 @@
 import type { UpstreamDriver } from '../model/upstream-wire.js';
 import type { MetadataStore } from './metadata-store.js';
 import { PeerCalls } from './peer-calls.js';
+import { PeerRenewer } from './peer-renewer.js';
 import { DEFAULT_MONITOR, PrimaryMonitor } from './primary-monitor.js';
 import type { PromotionPort } from './promotion-call.js';
 import { PromotionController } from './promotion-controller.js';
@@ -59,6 +60,7 @@
   private readonly proofs: ProofKeeper;
   private readonly founder: RecordFounder;
   private readonly sync: SyncService;
+  private readonly renewer: PeerRenewer;
   private readonly probe: UpstreamProbe;
   private readonly promotions: PromotionController;
   private timer: NodeJS.Timeout | undefined;
@@ -85,11 +87,12 @@
     this.network = this.createNetwork();
     this.calls = new PeerCalls(this.network);
     this.sync = this.createSync();
+    this.renewer = this.createRenewer();
     this.probe = new UpstreamProbe(driver, () => {
       metrics.upstreamConnections.inc();
     });
     this.promotions = this.createPromotions();
-    for (const handler of [this.calls, this.sync, this.promotions]) {
+    for (const handler of [this.calls, this.sync, this.renewer, this.promotions]) {
       this.network.addHandler(handler);
     }
   }
@@ -118,6 +121,7 @@
     const now = performance.now();
     if (!this.registrar.isListed && this.view.revision > 0) void this.registrar.ensure();
     this.sync.tick(now);
+    this.renewer.tick(now);
     this.view.review(now);
     this.founder.tick(now);
     this.promotions.tick(now);
@@ -152,6 +156,19 @@
     });
   }
 
+  private createRenewer(): PeerRenewer {
+    const { self, board, rules } = this.options;
+    return new PeerRenewer({
+      self,
+      board,
+      view: this.view,
+      proofs: this.proofs,
+      calls: this.calls,
+      authority: rules.home.authority,
+      log: this.log,
+    });
+  }
+
   private createPromotions(): PromotionController {
     const { self, board, store, promotions, holds, home, reach, rules, metrics } = this.options;
     const monitor = new PrimaryMonitor({ board, home, probe: this.probe, rules: DEFAULT_MONITOR });
--- /dev/null
+++ b/packages/gateway/src/control/peer-renewer.ts
@@ -0,0 +1,108 @@
+/**
+ * Renews this host's proof by way of the other hosts while the store does not answer.
+ */
+import type { AuthorityRules } from '@gladespool/coordination';
+import { renewalCounts } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
+import type { Frame } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { PeerCalls } from './peer-calls.js';
+import type { ProofKeeper } from './proof-keeper.js';
+import type { StoreView } from './store-view.js';
+
+/** What the renewer works on. */
+export interface PeerRenewerOptions {
+  readonly self: HostEntry;
+  readonly board: GatewayBoard;
+  readonly view: StoreView;
+  readonly proofs: ProofKeeper;
+  readonly calls: PeerCalls;
+  readonly authority: AuthorityRules;
+  readonly log: Logger;
+}
+
+/** Age of a proof from which it is renewed by way of others, milliseconds: half of its life. */
+const RENEW_AT_MS = 750;
+/** Time between two rounds, milliseconds. */
+const INTERVAL_MS = 200;
+/** Longest time for an answer, milliseconds. */
+const TIMEOUT_MS = 300;
+
+/** Renewals of one host. */
+export class PeerRenewer implements PeerHandler {
+  private asking = false;
+  private lastAskAt = Number.NEGATIVE_INFINITY;
+  private renewing = false;
+
+  constructor(private readonly options: PeerRenewerOptions) {}
+
+  /** Starts a round if one is due at `now`. */
+  tick(now: number): void {
+    const { board } = this.options;
+    const ageMs = now - board.provenSince;
+    if (ageMs < RENEW_AT_MS) {
+      if (ageMs < INTERVAL_MS) this.noteStore();
+      return;
+    }
+    if (this.asking || now - this.lastAskAt < INTERVAL_MS) return;
+    this.lastAskAt = now;
+    void this.round(now);
+  }
+
+  onFrame(link: PeerLink, frame: Frame): void {
+    if (frame.kind !== FrameKind.RenewAsk) return;
+    const { self, view, board } = this.options;
+    if (board.draining) return;
+    const { host, incarnation } = self;
+    const items = [...view.recordItems()];
+    link.send({ kind: FrameKind.RenewReply, id: frame.id, host, incarnation, items });
+  }
+
+  onLost(): void {
+    // A lost link is an answer that did not come.
+  }
+
+  private async round(sentAt: number): Promise<void> {
+    const { proofs, board, self } = this.options;
+    const { list } = proofs;
+    if (list?.hosts.get(self.host) !== self.incarnation) return;
+    this.asking = true;
+    const others = [...list.hosts].filter(([host]) => host !== self.host);
+    const supports = await Promise.all(
+      others.map(([host, incarnation]) => this.supportOf(board.hosts.get(host), incarnation)),
+    );
+    this.asking = false;
+    const answered = 1 + supports.filter((supported) => supported).length;
+    const renewal = { listed: list.hosts.size, answered, listReadAt: list.readAt };
+    const counts = renewalCounts(renewal, performance.now(), this.options.authority);
+    this.noteRound(counts, answered, list.hosts.size);
+    if (counts) proofs.noteRenewal(sentAt);
+  }
+
+  /** Whether a host answered as the very process that is listed; what it knows is taken over. */
+  private async supportOf(entry: HostEntry | undefined, incarnation: number): Promise<boolean> {
+    if (entry === undefined) return false;
+    const { calls, view } = this.options;
+    const answer = await calls.ask(entry, (id) => ({ kind: FrameKind.RenewAsk, id }), TIMEOUT_MS);
+    if (answer.isErr() || answer.value.kind !== FrameKind.RenewReply) return false;
+    view.takeItems(answer.value.items, performance.now());
+    return answer.value.host === entry.host && answer.value.incarnation === incarnation;
+  }
+
+  private noteRound(counts: boolean, answered: number, listed: number): void {
+    if (counts === this.renewing) return;
+    this.renewing = counts;
+    this.options.log.info(counts ? 'proof-renewed-by-hosts' : 'proof-not-renewed', {
+      answered,
+      listed,
+    });
+  }
+
+  private noteStore(): void {
+    if (!this.renewing) return;
+    this.renewing = false;
+    this.options.log.info('proof-renewed-by-store');
+  }
+}
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -13,6 +13,7 @@
 import {
   chooseSuccessor,
   claimDuty,
+  isMajority,
   RecordPhase,
   silentHostFreeAt,
 } from '@gladespool/coordination';
@@ -180,18 +181,28 @@
    * Makes sure that no host uses the former primary any more. Hosts that listed themselves later read
    * the claim before they hold a proof.
    *
-   * @returns local time from which that holds; undefined when the listed hosts are not known for sure.
+   * @returns local time from which that holds; undefined when the listed hosts are not known for
+   *   sure or not more than half of them answer.
    */
   private async revoke(claim: Claim): Promise<number | undefined> {
     if (!(await this.ctx.proofs.read())) return undefined;
+    let acked = 1;
+    let majorityAt = claim.confirmedAt;
+    const listed = this.ctx.board.hosts.size;
     const answers = await this.askAll(
       (id) => ({ kind: FrameKind.RevokeAsk, id, item: claim.item }),
       REVOKE_TIMEOUT_MS,
+      () => {
+        if (isMajority(acked, listed)) return;
+        acked += 1;
+        majorityAt = performance.now();
+      },
     );
     const silent = answers.filter((answered) => !answered).length;
-    this.tell('promotion-revoked', { asked: answers.length, silent });
+    this.tell('promotion-revoked', { listed, silent });
     if (silent === 0) return performance.now();
-    return silentHostFreeAt(claim.confirmedAt, this.ctx.authority);
+    if (!isMajority(listed - silent, listed)) return undefined;
+    return silentHostFreeAt(majorityAt, this.ctx.authority);
   }
 
   /** The upstream to promote; after a planned hold one that holds all that the former one has. */
@@ -306,11 +317,17 @@
   private async askAll(
     build: Parameters<PeerCalls['ask']>[1],
     timeoutMs: number,
+    onAnswer: () => void = () => undefined,
   ): Promise<readonly boolean[]> {
     const { board, calls } = this.ctx;
     const others = [...board.hosts.values()].filter((host) => host.host !== board.host);
-    const answers = await Promise.all(others.map((host) => calls.ask(host, build, timeoutMs)));
-    return answers.map((answer) => answer.isOk());
+    return Promise.all(
+      others.map(async (host) => {
+        const answer = await calls.ask(host, build, timeoutMs);
+        if (answer.isOk()) onAnswer();
+        return answer.isOk();
+      }),
+    );
   }
 
   private giveUp(reason: string): false {
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -21,11 +21,17 @@
 
 export const DEFAULT_PROOFS: ProofRules = { intervalMs: 450, timeoutMs: 1000 };
 
-/** A proof read from the store by this host itself; only such ones are passed on. */
+/** The hosts that were listed when this host last read the store. */
+export interface HostList {
+  readonly readAt: number;
+  /** Incarnations by host. */
+  readonly hosts: ReadonlyMap<HostId, number>;
+}
+
+/** A proof that this host got from the store or a majority itself; only such ones are passed on. */
 export interface FirstHandProof {
   readonly sentAt: number;
-  /** Incarnations of the hosts listed at that read. */
-  readonly hosts: ReadonlyMap<HostId, number>;
+  readonly list: HostList;
 }
 
 /** What the keeper works on. */
@@ -43,6 +49,7 @@
 /** Reads records and hosts at intervals while it is wanted. */
 export class ProofKeeper {
   firstHand: FirstHandProof | undefined;
+  list: HostList | undefined;
   private reading = false;
   private lastSentAt = Number.NEGATIVE_INFINITY;
 
@@ -71,13 +78,21 @@
     const behind = view.revision < range.value.revision;
     view.replace(OWN_PREFIX, range.value, performance.now());
     const hosts = listedHosts(range.value.items);
-    this.firstHand = { sentAt, hosts };
+    this.list = { readAt: sentAt, hosts };
+    this.firstHand = { sentAt, list: this.list };
     if (hosts.get(this.options.self.host) === this.options.self.incarnation) board.prove(sentAt);
     else void registrar.ensure();
     this.checkWatch(behind, range.value.revision);
     return true;
   }
 
+  /** Notes that a majority of the listed hosts renewed the proof, by a round that began at `sentAt`. */
+  noteRenewal(sentAt: number): void {
+    if (this.list === undefined) return;
+    this.options.board.prove(sentAt);
+    this.firstHand = { sentAt, list: this.list };
+  }
+
   /** A watch that has not brought a change within an interval has lost it. */
   private checkWatch(behind: boolean, revision: number): void {
     if (!behind) return;
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -87,6 +87,12 @@
     this.publish(now);
   }
 
+  /** The records of primaries, as stored. */
+  recordItems(): readonly StoreItem[] {
+    const records = [...this.held.values()].filter((held) => held.kind === 'primary');
+    return records.map((held) => held.item);
+  }
+
   /** What a host lacks that is complete up to `revision`. */
   deltaSince(revision: number): ViewDelta {
     const items = [...this.held.values()].map((held) => held.item);
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -145,7 +145,7 @@
     const { view, proofs } = this.options;
     const delta = view.deltaSince(ask.revision);
     const { firstHand } = proofs;
-    const listed = [...(firstHand?.hosts ?? [])].some(
+    const listed = [...(firstHand?.list.hosts ?? [])].some(
       ([host, incarnation]) => host === ask.host && incarnation === ask.incarnation,
     );
     const reply: FrameOf<FrameKind.SyncReply> = {
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -43,6 +43,8 @@
   ReachAsk = 'reach-ask',
   ReachReply = 'reach-reply',
   Suspect = 'suspect',
+  RenewAsk = 'renew-ask',
+  RenewReply = 'renew-reply',
   ForwardAsk = 'forward-ask',
   ForwardReply = 'forward-reply',
   ForwardRollback = 'forward-rollback',
@@ -273,6 +275,15 @@
   z.object({ kind: z.literal(FrameKind.ReachAsk), id, group: z.string(), epoch: count }),
   z.object({ kind: z.literal(FrameKind.ReachReply), id, reaches: z.boolean() }),
   z.object({ kind: z.literal(FrameKind.Suspect), group: z.string(), epoch: count }),
+  z.object({ kind: z.literal(FrameKind.RenewAsk), id }),
+  z.object({
+    kind: z.literal(FrameKind.RenewReply),
+    id,
+    host: z.string(),
+    incarnation: count,
+    /** Every record of a primary that the sender knows, claims that it has acknowledged included. */
+    items: z.array(storeItemSchema),
+  }),
   z.object({
     kind: z.literal(FrameKind.ForwardAsk),
     id,
