--- a/packages/coordination/src/failover.ts
+++ b/packages/coordination/src/failover.ts
@@ -21,7 +21,7 @@
 }
 
 export const DEFAULT_FAILOVER: FailoverRules = {
-  suspectAfterMs: 400,
+  suspectAfterMs: 250,
   rankDelayMs: 100,
   stalledAfterMs: 3500,
   dutyWindowMs: 6000,
--- /dev/null
+++ b/packages/coordination/tests/authority.feature
@@ -0,0 +1,41 @@
+Feature: Who may use a primary, and from when nobody does
+
+  Scenario Outline: A host uses the primary only under a young proof of a serving record
+    Given a record in phase "<phase>" and a proof sent at <proved> ms
+    Then at <now> ms the host <may> use the primary
+
+    Examples:
+      | phase   | proved | now  | may     | why                              |
+      | serving | 0      | 0    | may     | just proved                      |
+      | serving | 0      | 1499 | may     | a proof lives 1.5 s              |
+      | serving | 0      | 1500 | may not | it has run out                   |
+      | claimed | 0      | 1    | may not | another host changes the primary |
+      | none    | 0      | 1    | may not | no record is known               |
+
+  Scenario Outline: An answer counts only under the record with which its question was sent
+    Given a record in phase "serving" and a proof sent at <proved> ms
+    And the question was sent under epoch <epoch>
+    Then an answer at <now> ms <counts>
+
+    # the record held is of epoch 2
+    Examples:
+      | proved | epoch | now  | counts        | why                                    |
+      | 0      | 2     | 100  | counts        | nothing has changed                    |
+      | 0      | 1     | 100  | doesn't count | the primary was changed meanwhile      |
+      | 0      | 2     | 1600 | doesn't count | the proof ran out while it was running |
+
+  Scenario Outline: Other hosts renew a proof only as a majority of a young list
+    Given <answered> of <listed> hosts answer, by a list read <age> ms ago
+    Then the renewal <counts>
+
+    Examples:
+      | answered | listed | age   | counts        | why                                           |
+      | 5        | 8      | 100   | counts        | one zone of three is cut off                  |
+      | 4        | 8      | 100   | doesn't count | a claim may have the other half               |
+      | 3        | 8      | 100   | doesn't count | the cut-off zone itself                       |
+      | 1        | 1      | 100   | counts        | the only host                                 |
+      | 8        | 8      | 20001 | doesn't count | hosts that joined meanwhile could outvote it  |
+
+  Scenario: Silent hosts are waited for from the majority's acknowledgement on
+    Given the majority acknowledged a claim at 200 ms
+    Then silent hosts have given the primary up at 1800 ms
--- /dev/null
+++ b/packages/coordination/tests/authority.steps.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { Given, Then } from '@cucumber/cucumber';
+import type { PeerRenewal, PrimaryRecord } from '../src/index.js';
+import {
+  answerCounts,
+  DEFAULT_AUTHORITY,
+  groupId,
+  hasAuthority,
+  hostId,
+  RecordPhase,
+  renewalCounts,
+  silentHostFreeAt,
+  upstreamId,
+} from '../src/index.js';
+
+interface AuthorityWorld {
+  record: PrimaryRecord | undefined;
+  provedAt: number;
+  sentUnder: PrimaryRecord;
+  renewal: PeerRenewal;
+  majorityAt: number;
+}
+
+const NOW = 50_000;
+
+function recordOf(epoch: number, phase: RecordPhase): PrimaryRecord {
+  const group = groupId('g');
+  return { group, epoch, phase, primary: upstreamId('a'), holder: hostId('h') };
+}
+
+Given(
+  'a record in phase {string} and a proof sent at {int} ms',
+  function (this: AuthorityWorld, phase: string, provedAt: number) {
+    this.record = phase === 'none' ? undefined : recordOf(2, phase as RecordPhase);
+    this.provedAt = provedAt;
+  },
+);
+
+Given('the question was sent under epoch {int}', function (this: AuthorityWorld, epoch: number) {
+  this.sentUnder = recordOf(epoch, RecordPhase.Serving);
+});
+
+Given(
+  '{int} of {int} hosts answer, by a list read {int} ms ago',
+  function (this: AuthorityWorld, answered: number, listed: number, age: number) {
+    this.renewal = { answered, listed, listReadAt: NOW - age };
+  },
+);
+
+Given(
+  'the majority acknowledged a claim at {int} ms',
+  function (this: AuthorityWorld, majorityAt: number) {
+    this.majorityAt = majorityAt;
+  },
+);
+
+Then(
+  /^at (\d+) ms the host (may|may not) use the primary$/,
+  function (this: AuthorityWorld, now: string, may: string) {
+    const view = { record: this.record, provedAt: this.provedAt };
+    assert.equal(hasAuthority(view, Number(now), DEFAULT_AUTHORITY), may === 'may');
+  },
+);
+
+Then(
+  /^an answer at (\d+) ms (counts|doesn't count)$/,
+  function (this: AuthorityWorld, now: string, counts: string) {
+    const view = { record: this.record, provedAt: this.provedAt };
+    const found = answerCounts(this.sentUnder, view, Number(now), DEFAULT_AUTHORITY);
+    assert.equal(found, counts === 'counts');
+  },
+);
+
+Then(/^the renewal (counts|doesn't count)$/, function (this: AuthorityWorld, counts: string) {
+  assert.equal(renewalCounts(this.renewal, NOW, DEFAULT_AUTHORITY), counts === 'counts');
+});
+
+Then(
+  'silent hosts have given the primary up at {int} ms',
+  function (this: AuthorityWorld, at: number) {
+    assert.equal(silentHostFreeAt(this.majorityAt, DEFAULT_AUTHORITY), at);
+  },
+);
--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -7,8 +7,8 @@
 
     Examples:
       | reaching | failing | silent | failed | verdict | why                                       |
-      | 0        | 8       | 0      | 399    | wait    | too early                                 |
-      | 0        | 8       | 0      | 400    | promote | dead for everybody                        |
+      | 0        | 8       | 0      | 249    | wait    | too early                                 |
+      | 0        | 8       | 0      | 250    | promote | dead for everybody                        |
       | 4        | 4       | 0      | 5000   | wait    | half of the hosts still reach it          |
       | 3        | 5       | 0      | 400    | promote | most hosts are cut from it                |
       | 0        | 6       | 2      | 400    | promote | scattered hosts are down, proofs run out  |
--- /dev/null
+++ b/packages/coordination/tests/reads-and-room.feature
@@ -0,0 +1,41 @@
+Feature: Marks behind which reads run, the choice of an upstream, and room at upstreams
+
+  Scenario Outline: A read runs behind the oldest mark that is young enough
+    Given marks "<marks>" under epoch 2
+    When a read begun at <began> ms accepts data <stale> ms old, its session having committed "<own>"
+    Then it runs behind "<floor>"
+
+    # mark = sentAt:term.position; own = epoch:term.position
+    Examples:
+      | marks                   | began | stale | own   | floor | why                                        |
+      | 100:1.5,200:1.8,300:1.9 | 350   | 1500  | none  | 1.5   | the oldest allowed: most replicas have it  |
+      | 100:1.5,200:1.8,300:1.9 | 350   | 200   | none  | 1.8   | not older than the bound                   |
+      | 100:1.5,200:1.8         | 800   | 500   | none  | none  | no mark is young enough                    |
+      | 100:1.5,200:1.8         | 350   | 1500  | 2:1.7 | 1.7   | the session's own commit is later          |
+      | 100:1.5,200:1.8         | 350   | 1500  | 1:1.7 | 1.5   | a commit of an earlier epoch needs no more |
+      | 100:1.5,110:1.6         | 350   | 1500  | none  | 1.5   | marks closer than 20 ms are not kept       |
+
+  Scenario Outline: The upstream with the least expected time serves
+    Given upstreams loaded "<loads>"
+    Then a read at 1000 ms goes to "<chosen>"
+
+    # load = id:role:inFlight:meanMs[:avoidUntil]
+    Examples:
+      | loads                                        | chosen | why                                   |
+      | a:primary:0:20,b:replica:0:20                | b      | the primary has the writes to do      |
+      | a:primary:0:20,b:replica:4:20                | a      | unless the replica is busy            |
+      | b:replica:0:20,c:replica:0:90                | b      | the faster one                        |
+      | b:replica:0:20:2000,c:replica:5:90           | c      | a lagging one is avoided for a while  |
+      | b:replica:0:20:2000,c:replica:0:20:1500      | c      | all avoided: the first to be back     |
+
+  Scenario Outline: Connections are split over few homes, or over all hosts
+    Given <zones> zones of <hosts> hosts and upstreams of <connections> connections and <slots> slots
+    Then each zone has <homes> homes of <each> connections
+
+    Examples:
+      | zones | hosts | connections | slots | homes | each | why                                  |
+      | 3     | 3     | 23          | 3     | 3     | 2    | Ramdin: every host                   |
+      | 3     | 24    | 53          | 3     | 3     | 2    | Ramdin, grown: a few of each zone    |
+      | 4     | 18    | 283         | 5     | 3     | 2    | Harborline, grown: slots, not budget |
+      | 3     | 3     | 4           | 3     | 1     | 1    | a tiny budget                        |
+      | 1     | 1     | 23          | 3     | 1     | 18   | a single host                        |
--- /dev/null
+++ b/packages/coordination/tests/reads-and-room.steps.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { HomePlan, Position, UpstreamLoad } from '../src/index.js';
+import {
+  azId,
+  chooseUpstream,
+  groupId,
+  hostId,
+  MarkLog,
+  planHomes,
+  readFloor,
+  SeededRandom,
+  upstreamId,
+} from '../src/index.js';
+
+interface ReadWorld {
+  marks: MarkLog;
+  floor: Position | undefined;
+  loads: readonly UpstreamLoad[];
+  plan: HomePlan;
+}
+
+const EPOCH = 2;
+
+function positionOf(text: string): Position {
+  const [term, offset] = text.split('.').map(Number);
+  return { term: term ?? 0, offset: offset ?? 0 };
+}
+
+Given('marks {string} under epoch 2', function (this: ReadWorld, marks: string) {
+  this.marks = new MarkLog(EPOCH);
+  for (const mark of marks.split(',')) {
+    const [sentAt, position] = mark.split(':');
+    this.marks.add({ sentAt: Number(sentAt), position: positionOf(position ?? '') });
+  }
+});
+
+When(
+  'a read begun at {int} ms accepts data {int} ms old, its session having committed {string}',
+  function (this: ReadWorld, began: number, stale: number, own: string) {
+    const mark = this.marks.oldestSince(began - stale);
+    const [epoch, position] = own.split(':');
+    const committed =
+      own === 'none' ? undefined : { epoch: Number(epoch), position: positionOf(position ?? '') };
+    this.floor = mark && readFloor(mark, EPOCH, committed);
+  },
+);
+
+Then('it runs behind {string}', function (this: ReadWorld, floor: string) {
+  const found = this.floor === undefined ? 'none' : `${this.floor.term}.${this.floor.offset}`;
+  assert.equal(found, floor);
+});
+
+Given('upstreams loaded {string}', function (this: ReadWorld, loads: string) {
+  this.loads = loads.split(',').map((load) => {
+    const [id, role, inFlight, meanMs, avoidUntil] = load.split(':');
+    return {
+      id: upstreamId(id ?? ''),
+      isPrimary: role === 'primary',
+      inFlight: Number(inFlight),
+      meanMs: Number(meanMs),
+      avoidUntil: Number(avoidUntil ?? '0'),
+    };
+  });
+});
+
+Then('a read at {int} ms goes to {string}', function (this: ReadWorld, now: number, id: string) {
+  const random = new SeededRandom(1);
+  assert.equal(chooseUpstream(this.loads, now, random), id);
+});
+
+Given(
+  '{int} zones of {int} hosts and upstreams of {int} connections and {int} slots',
+  function (this: ReadWorld, zones: number, hosts: number, connections: number, slots: number) {
+    const listed = Array.from({ length: zones * hosts }, (_, index) => ({
+      host: hostId(`h${index}`),
+      az: azId(`z${index % zones}`),
+    }));
+    this.plan = planHomes(groupId('g'), listed, { connections, slots });
+  },
+);
+
+Then(
+  'each zone has {int} homes of {int} connections',
+  function (this: ReadWorld, homes: number, each: number) {
+    for (const ids of this.plan.homes.values()) assert.equal(ids.length, homes);
+    assert.equal(this.plan.connectionsPerHome, each);
+  },
+);
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -2,14 +2,13 @@
  * Decides which host runs a session's work: this one if it is a home of the group, else a home of
  * the zone; and for what needs a primary that this host can't reach, a host that does.
  */
-import type { GroupId, HostId } from '@gladespool/coordination';
+import type { GroupId, HostId, RefusalReason } from '@gladespool/coordination';
 import { Access, Consistency, Ran, ranOf, RetryReason } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { PeerAddress } from '@gladespool/peers';
 import type { Result } from 'neverthrow';
 import type { GatewayBoard } from '../board.js';
 import type { PeerCalls } from '../control/peer-calls.js';
-import type { GroupHome } from '../home/group-home.js';
 import type { BeginJob, Executor, Job, OpenTransaction, StatementJob } from '../home/job.js';
 import type { LocalExecutor } from '../home/local-executor.js';
 import type { Outcome } from '../model/outcome.js';
@@ -29,8 +28,6 @@
   readonly log: Logger;
 }
 
-/** Time for which the primary must have failed this host before others are asked, milliseconds. */
-const DETOUR_AFTER_MS = 150;
 /** Other hosts asked for one statement at most. */
 const MAX_DETOURS = 2;
 
@@ -65,30 +62,38 @@
     attempt: (executor: LocalExecutor | RemoteExecutor) => Promise<Value>,
     outcomeOf: (value: Value) => Outcome | undefined,
   ): Promise<Value> {
-    const { local, calls, metrics, log } = this.options;
-    const peers = this.detours(job.route.group, needsPrimary, performance.now());
-    for (const peer of peers) {
-      const value = await attempt(new RemoteExecutor(calls, peer));
-      const outcome = outcomeOf(value);
-      if (outcome === undefined || !couldGoElsewhere(outcome)) return value;
-      metrics.retries.inc({ reason: RetryReason.PeerUnreachable });
-      const { reason } = outcome.refusal;
-      log.info('detour-failed', {
-        request: job.id,
-        group: job.route.group,
-        via: peer.host,
-        reason,
-      });
-      this.options.reach.forget(job.route.group, peer.host as HostId);
-    }
-    return attempt(local);
+    const { group } = job.route;
+    const elsewhere = async (): Promise<Value | undefined> => {
+      for (const peer of this.detours(group, needsPrimary, performance.now())) {
+        const value = await attempt(new RemoteExecutor(this.options.calls, peer));
+        const outcome = outcomeOf(value);
+        if (outcome === undefined || !couldGoElsewhere(outcome)) return value;
+        this.noteFailed(job, peer, outcome.refusal.reason);
+      }
+      return undefined;
+    };
+    const first = await elsewhere();
+    if (first !== undefined) return first;
+    const own = await attempt(this.options.local);
+    const outcome = outcomeOf(own);
+    if (outcome === undefined || !needsPrimary || !couldGoElsewhere(outcome)) return own;
+    const misses = this.options.local.home(group).missesPrimary(performance.now());
+    return misses ? ((await elsewhere()) ?? own) : own;
+  }
+
+  private noteFailed(job: Job, peer: PeerAddress, reason: RefusalReason): void {
+    const { metrics, log, reach } = this.options;
+    const { group } = job.route;
+    metrics.retries.inc({ reason: RetryReason.PeerUnreachable });
+    log.info('detour-failed', { request: job.id, group, via: peer.host, reason });
+    reach.forget(group, peer.host as HostId);
   }
 
   /** Other hosts to ask first, the best one first; none when this host does it itself. */
   private detours(group: GroupId, needsPrimary: boolean, now: number): readonly PeerAddress[] {
     const { board, directory, reach, local } = this.options;
     const home = local.home(group);
-    if (needsPrimary && this.missesPrimary(home, now)) {
+    if (needsPrimary && home.missesPrimary(now)) {
       const reaching = reach.reaching(group, now).slice(0, MAX_DETOURS);
       if (reaching.length > 0) return this.addresses(reaching);
     }
@@ -96,12 +101,6 @@
     return this.addresses(directory.homesFor(group, board.host).slice(0, MAX_DETOURS));
   }
 
-  private missesPrimary(home: GroupHome, now: number): boolean {
-    const { record } = home;
-    const since = record && home.slot(record.primary)?.health.failingSince;
-    return since !== undefined && now - since >= DETOUR_AFTER_MS;
-  }
-
   private addresses(hosts: readonly HostId[]): readonly PeerAddress[] {
     const { board } = this.options;
     return hosts.map((host) => board.hosts.get(host)).filter((entry) => entry !== undefined);
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -53,6 +53,8 @@
   private readonly executor: LocalExecutor;
   private readonly control: ControlPlane;
   private readonly callers: CallerServer;
+  /** Runs the work of sessions, here or on another host. */
+  readonly routing: RoutedExecutor;
 
   constructor(private readonly options: GatewayOptions) {
     const { self, metrics } = options;
@@ -69,6 +71,7 @@
       home: (group) => this.executor.home(group),
     });
     this.control.network.addHandler(new ForwardService(this.executor));
+    this.routing = this.createRouting();
     this.callers = this.createCallers();
     this.board.onChange(BoardSection.Hosts, () => {
       metrics.liveHosts.set(this.board.hosts.size);
@@ -97,6 +100,11 @@
     this.log.info('stopped');
   }
 
+  /** Closes every link to other hosts, for good. */
+  closePeers(): Promise<void> {
+    return this.control.network.stop();
+  }
+
   private createExecutor(): LocalExecutor {
     const { driver, rules, seed, self, metrics } = this.options;
     return new LocalExecutor({
@@ -105,6 +113,7 @@
       rules: rules.home,
       holds: this.holds,
       directory: this.directory,
+      reach: this.reach,
       random: new SeededRandom(seed),
       metrics,
       log: createLogger('home', { host: self.host }),
@@ -129,7 +138,7 @@
     const log = createLogger('caller', { host: self.host });
     const journal = new RequestJournal(metrics, log);
     return new CallerServer({
-      session: { board: this.board, executor: this.createRouting(), journal },
+      session: { board: this.board, executor: this.routing, journal },
       createCodec,
       maxCallers: rules.maxCallers,
       startTimeoutMs: rules.startTimeoutMs,
--- a/packages/gateway/src/home/await-authority.ts
+++ b/packages/gateway/src/home/await-authority.ts
@@ -15,14 +15,16 @@
 const REVIEW_MS = 25;
 
 /**
- * Waits until the primary may be used.
+ * Waits until the primary may be used and answers.
  *
- * @returns false when the time for which the statement may be held is over.
+ * @returns false when the time for which the statement may be held is over, or when another host can
+ *   run it meanwhile.
  */
 export async function awaitAuthority(home: GroupHome, job: Job, now: number): Promise<boolean> {
   const until = job.arrivedAt + job.route.timeoutMs * HOLD_SHARE;
   for (let time = now; time < until; time = performance.now()) {
     if (mayUsePrimary(home, time)) return true;
+    if (home.missesPrimary(time) && home.hasDetour(time)) return false;
     await recordChange(home, Math.min(REVIEW_MS, until - time));
   }
   return false;
@@ -31,6 +33,7 @@
 function mayUsePrimary(home: GroupHome, now: number): boolean {
   const { record, context } = home;
   if (record === undefined || !context.board.upstreams.has(record.primary)) return false;
+  if (home.missesPrimary(now)) return false;
   return home.hasAuthority(now) && !context.holds.isHeld(home.group, now);
 }
 
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -21,11 +21,15 @@
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../board.js';
 import type { HomeDirectory } from '../forward/home-directory.js';
+import type { ReachNotes } from '../forward/reach-notes.js';
 import type { WriteHolds } from '../control/write-holds.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
 import { UpstreamSlot } from './upstream-slot.js';
 
+/** Longer than a connection that is lost and opened anew, milliseconds. */
+const MISSED_AFTER_MS = 150;
+
 /** Times and bounds of homes. */
 export interface HomeRules {
   readonly authority: AuthorityRules;
@@ -42,6 +46,7 @@
   readonly rules: HomeRules;
   readonly holds: WriteHolds;
   readonly directory: HomeDirectory;
+  readonly reach: ReachNotes;
   readonly random: RandomSource;
   readonly metrics: HostMetrics;
   readonly log: Logger;
@@ -67,6 +72,18 @@
     return hasAuthority(board.authority(this.group), now, rules.authority);
   }
 
+  /** Whether the primary has failed this host for so long that it is better asked by way of others. */
+  missesPrimary(now: number): boolean {
+    const { record } = this;
+    const since = record && this.slot(record.primary)?.health.failingSince;
+    return since !== undefined && now - since >= MISSED_AFTER_MS;
+  }
+
+  /** Whether another host is known to reach the primary. */
+  hasDetour(now: number): boolean {
+    return this.context.reach.reaching(this.group, now).length > 0;
+  }
+
   /** Whether an answer of the primary that arrived at `now` counts. */
   answerCounts(sentUnder: PrimaryRecord, now: number): boolean {
     const { board, rules } = this.context;
--- /dev/null
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -0,0 +1,35 @@
+Feature: Hosts keep to the primary that they can prove, and change it together
+
+  Scenario: A dead primary is replaced and writes go on
+    Given 3 hosts that serve a group
+    When the primary dies
+    Then another upstream becomes the primary under one fence
+    And every host writes there, none at the former primary after the change
+
+  Scenario: A host whose peers are refused is waited for until its proof has run out
+    Given 3 hosts that serve a group
+    When host 2 can no longer be asked by others, and the primary dies for the others
+    Then host 2 counted no answer after the first call for a promotion
+    And another upstream becomes the primary under one fence
+
+  Scenario: Half of the hosts miss a primary that the others reach
+    Given 3 hosts that serve a group
+    When host 0 misses the primary
+    Then host 0 still writes, by way of another host
+    And no promotion is called for
+
+  Scenario: The store is away and the hosts renew their proofs among themselves
+    Given 3 hosts that serve a group
+    When the store is away for 2500 ms
+    Then every host still writes
+
+  Scenario: A host that is alone when the store is away stops writing
+    Given 3 hosts that serve a group
+    When the store is away and host 2 can no longer ask others
+    Then host 2 refuses writes as "no-authority" within 2500 ms
+    And the other hosts still write
+
+  Scenario: The answer to a claim is lost
+    Given 3 hosts that serve a group
+    When the primary dies and the answer to the next change of the store is lost
+    Then another upstream becomes the primary under one fence
--- /dev/null
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import { setTimeout as pause } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { UpstreamId } from '@gladespool/coordination';
+import { RecordPhase, upstreamId } from '@gladespool/coordination';
+import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
+
+interface ActionWorld {
+  deployment: FakeDeployment;
+  former: UpstreamId;
+  lastCountedAt: number;
+}
+
+const FORMER = upstreamId('u0');
+
+After(async function (this: Partial<ActionWorld>) {
+  await this.deployment?.stop();
+});
+
+Given(
+  '{int} hosts that serve a group',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, count: number) {
+    this.deployment = new FakeDeployment();
+    await this.deployment.start(count);
+    this.former = FORMER;
+  },
+);
+
+function host(world: ActionWorld, index: number): FakeDeployment['hosts'][number] {
+  const found = world.deployment.hosts[index];
+  assert.ok(found, `host ${index}`);
+  return found;
+}
+
+function killPrimary(world: ActionWorld): void {
+  const primary = world.deployment.group.upstreams.get(FORMER);
+  assert.ok(primary);
+  primary.dead = true;
+}
+
+When('the primary dies', function (this: ActionWorld) {
+  killPrimary(this);
+});
+
+When('host {int} misses the primary', function (this: ActionWorld, index: number) {
+  host(this, index).driver.unreachable.add(FORMER);
+});
+
+When(
+  'host {int} can no longer be asked by others, and the primary dies for the others',
+  async function (this: ActionWorld, index: number) {
+    const alone = host(this, index);
+    await alone.gateway.closePeers();
+    alone.store.cut = true;
+    for (const other of this.deployment.hosts) {
+      if (other !== alone) other.driver.unreachable.add(FORMER);
+    }
+    this.lastCountedAt = performance.now();
+    while (this.deployment.group.promotions.length === 0) {
+      const outcome = await this.deployment.run(alone, `WRITE x ${Math.random()}`);
+      if (outcome.kind === 'completed') this.lastCountedAt = performance.now();
+      await pause(10);
+    }
+  },
+);
+
+Then('host 2 counted no answer after the first call for a promotion', function (this: ActionWorld) {
+  const [first] = this.deployment.group.promotions;
+  assert.ok(first);
+  assert.ok(first.at > this.lastCountedAt);
+});
+
+Then(
+  'another upstream becomes the primary under one fence',
+  { timeout: 20_000 },
+  async function (this: ActionWorld) {
+    const { deployment } = this;
+    const reached = deployment.hosts.filter(({ store }) => !store.cut);
+    await deployment.until(() =>
+      reached.every(({ gateway }) => {
+        const record = gateway.board.record(GROUP);
+        return record?.phase === RecordPhase.Serving && record.primary !== FORMER;
+      }),
+    );
+    const fences = deployment.group.promotions.map(({ req }) => req.fence);
+    assert.deepEqual(
+      [...fences].sort((a, b) => a - b),
+      fences,
+    );
+    const holders = new Set(deployment.group.promotions.map(({ req }) => req.holder));
+    assert.equal(holders.size, 1);
+  },
+);
+
+Then(
+  'every host writes there, none at the former primary after the change',
+  async function (this: ActionWorld) {
+    const { deployment } = this;
+    for (const each of deployment.hosts) {
+      const outcome = await deployment.run(each, 'WRITE x 1');
+      assert.equal(outcome.kind, 'completed', JSON.stringify(outcome));
+    }
+    const changedAt = deployment.group.promotions[0]?.at ?? 0;
+    const late = deployment.group.ran.filter(
+      ({ upstream, at }) => upstream === FORMER && at > changedAt,
+    );
+    assert.deepEqual(late, []);
+  },
+);
+
+Then(
+  'host {int} still writes, by way of another host',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, index: number) {
+    const { deployment } = this;
+    let last = '';
+    for (let tries = 0; tries < 10 && last !== 'completed'; tries += 1) {
+      last = (await deployment.run(host(this, index), 'WRITE x 1')).kind;
+    }
+    assert.equal(last, 'completed');
+  },
+);
+
+Then('no promotion is called for', function (this: ActionWorld) {
+  assert.equal(this.deployment.group.promotions.length, 0);
+});
+
+When(
+  'the store is away for {int} ms',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, ms: number) {
+    this.deployment.store.away = true;
+    await pause(ms);
+  },
+);
+
+Then('every host still writes', async function (this: ActionWorld) {
+  for (const each of this.deployment.hosts) {
+    const outcome = await this.deployment.run(each, 'WRITE x 1');
+    assert.equal(outcome.kind, 'completed', JSON.stringify(outcome));
+  }
+});
+
+When(
+  'the store is away and host {int} can no longer ask others',
+  async function (this: ActionWorld, index: number) {
+    this.deployment.store.away = true;
+    await host(this, index).gateway.closePeers();
+  },
+);
+
+Then(
+  'host {int} refuses writes as {string} within {int} ms',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, index: number, reason: string, ms: number) {
+    await pause(ms);
+    const outcome = await this.deployment.run(host(this, index), 'WRITE x 1');
+    assert.ok(outcome.kind === 'refused');
+    assert.equal(outcome.refusal.reason, reason);
+  },
+);
+
+Then('the other hosts still write', async function (this: ActionWorld) {
+  for (const index of [0, 1]) {
+    const outcome = await this.deployment.run(host(this, index), 'WRITE x 1');
+    assert.equal(outcome.kind, 'completed', JSON.stringify(outcome));
+  }
+});
+
+When(
+  'the primary dies and the answer to the next change of the store is lost',
+  function (this: ActionWorld) {
+    this.deployment.store.loseAnswers = 1;
+    killPrimary(this);
+  },
+);
--- /dev/null
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -0,0 +1,187 @@
+/**
+ * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
+ */
+import {
+  azId,
+  Consistency,
+  DEFAULT_AUTHORITY,
+  DEFAULT_FAILOVER,
+  groupId,
+  hostId,
+  upstreamId,
+} from '@gladespool/coordination';
+import type { UpstreamId } from '@gladespool/coordination';
+import { HostMetrics } from '@gladespool/observability';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { ForeignDocument, GatewayRules, Outcome, UpstreamEntry } from '../../src/index.js';
+import {
+  DEFAULT_SYNC,
+  GatewayHost,
+  ReportedRole,
+  Session,
+  RequestJournal,
+  StatementKind,
+} from '../../src/index.js';
+import { Access } from '@gladespool/coordination';
+import { createLogger } from '@gladespool/observability';
+import { FakeDriver, FakeGroup, FakeUpstream } from './fake-group.js';
+import { FakeStore, FakeStoreClient } from './fake-store.js';
+
+export const DATABASE = 'db1';
+export const GROUP = groupId('g1');
+
+const LOOPBACK = '127.0.0.1';
+const POLL_MS = 5;
+const RULES: GatewayRules = {
+  sync: DEFAULT_SYNC,
+  failover: DEFAULT_FAILOVER,
+  home: { authority: DEFAULT_AUTHORITY, connectTimeoutMs: 200, maxWaiting: 16 },
+  drain: { acceptMs: 0, transactionsMs: 10, endMs: 20 },
+  maxCallers: 10,
+  startTimeoutMs: 1000,
+};
+
+/** One host of the deployment with its ways out. */
+export interface FakeHost {
+  readonly gateway: GatewayHost;
+  readonly store: FakeStoreClient;
+  readonly driver: FakeDriver;
+  readonly metrics: HostMetrics;
+}
+
+/** Hosts, a store, and one group of three upstreams in zones z0, z1 and z2. */
+export class FakeDeployment {
+  readonly store = new FakeStore();
+  readonly group = new FakeGroup();
+  readonly hosts: FakeHost[] = [];
+
+  /** Starts `count` hosts and waits until each may use the primary. */
+  async start(count: number): Promise<void> {
+    this.putCatalog();
+    for (const index of [0, 1, 2]) this.addUpstream(index);
+    for (let index = 0; index < count; index += 1) await this.addHost(index);
+    await this.until(() => this.hosts.every(({ gateway }) => this.mayWrite(gateway)));
+    await this.until(() => this.hosts.every(({ gateway }) => gateway.board.hosts.size === count));
+  }
+
+  async stop(): Promise<void> {
+    this.store.away = false;
+    await Promise.all(this.hosts.map(({ gateway }) => gateway.drain()));
+  }
+
+  /** Runs one statement in a session of its own. */
+  async run(host: FakeHost, text: string): Promise<Outcome> {
+    const { board } = host.gateway;
+    const journal = new RequestJournal(host.metrics, createLogger('test'));
+    const session = new Session(DATABASE, { board, executor: host.gateway.routing, journal });
+    const access = text.startsWith('READ') ? Access.Read : Access.Write;
+    const statement = { kind: StatementKind.Run, access, text } as const;
+    const { outcome } = await session.handle(text, statement, performance.now());
+    session.close();
+    return outcome;
+  }
+
+  /** Waits for a condition. */
+  async until(condition: () => boolean): Promise<void> {
+    while (!condition()) await pause(POLL_MS);
+  }
+
+  primary(): UpstreamId | undefined {
+    return this.hosts[0]?.gateway.board.record(GROUP)?.primary;
+  }
+
+  private mayWrite(gateway: GatewayHost): boolean {
+    const { board } = gateway;
+    return board.record(GROUP) !== undefined && Number.isFinite(board.provenSince);
+  }
+
+  private addUpstream(index: number): void {
+    const id = upstreamId(`u${index}`);
+    const upstream = new FakeUpstream(id);
+    upstream.isPrimary = index === 0;
+    this.group.upstreams.set(id, upstream);
+    const role = index === 0 ? ReportedRole.Primary : ReportedRole.Replica;
+    const entry: UpstreamEntry = {
+      id,
+      group: GROUP,
+      address: LOOPBACK,
+      port: 1,
+      az: azId(`z${index}`),
+      role,
+      slots: 3,
+      draining: false,
+    };
+    this.store.put(`upstream/${id}`, entry);
+  }
+
+  private async addHost(index: number): Promise<void> {
+    const store = new FakeStoreClient(this.store);
+    const driver = new FakeDriver(this.group);
+    const metrics = new HostMetrics();
+    const gateway = new GatewayHost({
+      self: {
+        host: hostId(`h${index}`),
+        az: azId(`z${index % 3}`),
+        address: LOOPBACK,
+        port: await freePort(),
+        incarnation: index + 1,
+      },
+      callers: { address: LOOPBACK, port: 0 },
+      store,
+      documents: { read: readDocument },
+      driver,
+      promotions: this.group,
+      createCodec: () => {
+        throw new Error('no caller connects in these tests');
+      },
+      peerKey: Buffer.from('test'),
+      seeds: [],
+      rules: RULES,
+      metrics,
+      seed: index,
+    });
+    await gateway.start();
+    this.hosts.push({ gateway, store, driver, metrics });
+  }
+
+  private putCatalog(): void {
+    this.store.put('catalog', { version: 1 });
+  }
+}
+
+/** Documents of the tests: a fixed catalog, and upstreams as they were put. */
+function readDocument(key: string, text: string): ForeignDocument | undefined {
+  if (key.startsWith('upstream/')) {
+    return { kind: 'upstream', entry: JSON.parse(text) as UpstreamEntry };
+  }
+  if (key !== 'catalog') return undefined;
+  const route = {
+    database: DATABASE,
+    group: GROUP,
+    consistency: Consistency.Primary,
+    maxStalenessMs: 0,
+    timeoutMs: 3000,
+    targetLatencyMs: 500,
+    priority: 1,
+  };
+  const bounds = { group: GROUP, connectionsPerUpstream: 20, syncReplicas: 0 };
+  return {
+    kind: 'catalog',
+    catalog: {
+      version: (JSON.parse(text) as { readonly version: number }).version,
+      routes: new Map([[DATABASE, route]]),
+      groups: new Map([[GROUP, bounds]]),
+      transactionIdleMs: 1000,
+    },
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
--- /dev/null
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -0,0 +1,139 @@
+/**
+ * A group of upstreams in memory: one log each, replicas that hold what the primary had when it was
+ * lost, promotions with growing terms.
+ */
+import type { GladespoolError, GroupId, UpstreamId } from '@gladespool/coordination';
+import { gladespoolError, Step, UpstreamFault } from '@gladespool/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { setTimeout as pause } from 'node:timers/promises';
+import type {
+  PromotionPort,
+  PromotionRequest,
+  UpstreamAnswer,
+  UpstreamCommand,
+  UpstreamDriver,
+  UpstreamEntry,
+  UpstreamStatus,
+  UpstreamWire,
+} from '../../src/index.js';
+import { PromotionAnswer, WireLoss } from '../../src/index.js';
+
+/** One upstream. */
+export class FakeUpstream {
+  dead = false;
+  isPrimary = false;
+  term = 1;
+  offset = 0;
+
+  constructor(readonly id: UpstreamId) {}
+}
+
+/** The upstreams of one group, and the platform that promotes them. */
+export class FakeGroup implements PromotionPort {
+  readonly upstreams = new Map<UpstreamId, FakeUpstream>();
+  /** Calls for promotions that arrived, with the time at which they did. */
+  readonly promotions: { readonly req: PromotionRequest; readonly at: number }[] = [];
+  /** Statements that ran, by upstream. */
+  readonly ran: { readonly upstream: UpstreamId; readonly text: string; readonly at: number }[] =
+    [];
+
+  promote(req: PromotionRequest): Promise<Result<PromotionAnswer, GladespoolError>> {
+    const chosen = this.upstreams.get(req.upstream);
+    if (chosen === undefined || chosen.dead) return Promise.resolve(ok(PromotionAnswer.Refused));
+    this.promotions.push({ req, at: performance.now() });
+    chosen.term = Math.max(...[...this.upstreams.values()].map(({ term }) => term)) + 1;
+    chosen.isPrimary = true;
+    return Promise.resolve(ok(PromotionAnswer.Done));
+  }
+
+  commit(primary: FakeUpstream): void {
+    primary.offset += 1;
+    for (const upstream of this.upstreams.values()) {
+      if (!upstream.isPrimary && !upstream.dead) upstream.offset = primary.offset;
+    }
+  }
+}
+
+/** One host's connections to a group; some upstreams may be out of its reach. */
+export class FakeDriver implements UpstreamDriver {
+  readonly unreachable = new Set<UpstreamId>();
+
+  constructor(private readonly group: FakeGroup) {}
+
+  async connect(
+    entry: UpstreamEntry,
+    _group: GroupId,
+    timeoutMs: number,
+  ): Promise<Result<UpstreamWire, GladespoolError>> {
+    const upstream = this.group.upstreams.get(entry.id);
+    if (upstream !== undefined && !this.misses(upstream)) {
+      return ok(new FakeWire(this.group, upstream, () => this.misses(upstream)));
+    }
+    await pause(Math.min(timeoutMs, SILENCE_MS));
+    return err(gladespoolError({ step: Step.UpstreamConnect, peer: entry.id }, 'silent'));
+  }
+
+  readStatus(row: string): UpstreamStatus {
+    return JSON.parse(row) as UpstreamStatus;
+  }
+
+  private misses(upstream: FakeUpstream): boolean {
+    return upstream.dead || this.unreachable.has(upstream.id);
+  }
+}
+
+const SILENCE_MS = 50;
+
+class FakeWire implements UpstreamWire {
+  private closed = false;
+
+  constructor(
+    private readonly group: FakeGroup,
+    private readonly upstream: FakeUpstream,
+    private readonly isMissed: () => boolean,
+  ) {}
+
+  get usable(): boolean {
+    return !this.closed;
+  }
+
+  get reusable(): boolean {
+    return !this.closed;
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+
+  async exchange(command: UpstreamCommand, timeoutMs: number): Promise<UpstreamAnswer> {
+    await pause(1);
+    if (this.isMissed()) {
+      await pause(Math.min(timeoutMs, SILENCE_MS));
+      this.closed = true;
+      return { kind: 'lost', loss: WireLoss.Timeout };
+    }
+    if (command.kind === 'run') return this.run(command.text);
+    const rows = command.kind === 'status' ? [JSON.stringify(this.status())] : [];
+    return { kind: 'completed', rows, signature: '-', position: this.status().received };
+  }
+
+  private run(text: string): UpstreamAnswer {
+    const { upstream, group } = this;
+    const position = this.status().received;
+    const writes = text.startsWith('WRITE');
+    if (writes && !upstream.isPrimary) {
+      const fault = UpstreamFault.ReadOnly;
+      return { kind: 'faulted', fault, code: 'READONLY', text: upstream.id, position };
+    }
+    if (writes) group.commit(upstream);
+    group.ran.push({ upstream: upstream.id, text, at: performance.now() });
+    const rows = [upstream.id];
+    return { kind: 'completed', rows, signature: 's', position: this.status().received };
+  }
+
+  private status(): UpstreamStatus {
+    const { isPrimary, term, offset } = this.upstream;
+    return { isPrimary, term, received: { term, offset } };
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -0,0 +1,97 @@
+/**
+ * A metadata store in memory, shared by the hosts of a test, that can be away or lose answers.
+ */
+import type { GladespoolError } from '@gladespool/coordination';
+import { gladespoolError, Step } from '@gladespool/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { setTimeout as pause } from 'node:timers/promises';
+import type {
+  ChangeResult,
+  MetadataStore,
+  StoreChange,
+  StoreEvent,
+  StoreItem,
+  StoreRange,
+  WatchResult,
+} from '../../src/index.js';
+
+const POLL_MS = 2;
+const AWAY = gladespoolError({ step: Step.StoreRead, peer: 'store' }, 'store is away');
+
+/** What the store holds. */
+export class FakeStore {
+  revision = 1;
+  away = false;
+  /** Changes that are done but whose answers are lost, from now on. */
+  loseAnswers = 0;
+  readonly items = new Map<string, StoreItem>();
+  readonly events: { readonly revision: number; readonly event: StoreEvent }[] = [];
+
+  put(key: string, value: unknown): void {
+    this.revision += 1;
+    const item = { key, value: JSON.stringify(value), revision: this.revision };
+    this.items.set(key, item);
+    this.events.push({ revision: this.revision, event: { kind: 'written', item } });
+  }
+
+  remove(key: string): void {
+    this.revision += 1;
+    this.items.delete(key);
+    const { revision } = this;
+    this.events.push({ revision, event: { kind: 'removed', key, revision } });
+  }
+}
+
+/** One host's way to the store. */
+export class FakeStoreClient implements MetadataStore {
+  cut = false;
+
+  constructor(private readonly store: FakeStore) {}
+
+  private get away(): boolean {
+    return this.cut || this.store.away;
+  }
+
+  range(prefix: string): Promise<Result<StoreRange, GladespoolError>> {
+    if (this.away) return Promise.resolve(err(AWAY));
+    const items = [...this.store.items.values()].filter((item) => item.key.startsWith(prefix));
+    return Promise.resolve(ok({ items, revision: this.store.revision }));
+  }
+
+  async watch(
+    _prefix: string,
+    after: number,
+    waitMs: number,
+  ): Promise<Result<WatchResult, GladespoolError>> {
+    const until = performance.now() + waitMs;
+    while (!this.away && this.store.revision <= after && performance.now() < until) {
+      await pause(POLL_MS, undefined, { ref: false });
+    }
+    if (this.away) return err(AWAY);
+    const fresh = this.store.events.filter(({ revision }) => revision > after);
+    const events = fresh.map(({ event }) => event);
+    return ok({ kind: 'events', events, revision: this.store.revision });
+  }
+
+  change(change: StoreChange): Promise<Result<ChangeResult, GladespoolError>> {
+    if (this.away) return Promise.resolve(err(AWAY));
+    const { store } = this;
+    const holds = change.conditions.every(
+      ({ key, revision }) => (store.items.get(key)?.revision ?? 0) === revision,
+    );
+    if (!holds) return Promise.resolve(ok({ kind: 'conflict' }));
+    store.revision += 1;
+    for (const { key, value } of change.writes) {
+      const item = { key, value, revision: store.revision };
+      store.items.set(key, item);
+      store.events.push({ revision: store.revision, event: { kind: 'written', item } });
+    }
+    for (const key of change.removals) store.remove(key);
+    if (store.loseAnswers > 0) {
+      store.loseAnswers -= 1;
+      return Promise.resolve(err(AWAY));
+    }
+    return Promise.resolve(ok({ kind: 'done', revision: store.revision }));
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/session.feature
@@ -0,0 +1,52 @@
+Feature: One caller's session
+
+  A session's statements are given in turn; "!" before one means that its upstream refuses it.
+
+  Scenario Outline: States of a session
+    When a caller sends "<statements>" in turn
+    Then the session ends up "<state>" and the answers are "<answers>"
+
+    Examples:
+      | statements                          | state  | answers                                    |
+      | READ x                              | idle   | rows                                       |
+      | BEGIN,READ x                        | open   | done,rows                                  |
+      | BEGIN,READ x,COMMIT                 | idle   | done,rows,rows                             |
+      | BEGIN,COMMIT                        | idle   | done,rows                                  |
+      | BEGIN,ROLLBACK                      | idle   | done,done                                  |
+      | BEGIN,!WRITE x 1                    | failed | done,busy                                  |
+      | BEGIN,!WRITE x 1,READ x             | failed | done,busy,session-misuse                   |
+      | BEGIN,!WRITE x 1,ROLLBACK           | idle   | done,busy,done                             |
+      | BEGIN,!WRITE x 1,COMMIT             | idle   | done,busy,transaction-lost                 |
+      | !READ x                             | idle   | busy                                       |
+      | COMMIT                              | idle   | session-misuse                             |
+      | ROLLBACK                            | idle   | session-misuse                             |
+      | BEGIN,BEGIN                         | failed | done,session-misuse                        |
+      | PREPARE s READ q,EXECUTE s 1        | idle   | done,rows                                  |
+      | EXECUTE s 1                         | idle   | unknown-statement                          |
+      | PREPARE s READ q,DEALLOCATE s,EXECUTE s 1 | idle | done,done,unknown-statement            |
+      | BEGIN,EXECUTE s 1                   | failed | done,unknown-statement                     |
+      | DEALLOCATE s                        | idle   | unknown-statement                          |
+      | SET zone a,READ x                   | idle   | done,rows                                  |
+
+  Scenario: A removed route is refused from the next transaction on, not inside the open one
+    Given a session with an open transaction
+    When its route is removed
+    Then the transaction goes on and commits
+    And the next statement is refused as "unknown-group"
+
+  Scenario: A caller that leaves has its transaction rolled back
+    Given a session with an open transaction
+    When the caller leaves
+    Then the transaction was rolled back
+
+  Scenario: An idle transaction is rolled back after the configured time
+    Given a session with an open transaction and an idle time of 20 ms
+    Then it is rolled back by itself and the session is "failed"
+
+  Scenario: A session's own commit is the floor of its next read
+    When a caller sends "WRITE x 1,READ x" in turn
+    Then the read was asked to see the commit
+
+  Scenario: Values and prepared shapes travel with the work
+    When a caller sends "SET zone a,PREPARE s WRITE q,EXECUTE s 1 data" in turn
+    Then the work was prepared as "write q" with "1 data" under "zone=a"
--- /dev/null
+++ b/packages/gateway/tests/session.steps.ts
@@ -0,0 +1,217 @@
+import assert from 'node:assert/strict';
+import { setTimeout as pause } from 'node:timers/promises';
+import { Given, Then, When } from '@cucumber/cucumber';
+import {
+  Access,
+  azId,
+  Consistency,
+  groupId,
+  hostId,
+  UpstreamFault,
+} from '@gladespool/coordination';
+import { createLogger, HostMetrics } from '@gladespool/observability';
+import type { Result } from 'neverthrow';
+import { ok } from 'neverthrow';
+import type {
+  Executor,
+  OpenTransaction,
+  Outcome,
+  Statement,
+  StatementJob,
+  Work,
+} from '../src/index.js';
+import { DONE, GatewayBoard, RequestJournal, Session, StatementKind } from '../src/index.js';
+
+const DATABASE = 'db1';
+const GROUP = groupId('g1');
+const COMMITTED = { epoch: 1, position: { term: 1, offset: 9 } };
+const IDLE_MS = 20;
+
+/** Executor that answers everything with one row, and refuses works that begin with "!". */
+class FakeExecutor implements Executor, OpenTransaction {
+  readonly jobs: StatementJob[] = [];
+  rolledBack = 0;
+  refuseNext = false;
+
+  run(job: StatementJob | { readonly work: Work }): Promise<Outcome> {
+    if ('route' in job) this.jobs.push(job);
+    const wrote = job.work.kind === 'text' && job.work.access === Access.Write;
+    return Promise.resolve(this.outcome(wrote));
+  }
+
+  begin(): Promise<Result<OpenTransaction, Outcome>> {
+    return Promise.resolve(ok(this));
+  }
+
+  commit(): Promise<Outcome> {
+    return Promise.resolve(this.outcome(true));
+  }
+
+  rollback(): void {
+    this.rolledBack += 1;
+  }
+
+  private outcome(wrote: boolean): Outcome {
+    if (this.refuseNext) {
+      return { kind: 'faulted', fault: UpstreamFault.Busy, code: 'BUSY', text: '' };
+    }
+    const committed = wrote ? COMMITTED : undefined;
+    return { kind: 'completed', rows: ['r'], signature: 's', committed };
+  }
+}
+
+interface SessionWorld {
+  board: GatewayBoard;
+  executor: FakeExecutor;
+  session: Session;
+  answers: readonly string[];
+}
+
+function parse(text: string): Statement {
+  const [word = '', first = '', ...more] = text.split(' ');
+  switch (word) {
+    case 'BEGIN':
+      return { kind: StatementKind.Begin, readOnly: false };
+    case 'COMMIT':
+      return { kind: StatementKind.Commit };
+    case 'ROLLBACK':
+      return { kind: StatementKind.Rollback };
+    case 'SET':
+      return { kind: StatementKind.SetValue, name: first, value: more.join(' ') };
+    case 'PREPARE': {
+      const access = more[0] === 'READ' ? Access.Read : Access.Write;
+      const prepared = { access, shape: more[1] ?? '' };
+      return { kind: StatementKind.Prepare, name: first, prepared };
+    }
+    case 'EXECUTE':
+      return { kind: StatementKind.Execute, name: first, args: more.join(' ') };
+    case 'DEALLOCATE':
+      return { kind: StatementKind.Deallocate, name: first };
+    default: {
+      const access = word === 'READ' ? Access.Read : Access.Write;
+      return { kind: StatementKind.Run, access, text };
+    }
+  }
+}
+
+function describe(outcome: Outcome): string {
+  if (outcome === DONE) return 'done';
+  if (outcome.kind === 'completed') return 'rows';
+  return outcome.kind === 'faulted' ? outcome.fault : outcome.refusal.reason;
+}
+
+function putRoutes(world: SessionWorld, version: number, databases: readonly string[]): void {
+  const route = {
+    group: GROUP,
+    consistency: Consistency.ReadYourWrites,
+    maxStalenessMs: 1500,
+    timeoutMs: 1000,
+    targetLatencyMs: 200,
+    priority: 1,
+  };
+  world.board.putCatalog({
+    version,
+    routes: new Map(databases.map((database) => [database, { ...route, database }])),
+    groups: new Map(),
+    transactionIdleMs: IDLE_MS,
+  });
+}
+
+function open(world: SessionWorld): void {
+  world.board = new GatewayBoard(hostId('h1'), azId('z1'));
+  putRoutes(world, 1, [DATABASE]);
+  world.executor = new FakeExecutor();
+  const journal = new RequestJournal(new HostMetrics(), createLogger('test'));
+  const { board, executor } = world;
+  world.session = new Session(DATABASE, { board, executor, journal });
+}
+
+async function send(world: SessionWorld, statements: readonly string[]): Promise<void> {
+  const answers: string[] = [];
+  for (const text of statements) {
+    world.executor.refuseNext = text.startsWith('!');
+    const statement = parse(text.replace('!', ''));
+    const answer = await world.session.handle('1', statement, performance.now());
+    answers.push(describe(answer.outcome));
+  }
+  world.answers = answers;
+}
+
+When('a caller sends {string} in turn', async function (this: SessionWorld, statements: string) {
+  open(this);
+  await send(this, statements.split(','));
+});
+
+Then(
+  'the session ends up {string} and the answers are {string}',
+  function (this: SessionWorld, state: string, answers: string) {
+    assert.equal(this.answers.join(','), answers);
+    assert.equal(this.session.state, state);
+    this.session.close();
+  },
+);
+
+Given('a session with an open transaction', async function (this: SessionWorld) {
+  open(this);
+  await send(this, ['BEGIN', 'WRITE x 1']);
+});
+
+Given(
+  'a session with an open transaction and an idle time of 20 ms',
+  async function (this: SessionWorld) {
+    open(this);
+    await send(this, ['BEGIN', 'WRITE x 1']);
+  },
+);
+
+When('its route is removed', function (this: SessionWorld) {
+  putRoutes(this, 2, []);
+});
+
+Then('the transaction goes on and commits', async function (this: SessionWorld) {
+  await send(this, ['WRITE y 1', 'COMMIT']);
+  assert.deepEqual(this.answers, ['rows', 'rows']);
+});
+
+Then(
+  'the next statement is refused as {string}',
+  async function (this: SessionWorld, reason: string) {
+    await send(this, ['READ x']);
+    assert.deepEqual(this.answers, [reason]);
+  },
+);
+
+When('the caller leaves', function (this: SessionWorld) {
+  this.session.close();
+});
+
+Then('the transaction was rolled back', function (this: SessionWorld) {
+  assert.equal(this.executor.rolledBack, 1);
+});
+
+Then(
+  'it is rolled back by itself and the session is {string}',
+  async function (this: SessionWorld, state: string) {
+    while (this.executor.rolledBack === 0) await pause(1);
+    assert.equal(this.session.state, state);
+  },
+);
+
+Then('the read was asked to see the commit', function (this: SessionWorld) {
+  assert.deepEqual(this.executor.jobs[1]?.own, COMMITTED);
+});
+
+Then(
+  'the work was prepared as {string} with {string} under {string}',
+  function (this: SessionWorld, shape: string, args: string, value: string) {
+    const [job] = this.executor.jobs;
+    assert.ok(job?.work.kind === 'prepared');
+    const { prepared } = job.work;
+    assert.equal(`${prepared.access} ${prepared.shape}`, shape);
+    assert.equal(job.work.args, args);
+    assert.deepEqual(
+      [...job.values].map(([name, text]) => `${name}=${text}`),
+      [value],
+    );
+  },
+);
