fix(gateway): a host that the store turns away keeps its documents current by way of others

Ruled out: the relay of its zone (turned away as well), the watch (a 429 is an error, not silence). Change: the age of the documents is kept apart from that of the proof and travels with them; the host that last helped is asked again.

--- a/packages/gateway/src/control/peer-renewer.ts
+++ b/packages/gateway/src/control/peer-renewer.ts
@@ -41,9 +41,8 @@
   /** Starts a round if one is due at `now`. */
   tick(now: number): void {
     const { board } = this.options;
-    const ageMs = now - board.provenSince;
-    if (ageMs < RENEW_AT_MS) {
-      if (ageMs < INTERVAL_MS) this.noteStore();
+    if (now - board.provenSince < RENEW_AT_MS) {
+      this.noteStore(now);
       return;
     }
     if (this.asking || now - this.lastAskAt < INTERVAL_MS) return;
@@ -100,8 +99,9 @@
     });
   }
 
-  private noteStore(): void {
-    if (!this.renewing) return;
+  private noteStore(now: number): void {
+    const readAt = this.options.proofs.list?.readAt ?? Number.NEGATIVE_INFINITY;
+    if (!this.renewing || now - readAt > RENEW_AT_MS) return;
     this.renewing = false;
     this.options.log.info('proof-renewed-by-store');
   }
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -82,6 +82,7 @@
     this.firstHand = { sentAt, list: this.list };
     if (hosts.get(this.options.self.host) === this.options.self.incarnation) board.prove(sentAt);
     else void registrar.ensure();
+    if (!behind) view.noteCurrent(sentAt);
     this.checkWatch(behind, range.value.revision);
     return true;
   }
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -58,6 +58,7 @@
   /** Revision of the store up to which this view is complete; 0 before the first read. */
   revision = 0;
   duty: HeldDuty | undefined;
+  private currentAt = Number.NEGATIVE_INFINITY;
   private readonly held = new Map<string, Held>();
   private removed: RemovedKey[] = [];
   /** Changes at or below this revision are not all remembered as removals. */
@@ -70,6 +71,16 @@
     private readonly log: Logger,
   ) {}
 
+  /** Local time at which the documents held were surely those of the store. */
+  get currentSince(): number {
+    return this.currentAt;
+  }
+
+  /** Notes that the documents held were those of the store at local time `at`. */
+  noteCurrent(at: number): void {
+    this.currentAt = Math.max(this.currentAt, at);
+  }
+
   /** Revision of a key's latest change; 0 when it is not there. */
   revisionOf(key: string): number {
     return this.held.get(key)?.item.revision ?? 0;
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -56,6 +56,8 @@
   private lastAskAt = Number.NEGATIVE_INFINITY;
   private lastReplyAt = Number.NEGATIVE_INFINITY;
   private turn = 0;
+  /** The host whose answer last made this one current. */
+  private helpful: PeerAddress | undefined;
 
   constructor(private readonly options: SyncServiceOptions) {}
 
@@ -87,8 +89,13 @@
     return relaysOf(board.az, this.hostsOf(board.az), rules.relays).includes(board.host);
   }
 
+  /**
+   * Whether documents or proof have not been renewed for too long. A proof can be renewed by hosts that
+   * don't reach the store either, so it says nothing about the documents.
+   */
   private isStale(now: number): boolean {
-    return now - this.options.board.provenSince > this.options.rules.staleMs;
+    const { board, view, rules } = this.options;
+    return now - Math.min(board.provenSince, view.currentSince) > rules.staleMs;
   }
 
   private readsStore(now: number): boolean {
@@ -112,7 +119,8 @@
     const az = others[this.turn % Math.max(1, others.length)];
     const far = az === undefined ? undefined : this.pick(this.hostsOf(az));
     const seed = board.hosts.size > 1 ? undefined : seeds[this.turn % Math.max(1, seeds.length)];
-    return [home, far, seed].filter((peer) => peer !== undefined);
+    const asked = [home, far, seed, this.helpful].filter((peer) => peer !== undefined);
+    return [...new Set(asked)];
   }
 
   private pick(hosts: readonly HostId[]): HostEntry | undefined {
@@ -135,10 +143,12 @@
     if (result.isErr() || result.value.kind !== FrameKind.SyncReply) return;
     const now = performance.now();
     view.merge(result.value, now);
-    const { proofAgeMs } = result.value;
-    if (proofAgeMs === undefined) return;
-    board.prove(sentAt - proofAgeMs);
-    if (proofAgeMs < rules.staleMs) this.lastReplyAt = now;
+    const { proofAgeMs, documentsAgeMs } = result.value;
+    if (documentsAgeMs !== undefined) view.noteCurrent(sentAt - documentsAgeMs);
+    if (proofAgeMs !== undefined) board.prove(sentAt - proofAgeMs);
+    if (this.isStale(now)) return;
+    this.lastReplyAt = now;
+    this.helpful = peer;
   }
 
   private answer(link: PeerLink, ask: FrameOf<FrameKind.SyncAsk>): void {
@@ -148,6 +158,7 @@
     const listed = [...(firstHand?.list.hosts ?? [])].some(
       ([host, incarnation]) => host === ask.host && incarnation === ask.incarnation,
     );
+    const now = performance.now();
     const reply: FrameOf<FrameKind.SyncReply> = {
       kind: FrameKind.SyncReply,
       id: ask.id,
@@ -156,10 +167,12 @@
       items: [...delta.items],
       removed: [...delta.removed],
     };
+    const documentsAgeMs = now - view.currentSince;
+    if (Number.isFinite(documentsAgeMs)) reply.documentsAgeMs = documentsAgeMs;
     if (firstHand === undefined || !listed) {
       link.send(reply);
       return;
     }
-    link.send({ ...reply, proofAgeMs: performance.now() - firstHand.sentAt });
+    link.send({ ...reply, proofAgeMs: now - firstHand.sentAt });
   }
 }
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -33,3 +33,8 @@
     Given 3 hosts that serve a group
     When the primary dies and the answer to the next change of the store is lost
     Then another upstream becomes the primary under one fence
+
+  Scenario: Hosts that the store turns away get the newest configuration from others
+    Given 3 hosts that serve a group
+    When the store turns hosts 1 and 2 away for 2000 ms and then holds configuration 2
+    Then host 2 has configuration 2 within 700 ms
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -175,3 +175,25 @@
     killPrimary(this);
   },
 );
+
+When(
+  'the store turns hosts {int} and {int} away for {int} ms and then holds configuration {int}',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, one: number, other: number, ms: number, version: number) {
+    host(this, one).store.cut = true;
+    host(this, other).store.cut = true;
+    await pause(ms);
+    this.deployment.store.put('catalog', { version });
+  },
+);
+
+Then(
+  'host {int} has configuration {int} within {int} ms',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, index: number, version: number, ms: number) {
+    const { board } = host(this, index).gateway;
+    const until = performance.now() + ms;
+    while (board.catalog?.version !== version && performance.now() < until) await pause(10);
+    assert.equal(board.catalog?.version, version);
+  },
+);
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -257,6 +257,8 @@
     revision: count,
     items: z.array(storeItemSchema),
     removed: z.array(z.object({ key: z.string(), revision: count }).readonly()),
+    /** Time since the sender's documents were known to be those of the store, milliseconds. */
+    documentsAgeMs: z.number().nonnegative().optional(),
     /** Age of a proof that the sender read itself, milliseconds, if the asker was listed in it. */
     proofAgeMs: z.number().nonnegative().optional(),
   }),
