fix(gateway): a host that has not read everything changes no primary; a slow read of everything ends; claims in turn

Change: nothing is claimed before the first whole read; an unlisted primary needs the majority's word like a suspected one. Cause 2: on a host of 0.3 cores and 7 Mbit/s a whole read outlasts the time between proofs; each proof started it anew, so configuration 27 never came. Change: a whole read in progress is left alone. Cause 3: two claims of one host at once swap the same duty record and one failed, for 1.2 s. Change: one after the other. Cause 4: a host whose links are cold took all others for silent after 250 ms. Change: 700 ms; the wait for proofs counts from the majority's acknowledgement as before. Ruled out: the relay of its zone (alive), the history of the store (no 410 was told). Tests: authority-in-action.feature, "has not read the upstreams yet" and "takes longer than the time between two proofs" failed before and pass now.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -13,6 +13,7 @@
 import type { GroupHome } from '../home/group-home.js';
 import { UpstreamProbe } from '../home/upstream-probe.js';
 import type { UpstreamDriver } from '../model/upstream-wire.js';
+import { ClaimLock } from './claim-lock.js';
 import type { MetadataStore } from './metadata-store.js';
 import { PeerCalls } from './peer-calls.js';
 import { PeerRenewer } from './peer-renewer.js';
@@ -185,6 +186,7 @@
         network: this.network,
         probe: this.probe,
         holds,
+        claims: new ClaimLock(),
         port: promotions,
         authority: rules.home.authority,
         rules: rules.failover,
--- a/packages/gateway/src/control/peer-renewer.ts
+++ b/packages/gateway/src/control/peer-renewer.ts
@@ -23,8 +23,8 @@
   readonly log: Logger;
 }
 
-/** Age of a proof from which it is renewed by way of others, milliseconds: half of its life. */
-const RENEW_AT_MS = 750;
+/** Age of a proof from which it is renewed by way of others, milliseconds; usual ages reach 0.8 s. */
+const RENEW_AT_MS = 1050;
 /** Time between two rounds, milliseconds. */
 const INTERVAL_MS = 200;
 /** Longest time for an answer, milliseconds. */
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -22,6 +22,7 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard, HostEntry } from '../board.js';
 import type { UpstreamProbe } from '../home/upstream-probe.js';
+import type { ClaimLock } from './claim-lock.js';
 import type { MetadataStore, StoreItem } from './metadata-store.js';
 import { StorePurpose } from './metadata-store.js';
 import type { PeerCalls } from './peer-calls.js';
@@ -43,6 +44,7 @@
   readonly network: PeerNetwork;
   readonly probe: UpstreamProbe;
   readonly holds: WriteHolds;
+  readonly claims: ClaimLock;
   readonly port: PromotionPort;
   readonly authority: AuthorityRules;
   readonly rules: FailoverRules;
@@ -60,7 +62,7 @@
 
 const STORE_TIMEOUT_MS = 1000;
 /** Longest time for a host to give the former primary up before it counts as silent, milliseconds. */
-const REVOKE_TIMEOUT_MS = 250;
+const REVOKE_TIMEOUT_MS = 700;
 /** Time for which writes are held before a planned change, milliseconds; callers wait no longer. */
 const HOLD_MS = 350;
 /** Longest time for an upstream's status, milliseconds. */
@@ -88,6 +90,8 @@
 
 /** One attempt. */
 export class PromotionAttempt {
+  /** Local time before which another attempt is of no use. */
+  notBefore = Number.NEGATIVE_INFINITY;
   private readonly startedAt = performance.now();
 
   constructor(
@@ -100,7 +104,7 @@
   async run(): Promise<boolean> {
     this.tell('promotion-began', { former: this.former.primary });
     if (this.cause === PromotionCause.Draining) await this.holdWrites();
-    const claim = await this.claim();
+    const claim = await this.ctx.claims.run(() => this.claim());
     if (claim === undefined) return false;
     const freeAt = await this.revoke(claim);
     if (freeAt === undefined) return this.giveUp('hosts-unknown');
@@ -133,7 +137,11 @@
     const seen = view.duty && { ...view.duty.duty, seenAt: view.duty.seenAt };
     const duty = claimDuty(seen, self, now, rules);
     if (duty.kind === 'wait') {
-      this.tell('promotion-waits-for-duty', { holder: seen?.holder, wait_ms: duty.until - now });
+      this.notBefore = duty.until;
+      this.tell('promotion-waits-for-duty', {
+        holder: seen?.holder,
+        wait_ms: Math.round(duty.until - now),
+      });
       return undefined;
     }
     const key = primaryKey(this.former.group);
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -30,6 +30,13 @@
 const DUTY_RANK_KEY = 'duty';
 /** Longest time for other hosts to say whether they reach a primary, milliseconds. */
 const REACH_TIMEOUT_MS = 400;
+/** Causes on which the other hosts have to agree. */
+const MISSED: ReadonlySet<PromotionCause> = new Set([
+  PromotionCause.Suspect,
+  PromotionCause.Unlisted,
+]);
+/** Time for which a primary must be unlisted, milliseconds; upstreams that live are back in 2 s. */
+const UNLISTED_MS = 500;
 /** Hosts asked while another one is left to act. */
 const SAMPLE_HOSTS = 8;
 /** Time left to a host that has asked, before this one asks as well, milliseconds. */
@@ -72,7 +79,7 @@
   tick(now: number): void {
     const { monitor, context } = this.options;
     monitor.tick(now, this.actsFirst);
-    if (context.board.draining) return;
+    if (context.board.draining || context.view.revision === 0) return;
     for (const record of context.board.allRecords) this.review(record, now);
   }
 
@@ -125,7 +132,8 @@
     const entry = board.upstreams.get(record.primary);
     if (entry === undefined) {
       state.unlistedSince ??= now;
-      return { cause: PromotionCause.Unlisted, since: state.unlistedSince };
+      const since = state.unlistedSince + UNLISTED_MS;
+      return now < since ? undefined : { cause: PromotionCause.Unlisted, since };
     }
     state.unlistedSince = undefined;
     if (entry.draining) {
@@ -142,13 +150,13 @@
 
   private async act(record: PrimaryRecord, occasion: Occasion, state: GroupState): Promise<void> {
     state.busy = true;
-    const agreed =
-      occasion.cause !== PromotionCause.Suspect ||
-      (await this.othersAgree(record, occasion, state));
+    const asks = MISSED.has(occasion.cause);
+    const agreed = !asks || (await this.othersAgree(record, occasion, state));
     const attempt = new PromotionAttempt(record, occasion.cause, this.options.context);
     const done = agreed && (await attempt.run());
     state.busy = false;
-    state.notBefore = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
+    const retryAt = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
+    state.notBefore = Math.max(retryAt, attempt.notBefore);
   }
 
   /**
@@ -227,6 +235,7 @@
 
   private async answerReach(link: PeerLink, ask: FrameOf<FrameKind.ReachAsk>): Promise<void> {
     this.leaveToOther(link.host as HostId, groupId(ask.group));
+    if (this.options.context.view.revision === 0) return;
     const reaches = await this.options.monitor.reaches(groupId(ask.group));
     link.send({ kind: FrameKind.ReachReply, id: ask.id, reaches });
   }
--- a/packages/gateway/src/control/store-follower.ts
+++ b/packages/gateway/src/control/store-follower.ts
@@ -22,7 +22,7 @@
 
 /** 12 s a watch: three a day of 40 s; a lost one is noticed by the proofs long before. */
 export const DEFAULT_FOLLOWER: FollowerRules = {
-  readTimeoutMs: 1500,
+  readTimeoutMs: 4000,
   watchMs: 12_000,
   retryMs: 250,
 };
@@ -41,6 +41,8 @@
   private active = false;
   /** Changes whenever the running loop must end or start over. */
   private turn = 0;
+  /** Whether everything is being read; on a slow link that outlasts several proofs. */
+  private readingAll = false;
   private reachable = true;
 
   constructor(private readonly options: FollowerOptions) {}
@@ -53,9 +55,9 @@
     if (active) void this.follow(this.turn);
   }
 
-  /** Reads everything again, since the watch has missed a change. */
+  /** Reads everything again, since the watch has missed a change; once is enough at a time. */
   resync(): void {
-    if (!this.active) return;
+    if (!this.active || this.readingAll) return;
     this.turn += 1;
     void this.follow(this.turn);
   }
@@ -74,7 +76,9 @@
 
   private async readAll(turn: number): Promise<boolean> {
     const { store, view, rules } = this.options;
+    this.readingAll = true;
     const range = await store.range('', StorePurpose.Follow, rules.readTimeoutMs);
+    this.readingAll = false;
     if (this.turn !== turn) return false;
     if (range.isErr()) {
       this.noteLost(range.error);
--- a/packages/gateway/src/entry/request-journal.ts
+++ b/packages/gateway/src/entry/request-journal.ts
@@ -2,9 +2,11 @@
  * Tells the outcome of every statement to metrics, and to the log where a caller could ask about it.
  */
 import { RefusalReason, REFUSAL_RULES } from '@gladespool/coordination';
-import type { HostMetrics, Logger } from '@gladespool/observability';
+import type { HostMetrics, LogFields, Logger } from '@gladespool/observability';
 import { ServedBy } from '@gladespool/observability';
+import type { GatewayBoard } from '../board.js';
 import type { Outcome } from '../model/outcome.js';
+import { DONE } from '../model/outcome.js';
 import type { Statement } from '../model/statement.js';
 
 /** One statement and its end. */
@@ -21,6 +23,7 @@
 /** Records the ends of statements. */
 export class RequestJournal {
   constructor(
+    private readonly board: GatewayBoard,
     private readonly metrics: HostMetrics,
     private readonly log: Logger,
   ) {}
@@ -30,17 +33,33 @@
     this.metrics.latency.observe(tookMs / MS_PER_SECOND);
     const { outcome } = end;
     if (outcome.kind === 'completed') {
-      this.metrics.statements.inc({ served_by: ServedBy.Proxy });
+      if (outcome === DONE) this.metrics.statements.inc({ served_by: ServedBy.Proxy });
       return;
     }
     if (outcome.kind === 'refused') this.metrics.refusals.inc({ reason: outcome.refusal.reason });
     this.log.info('request-failed', {
-      ...fieldsOf(outcome),
       ...placeOf(end),
+      ...fieldsOf(outcome),
+      ...this.beliefsAbout(end.database),
       ms: Math.round(tookMs),
     });
   }
 
+  /** What this host believed when it gave the answer, with versions and ages. */
+  private beliefsAbout(database: string): LogFields {
+    const { board } = this;
+    const group = board.route(database)?.group;
+    const record = group && board.record(group);
+    return {
+      catalog_version: board.catalog?.version,
+      group,
+      epoch: record?.epoch,
+      phase: record?.phase,
+      primary: record?.primary,
+      proof_age_ms: Math.round(performance.now() - board.provenSince),
+    };
+  }
+
   /** Counts a refusal that concerns no statement. */
   countRefusal(reason: RefusalReason): void {
     this.metrics.refusals.inc({ reason });
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -136,7 +136,7 @@
   private createCallers(): CallerServer {
     const { createCodec, rules, self, metrics } = this.options;
     const log = createLogger('caller', { host: self.host });
-    const journal = new RequestJournal(metrics, log);
+    const journal = new RequestJournal(this.board, metrics, log);
     return new CallerServer({
       session: { board: this.board, executor: this.routing, journal },
       createCodec,
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -4,6 +4,7 @@
  */
 import type { PrimaryRecord } from '@gladespool/coordination';
 import { RefusalReason, UpstreamFault } from '@gladespool/coordination';
+import { ServedBy } from '@gladespool/observability';
 import type { Lease } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -80,9 +81,49 @@
   noteAnswer(slot, answer, now, now - sentAt);
   const fromPrimary = record?.primary === slot.entry.id;
   if (fromPrimary) home.noteMark(record, sentAt, answer, now);
+  noteRun(home, borrowed, command, answer, now - sentAt);
   return { answer, sentAt };
 }
 
+/** Counts and tells where a caller's statement ran, behind which position, under which record, and its end. */
+function noteRun(
+  home: GroupHome,
+  borrowed: Borrowed,
+  command: UpstreamCommand,
+  answer: UpstreamAnswer,
+  tookMs: number,
+): void {
+  if (!('id' in command)) return;
+  const { record, slot } = borrowed;
+  const isPrimary = record?.primary === slot.entry.id;
+  if (answer.kind === 'completed') {
+    const servedBy = isPrimary ? ServedBy.Primary : ServedBy.Replica;
+    home.context.metrics.statements.inc({ served_by: servedBy });
+  }
+  const after = 'after' in command ? command.after : undefined;
+  home.context.log.info('statement-ran', {
+    request: command.id,
+    group: home.group,
+    upstream: slot.entry.id,
+    primary: isPrimary,
+    epoch: record?.epoch,
+    after: after && `${after.term}.${after.offset}`,
+    end: endOf(answer),
+    ms: Math.round(tookMs),
+  });
+}
+
+function endOf(answer: UpstreamAnswer): string {
+  switch (answer.kind) {
+    case 'completed':
+      return answer.kind;
+    case 'faulted':
+      return answer.code;
+    case 'lost':
+      return `lost-${answer.loss}`;
+  }
+}
+
 function noteAnswer(
   slot: UpstreamSlot,
   answer: UpstreamAnswer,
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -38,3 +38,13 @@
     Given 3 hosts that serve a group
     When the store turns hosts 1 and 2 away for 2000 ms and then holds configuration 2
     Then host 2 has configuration 2 within 700 ms
+
+  Scenario: A host that starts and has not read the upstreams yet changes no primary
+    Given 3 hosts that serve a group
+    When a host joins that needs 3000 ms to read the whole store, and reaches no other host
+    Then no primary is claimed within 2000 ms
+
+  Scenario: Reading the whole store takes longer than the time between two proofs
+    Given 3 hosts that serve a group
+    When a host joins that needs 1200 ms to read the whole store, and reaches no other host
+    Then that host has configuration 1 within 3000 ms
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -197,3 +197,34 @@
     assert.equal(board.catalog?.version, version);
   },
 );
+
+When(
+  'a host joins that needs {int} ms to read the whole store, and reaches no other host',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, ms: number) {
+    const index = this.deployment.hosts.length;
+    await this.deployment.addHost(index, ms);
+    await host(this, index).gateway.closePeers();
+  },
+);
+
+Then(
+  'no primary is claimed within {int} ms',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, ms: number) {
+    await pause(ms);
+    assert.equal(host(this, 0).gateway.board.record(GROUP)?.epoch, 1);
+  },
+);
+
+Then(
+  'that host has configuration {int} within {int} ms',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, version: number, ms: number) {
+    const joined = host(this, this.deployment.hosts.length - 1);
+    const until = performance.now() + ms;
+    const { board } = joined.gateway;
+    while (board.catalog === undefined && performance.now() < until) await pause(10);
+    assert.equal(board.catalog?.version, version);
+  },
+);
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -74,7 +74,7 @@
   /** Runs one statement in a session of its own. */
   async run(host: FakeHost, text: string): Promise<Outcome> {
     const { board } = host.gateway;
-    const journal = new RequestJournal(host.metrics, createLogger('test'));
+    const journal = new RequestJournal(board, host.metrics, createLogger('test'));
     const session = new Session(DATABASE, { board, executor: host.gateway.routing, journal });
     const access = text.startsWith('READ') ? Access.Read : Access.Write;
     const statement = { kind: StatementKind.Run, access, text } as const;
@@ -116,8 +116,10 @@
     this.store.put(`upstream/${id}`, entry);
   }
 
-  private async addHost(index: number): Promise<void> {
+  /** Adds a host whose reads of the whole store take `fullReadMs`. */
+  async addHost(index: number, fullReadMs = 0): Promise<void> {
     const store = new FakeStoreClient(this.store);
+    store.fullReadMs = fullReadMs;
     const driver = new FakeDriver(this.group);
     const metrics = new HostMetrics();
     const gateway = new GatewayHost({
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -46,6 +46,8 @@
 /** One host's way to the store. */
 export class FakeStoreClient implements MetadataStore {
   cut = false;
+  /** Time that a read of everything takes, milliseconds. */
+  fullReadMs = 0;
 
   constructor(private readonly store: FakeStore) {}
 
@@ -53,10 +55,11 @@
     return this.cut || this.store.away;
   }
 
-  range(prefix: string): Promise<Result<StoreRange, GladespoolError>> {
-    if (this.away) return Promise.resolve(err(AWAY));
+  async range(prefix: string): Promise<Result<StoreRange, GladespoolError>> {
+    if (prefix === '') await pause(this.fullReadMs, undefined, { ref: false });
+    if (this.away) return err(AWAY);
     const items = [...this.store.items.values()].filter((item) => item.key.startsWith(prefix));
-    return Promise.resolve(ok({ items, revision: this.store.revision }));
+    return ok({ items, revision: this.store.revision });
   }
 
   async watch(
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -121,7 +121,7 @@
   world.board = new GatewayBoard(hostId('h1'), azId('z1'));
   putRoutes(world, 1, [DATABASE]);
   world.executor = new FakeExecutor();
-  const journal = new RequestJournal(new HostMetrics(), createLogger('test'));
+  const journal = new RequestJournal(world.board, new HostMetrics(), createLogger('test'));
   const { board, executor } = world;
   world.session = new Session(DATABASE, { board, executor, journal });
 }
