fix(gateway): a read that only the primary may serve is refused once, not four times; a stale host asks every zone

Ruled out: holding the read until the pool has room (the expected wait is over its share of the target already). Change: the refusal of the pool is final there; the log names a full pool as upstream-busy, not connect-failed. While stale a host asks one host of each zone a round, and the one that helped last.

--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -108,18 +108,19 @@
     return hosts.filter((entry) => entry.az === az).map((entry) => entry.host);
   }
 
-  /** A relay of the own zone in turn; while the proof is stale also one of another zone. */
+  /**
+   * A relay of the own zone. While this host is stale also the one that helped last, and a host of each
+   * zone in turn: some of them may be cut off or turned away as well.
+   */
   private peersToAsk(now: number): readonly PeerAddress[] {
     const { board, seeds, rules } = this.options;
     this.turn += 1;
+    const relay = this.pick(relaysOf(board.az, this.hostsOf(board.az), rules.relays));
+    if (!this.isStale(now)) return relay === undefined ? [] : [relay];
     const zones = [...new Set([...board.hosts.values()].map((entry) => entry.az))];
-    const others = zones.filter((az) => az !== board.az);
-    const home = this.pick(relaysOf(board.az, this.hostsOf(board.az), rules.relays));
-    if (!this.isStale(now)) return home === undefined ? [] : [home];
-    const az = others[this.turn % Math.max(1, others.length)];
-    const far = az === undefined ? undefined : this.pick(this.hostsOf(az));
+    const inTurn = zones.map((az) => this.pick(this.hostsOf(az)));
     const seed = board.hosts.size > 1 ? undefined : seeds[this.turn % Math.max(1, seeds.length)];
-    const asked = [home, far, seed, this.helpful].filter((peer) => peer !== undefined);
+    const asked = [relay, this.helpful, seed, ...inTurn].filter((peer) => peer !== undefined);
     return [...new Set(asked)];
   }
 
--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -49,7 +49,7 @@
   const slot = home.slot(target.entry.id);
   if (slot === undefined) return again(RetryReason.ConnectFailed, RefusalReason.NoCoveringUpstream);
   const borrowed = await borrow(home, slot, job, job.work);
-  if (borrowed.isErr()) return again(RetryReason.ConnectFailed, borrowed.error);
+  if (borrowed.isErr()) return notBorrowed(borrowed.error, target);
   const { lease, record } = borrowed.value;
   const command = lease.connection.commandFor(job.work, job.id, target.after);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
@@ -65,6 +65,13 @@
   return judge(answer);
 }
 
+/** Without a connection another upstream may serve; where only the primary may, the answer is final. */
+function notBorrowed(reason: Reason, target: ReadTarget): Try {
+  if (target.needsAuthority) return final(refused(reason));
+  const unreachable = reason === RefusalReason.UpstreamUnreachable;
+  return again(unreachable ? RetryReason.ConnectFailed : RetryReason.UpstreamBusy, reason);
+}
+
 function judge(answer: UpstreamAnswer): Try {
   if (answer.kind === 'completed') {
     const { rows, signature } = answer;
