refactor(gateway): a promotion attempt in parts: claim of the record, search for a successor, questions to hosts

Cause: promotion-attempt.ts had 350 lines and held the store's change, the upstreams' reports, the questions to hosts, the log fields and the context type besides the order of steps. Change: RecordClaimer, SuccessorSearch, OtherHosts, PromotionLog, PromotionContext and PromotionCause in files of their names; run() keeps the order of steps. The words for how a change of the store ended are built in one place. Times, calls and log lines are as before.

--- a/packages/gateway/src/control/metadata-store.ts
+++ b/packages/gateway/src/control/metadata-store.ts
@@ -48,6 +48,11 @@
 export type ChangeResult =
   { readonly kind: 'done'; readonly revision: number } | { readonly kind: 'conflict' };
 
+/** How a change ended, in one word or the message of its error; for the log. */
+export function changeEnd(result: Result<ChangeResult, GladespoolError>): string {
+  return result.isErr() ? result.error.message : result.value.kind;
+}
+
 /** What a call to the store is for; label of its counter. */
 export enum StorePurpose {
   Proof = 'proof',
--- /dev/null
+++ b/packages/gateway/src/control/promotion-cause.ts
@@ -0,0 +1,11 @@
+/**
+ * Why a group's primary is changed.
+ */
+
+/** Why a primary is changed. */
+export enum PromotionCause {
+  Suspect = 'suspect',
+  Draining = 'draining',
+  Unlisted = 'unlisted',
+  StalledClaim = 'stalled-claim',
+}
--- /dev/null
+++ b/packages/gateway/src/control/promotion-context.ts
@@ -0,0 +1,34 @@
+/**
+ * What every change of a primary on one host works with.
+ */
+import type { AuthorityRules, FailoverRules } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import type { PeerNetwork } from '@gladespool/peers';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { UpstreamProbe } from '../home/upstream-probe.js';
+import type { ClaimLock } from './claim-lock.js';
+import type { MetadataStore } from './metadata-store.js';
+import type { PeerCalls } from './peer-calls.js';
+import type { PromotionPort } from './promotion-call.js';
+import type { ProofKeeper } from './proof-keeper.js';
+import type { StoreView } from './store-view.js';
+import type { WriteHolds } from './write-holds.js';
+
+/** What attempts work with. */
+export interface PromotionContext {
+  readonly self: HostEntry;
+  readonly board: GatewayBoard;
+  readonly store: MetadataStore;
+  readonly view: StoreView;
+  readonly proofs: ProofKeeper;
+  readonly calls: PeerCalls;
+  readonly network: PeerNetwork;
+  readonly probe: UpstreamProbe;
+  readonly holds: WriteHolds;
+  readonly claims: ClaimLock;
+  readonly port: PromotionPort;
+  readonly authority: AuthorityRules;
+  readonly rules: FailoverRules;
+  readonly metrics: HostMetrics;
+  readonly log: Logger;
+}
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -16,8 +16,9 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { ReachNotes } from '../forward/reach-notes.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
-import type { PromotionContext } from './promotion-attempt.js';
-import { PromotionAttempt, PromotionCause } from './promotion-attempt.js';
+import { PromotionAttempt } from './promotion-attempt.js';
+import { PromotionCause } from './promotion-cause.js';
+import type { PromotionContext } from './promotion-context.js';
 
 /** What the controller works with. */
 export interface PromotionControllerOptions {
--- /dev/null
+++ b/packages/gateway/src/control/record-claimer.ts
@@ -0,0 +1,107 @@
+/**
+ * Claims a group's record, and with it the duty, in one change of the store.
+ */
+import type { PrimaryRecord } from '@gladespool/coordination';
+import { claimDuty, RecordPhase } from '@gladespool/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { StoreChange, StoreItem } from './metadata-store.js';
+import { changeEnd, StorePurpose } from './metadata-store.js';
+import type { PromotionContext } from './promotion-context.js';
+import type { PromotionLog } from './promotion-log.js';
+import { DUTY_KEY, primaryKey } from './store-documents.js';
+
+/** Longest time for the change, milliseconds. */
+const CLAIM_TIMEOUT_MS = 1000;
+
+/** A claimed record and the fence under which calls may be made. */
+export interface RecordClaim {
+  readonly record: PrimaryRecord;
+  readonly item: StoreItem;
+  readonly fence: number;
+  /** Local time at which the claim was sent; the duty's window counts from here. */
+  readonly sentAt: number;
+  /** Local time at which the store had confirmed it. */
+  readonly confirmedAt: number;
+}
+
+/** Why a record was not claimed. */
+export type ClaimRefusal =
+  /** Another host may still be calling; its window is over at that local time. */
+  | { readonly kind: 'duty-held'; readonly until: number }
+  /** The store did not make the change, or did not tell. */
+  | { readonly kind: 'not-written' };
+
+/** Claims records for one host. */
+export class RecordClaimer {
+  constructor(
+    private readonly ctx: PromotionContext,
+    private readonly log: PromotionLog,
+  ) {}
+
+  /** Claims the record that follows `former`; sent at `now`. */
+  async claim(former: PrimaryRecord, now: number): Promise<Result<RecordClaim, ClaimRefusal>> {
+    const duty = this.takeDuty(now);
+    if (duty.isErr()) return err(duty.error);
+    const fence = duty.value;
+    const record: PrimaryRecord = {
+      ...former,
+      epoch: former.epoch + 1,
+      phase: RecordPhase.Claimed,
+      holder: this.ctx.self.host,
+    };
+    return this.write(record, fence, now);
+  }
+
+  /** The fence under which this host may take the duty. */
+  private takeDuty(now: number): Result<number, ClaimRefusal> {
+    const { self, view, rules } = this.ctx;
+    const seen = view.duty && { ...view.duty.duty, seenAt: view.duty.seenAt };
+    const duty = claimDuty(seen, self, now, rules);
+    if (duty.kind === 'take') return ok(duty.fence);
+    this.log.info('promotion-waits-for-duty', {
+      holder: seen?.holder,
+      wait_ms: Math.round(duty.until - now),
+    });
+    return err({ kind: 'duty-held', until: duty.until });
+  }
+
+  private async write(
+    record: PrimaryRecord,
+    fence: number,
+    sentAt: number,
+  ): Promise<Result<RecordClaim, ClaimRefusal>> {
+    const { store, view, proofs } = this.ctx;
+    const own = { key: primaryKey(record.group), value: JSON.stringify(record) };
+    const duty = { key: DUTY_KEY, value: this.dutyValue(fence) };
+    const change = this.swapOf([own, duty]);
+    const result = await store.change(change, StorePurpose.Record, CLAIM_TIMEOUT_MS);
+    const confirmedAt = performance.now();
+    if (result.isErr() || result.value.kind !== 'done') {
+      this.log.info('promotion-claim-failed', { result: changeEnd(result) });
+      await proofs.read();
+      return err({ kind: 'not-written' });
+    }
+    const { revision } = result.value;
+    const item = { ...own, revision };
+    view.takeItems([item, { ...duty, revision }], confirmedAt);
+    return ok({ record, item, fence, sentAt, confirmedAt });
+  }
+
+  private dutyValue(fence: number): string {
+    const { self, view } = this.ctx;
+    return JSON.stringify({
+      holder: self.host,
+      incarnation: self.incarnation,
+      fence,
+      renewal: (view.duty?.duty.renewal ?? 0) + 1,
+    });
+  }
+
+  /** Writes that count only if no key has changed since it was seen. */
+  private swapOf(writes: StoreChange['writes']): StoreChange {
+    const { view } = this.ctx;
+    const conditions = writes.map(({ key }) => ({ key, revision: view.revisionOf(key) }));
+    return { conditions, writes, removals: [] };
+  }
+}
--- a/packages/gateway/src/control/record-founder.ts
+++ b/packages/gateway/src/control/record-founder.ts
@@ -8,7 +8,7 @@
 import type { UpstreamEntry } from '../model/catalog.js';
 import { ReportedRole } from '../model/catalog.js';
 import type { MetadataStore } from './metadata-store.js';
-import { StorePurpose } from './metadata-store.js';
+import { changeEnd, StorePurpose } from './metadata-store.js';
 import { primaryKey } from './store-documents.js';
 import type { StoreView } from './store-view.js';
 
@@ -72,8 +72,8 @@
     };
     const result = await store.change(change, StorePurpose.Record, WRITE_TIMEOUT_MS);
     this.writing.delete(group);
-    const done = result.isOk() ? result.value.kind : result.error.message;
-    log.info('record-founded', { group, primary: primary.id, result: done });
+    const ended = changeEnd(result);
+    log.info('record-founded', { group, primary: primary.id, result: ended });
   }
 }
 
