refactor(gateway): controller, control plane and caller's connection in small functions

Cause: PromotionController.othersAgree chose hosts, asked them, collected answers, judged and logged; the constructor of ControlPlane and CallerConnection.take mixed steps of different kinds. Change: ReachPoll asks hosts and counts answers, the controller judges; one function for each reason to act, for each part of the control plane and for each kind of message. Import order in control-plane.ts. Behaviour as before.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -1,15 +1,15 @@
 /**
  * The control side of a host: store, proofs, other hosts and promotions, driven by one timer.
  */
+import { connect } from 'node:net';
 import type { GroupId } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { ControlTraffic, createLogger } from '@gladespool/observability';
 import type { PeerAddress } from '@gladespool/peers';
 import { PeerNetwork } from '@gladespool/peers';
-import { connect } from 'node:net';
 import type { GatewayBoard, HostEntry } from '../board.js';
-import type { GatewayRules } from '../gateway-rules.js';
 import type { ReachNotes } from '../forward/reach-notes.js';
+import type { GatewayRules } from '../gateway-rules.js';
 import type { GroupHome } from '../home/group-home.js';
 import { UpstreamProbe } from '../home/upstream-probe.js';
 import type { UpstreamDriver } from '../model/upstream-wire.js';
@@ -48,6 +48,7 @@
 
 /** Time between two looks at what is due, milliseconds. */
 const TICK_MS = 100;
+/** Longest time for the handshake of a link between hosts, milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 1000;
 
 /** Control side of one host. */
@@ -67,31 +68,18 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ControlPlaneOptions) {
-    const { self, board, store, documents, metrics, driver } = options;
+    const { self, board, store, documents } = options;
     this.log = createLogger('control', { host: self.host });
-    const { log } = this;
-    this.view = new StoreView(board, documents, log);
-    const { view } = this;
-    this.follower = new StoreFollower({ store, view, metrics, log, rules: DEFAULT_FOLLOWER });
-    this.registrar = new Registrar(self, board, store, log);
-    this.proofs = new ProofKeeper({
-      self,
-      board,
-      store,
-      view,
-      follower: this.follower,
-      registrar: this.registrar,
-      rules: DEFAULT_PROOFS,
-      log,
-    });
-    this.founder = new RecordFounder({ board, store, view, log });
+    this.view = new StoreView(board, documents, this.log);
+    this.follower = this.createFollower();
+    this.registrar = new Registrar(self, board, store, this.log);
+    this.proofs = this.createProofs();
+    this.founder = new RecordFounder({ board, store, view: this.view, log: this.log });
     this.network = this.createNetwork();
     this.calls = new PeerCalls(this.network);
     this.sync = this.createSync();
     this.renewer = this.createRenewer();
-    this.probe = new UpstreamProbe(driver, () => {
-      metrics.upstreamConnections.inc();
-    });
+    this.probe = this.createProbe();
     this.promotions = this.createPromotions();
     for (const handler of [this.calls, this.sync, this.renewer, this.promotions]) {
       this.network.addHandler(handler);
@@ -128,6 +116,26 @@
     this.promotions.tick(now);
   }
 
+  private createFollower(): StoreFollower {
+    const { store, metrics } = this.options;
+    const { view, log } = this;
+    return new StoreFollower({ store, view, metrics, log, rules: DEFAULT_FOLLOWER });
+  }
+
+  private createProofs(): ProofKeeper {
+    const { self, board, store } = this.options;
+    const { view, follower, registrar, log } = this;
+    const rules = DEFAULT_PROOFS;
+    return new ProofKeeper({ self, board, store, view, follower, registrar, rules, log });
+  }
+
+  private createProbe(): UpstreamProbe {
+    const { driver, metrics } = this.options;
+    return new UpstreamProbe(driver, () => {
+      metrics.upstreamConnections.inc();
+    });
+  }
+
   private createNetwork(): PeerNetwork {
     const { self, peerKey, metrics } = this.options;
     const { host, az, incarnation } = self;
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -4,9 +4,8 @@
 import type { GroupId, HostId, PrimaryRecord, ReachEvidence } from '@gladespool/coordination';
 import {
   FailoverVerdict,
-  judgeSuspicion,
   groupId,
-  hostId,
+  judgeSuspicion,
   rankCandidates,
   recordRank,
   RecordPhase,
@@ -19,6 +18,7 @@
 import { PromotionAttempt } from './promotion-attempt.js';
 import { PromotionCause } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
+import { ReachPoll } from './reach-poll.js';
 
 /** What the controller works with. */
 export interface PromotionControllerOptions {
@@ -29,8 +29,6 @@
 
 /** Key by which hosts are ranked for acting; one for all groups, so that the duty seldom moves. */
 const DUTY_RANK_KEY = 'duty';
-/** Longest time for other hosts to say whether they reach a primary, milliseconds. */
-const REACH_TIMEOUT_MS = 400;
 /** Causes on which the other hosts have to agree. */
 const MISSED: ReadonlySet<PromotionCause> = new Set([
   PromotionCause.Suspect,
@@ -68,8 +66,12 @@
 /** Controller of one host. */
 export class PromotionController implements PeerHandler {
   private readonly groups = new Map<GroupId, GroupState>();
+  private readonly poll: ReachPoll;
 
-  constructor(private readonly options: PromotionControllerOptions) {}
+  constructor(private readonly options: PromotionControllerOptions) {
+    const { context, monitor } = options;
+    this.poll = new ReachPoll({ board: context.board, calls: context.calls, monitor });
+  }
 
   /** Whether this host is the first to act. */
   get actsFirst(): boolean {
@@ -123,30 +125,25 @@
 
   /** Why the primary of the record should change, if it should. */
   private occasionOf(record: PrimaryRecord, state: GroupState, now: number): Occasion | undefined {
-    const { context, monitor } = this.options;
-    const { rules, board } = context;
-    if (record.phase === RecordPhase.Claimed) {
-      const stalledMs = now - state.seenAt;
-      if (stalledMs < rules.stalledAfterMs) return undefined;
-      return { cause: PromotionCause.StalledClaim, since: state.seenAt + rules.stalledAfterMs };
-    }
-    const entry = board.upstreams.get(record.primary);
-    if (entry === undefined) {
-      state.unlistedSince ??= now;
-      const since = state.unlistedSince + UNLISTED_MS;
-      return now < since ? undefined : { cause: PromotionCause.Unlisted, since };
-    }
+    if (record.phase === RecordPhase.Claimed) return this.stalledClaim(state, now);
+    const entry = this.options.context.board.upstreams.get(record.primary);
+    if (entry === undefined) return unlistedPrimary(state, now);
     state.unlistedSince = undefined;
-    if (entry.draining) {
-      state.drainingSince ??= now;
-      return { cause: PromotionCause.Draining, since: state.drainingSince };
-    }
+    if (entry.draining) return drainingPrimary(state, now);
     state.drainingSince = undefined;
-    const failedMs = monitor.failedMs(record.group, now);
-    if (failedMs >= rules.suspectAfterMs) {
-      return { cause: PromotionCause.Suspect, since: now - failedMs + rules.suspectAfterMs };
-    }
-    return undefined;
+    return this.failingPrimary(record, now);
+  }
+
+  private stalledClaim(state: GroupState, now: number): Occasion | undefined {
+    const since = state.seenAt + this.options.context.rules.stalledAfterMs;
+    return now < since ? undefined : { cause: PromotionCause.StalledClaim, since };
+  }
+
+  private failingPrimary(record: PrimaryRecord, now: number): Occasion | undefined {
+    const { suspectAfterMs } = this.options.context.rules;
+    const failedMs = this.options.monitor.failedMs(record.group, now);
+    if (failedMs < suspectAfterMs) return undefined;
+    return { cause: PromotionCause.Suspect, since: now - failedMs + suspectAfterMs };
   }
 
   private async act(record: PrimaryRecord, occasion: Occasion, state: GroupState): Promise<void> {
@@ -161,8 +158,8 @@
   }
 
   /**
-   * Asks every host whether it reaches the suspected primary. While another host is left to act, this
-   * one asks only a few, to learn by way of whom it can reach the primary meanwhile.
+   * Whether more than half of all hosts miss the primary. While another host is left to act, this one
+   * asks only a few, to learn by way of whom it can reach the primary meanwhile.
    */
   private async othersAgree(
     record: PrimaryRecord,
@@ -170,62 +167,31 @@
     state: GroupState,
   ): Promise<boolean> {
     const leaves = performance.now() < state.leftToOtherUntil;
-    const { context, reach } = this.options;
-    const { board, calls, rules, log } = context;
-    const { group, epoch } = record;
-    const everyone = rankCandidates(`reach|${board.host}`, [...board.hosts.keys()]);
-    const others = everyone
-      .filter((host) => host !== board.host)
-      .slice(0, leaves ? SAMPLE_HOSTS : undefined)
-      .map((host) => board.hosts.get(host))
-      .filter((entry) => entry !== undefined);
-    const asked = others.map(async (host): Promise<ReachAnswer> => {
-      const ask = (id: number) => ({ kind: FrameKind.ReachAsk, id, group, epoch }) as const;
-      const answer = await calls.ask(host, ask, REACH_TIMEOUT_MS);
-      const told = answer.isOk() && answer.value.kind === FrameKind.ReachReply;
-      return { host: host.host, reaches: told ? answer.value.reaches : undefined };
-    });
-    asked.push(this.ownReach(group));
-    const answers = await this.collect(asked);
-    const evidence = gatherEvidence(answers);
-    const reaching = answers.filter((answer) => answer.reaches === true);
-    reach.put(
-      group,
-      epoch,
-      reaching.map((answer) => answer.host),
-      performance.now(),
-    );
-    const failedMs = performance.now() - occasion.since + rules.suspectAfterMs;
+    const { evidence, reaching } = await this.poll.run(record, leaves ? SAMPLE_HOSTS : undefined);
+    const now = performance.now();
+    this.options.reach.put(record.group, record.epoch, reaching, now);
+    const verdict = this.judge(record, occasion, evidence, now);
+    return !leaves && verdict === FailoverVerdict.Promote;
+  }
+
+  private judge(
+    record: PrimaryRecord,
+    occasion: Occasion,
+    evidence: ReachEvidence,
+    now: number,
+  ): FailoverVerdict {
+    const { rules, log } = this.options.context;
+    const failedMs = now - occasion.since + rules.suspectAfterMs;
     const verdict = judgeSuspicion(evidence, failedMs, rules);
     log.info('suspicion-judged', {
-      group,
-      epoch,
+      group: record.group,
+      epoch: record.epoch,
       primary: record.primary,
       ...evidence,
       failed_ms: Math.round(failedMs),
       verdict,
     });
-    return !leaves && verdict === FailoverVerdict.Promote;
-  }
-
-  private async ownReach(group: GroupId): Promise<ReachAnswer> {
-    const { monitor, context } = this.options;
-    return { host: context.board.host, reaches: await monitor.reaches(group) };
-  }
-
-  /** Collects answers until more than half of all hosts miss the primary, or all have answered. */
-  private collect(asked: readonly Promise<ReachAnswer>[]): Promise<readonly ReachAnswer[]> {
-    return new Promise((resolve) => {
-      const answers: ReachAnswer[] = [];
-      const missing = (): number => answers.filter((answer) => answer.reaches === false).length;
-      for (const pending of asked) {
-        void pending.then((answer) => {
-          answers.push(answer);
-          const decided = missing() * 2 > asked.length;
-          if (decided || answers.length === asked.length) resolve(padded(answers, asked.length));
-        });
-      }
-    });
+    return verdict;
   }
 
   private async answerHold(link: PeerLink, ask: FrameOf<FrameKind.HoldAsk>): Promise<void> {
@@ -270,26 +236,13 @@
   }
 }
 
-/** One host's answer to the question whether it reaches a primary. */
-interface ReachAnswer {
-  readonly host: HostId;
-  /** Undefined when the host did not answer. */
-  readonly reaches: boolean | undefined;
-}
-
-/** Answers with those that did not come in time counted as silence. */
-function padded(answers: readonly ReachAnswer[], count: number): readonly ReachAnswer[] {
-  const late = Array.from({ length: count - answers.length }, () => ({
-    host: hostId(''),
-    reaches: undefined,
-  }));
-  return [...answers, ...late];
+function unlistedPrimary(state: GroupState, now: number): Occasion | undefined {
+  state.unlistedSince ??= now;
+  const since = state.unlistedSince + UNLISTED_MS;
+  return now < since ? undefined : { cause: PromotionCause.Unlisted, since };
 }
 
-function gatherEvidence(answers: readonly ReachAnswer[]): ReachEvidence {
-  return {
-    reaching: answers.filter((answer) => answer.reaches === true).length,
-    failing: answers.filter((answer) => answer.reaches === false).length,
-    silent: answers.filter((answer) => answer.reaches === undefined).length,
-  };
+function drainingPrimary(state: GroupState, now: number): Occasion {
+  state.drainingSince ??= now;
+  return { cause: PromotionCause.Draining, since: state.drainingSince };
 }
--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -103,7 +103,6 @@
   }
 
   private async take(message: CallerMessage): Promise<void> {
-    const { codec } = this.options;
     switch (message.kind) {
       case 'start':
         this.start(message.database);
@@ -114,27 +113,27 @@
       case 'broken':
         this.refuse(RefusalReason.SessionMisuse, message.detail);
         return;
-      case 'nonsense': {
-        const state = this.session?.state ?? SessionState.Idle;
-        this.write(
-          codec.encodeFailure(refused(RefusalReason.SessionMisuse, message.detail), state),
-        );
+      case 'nonsense':
+        this.refuseOne(message.detail);
         return;
-      }
       default:
-        if (this.session === undefined) {
-          this.refuse(RefusalReason.SessionMisuse, 'statement before the start message');
-          return;
-        }
-        await this.answer(this.session, message);
+        await this.answer(message);
     }
   }
 
-  private async answer(
-    session: Session,
-    message: Extract<CallerMessage, { kind: 'statement' }>,
-  ): Promise<void> {
-    const answer = await session.handle(message.id, message.statement, performance.now());
+  /** Refuses one message; the session goes on as it was. */
+  private refuseOne(detail: string): void {
+    const state = this.session?.state ?? SessionState.Idle;
+    const refusal = refused(RefusalReason.SessionMisuse, detail);
+    this.write(this.options.codec.encodeFailure(refusal, state));
+  }
+
+  private async answer(message: Extract<CallerMessage, { kind: 'statement' }>): Promise<void> {
+    if (this.session === undefined) {
+      this.refuse(RefusalReason.SessionMisuse, 'statement before the start message');
+      return;
+    }
+    const answer = await this.session.handle(message.id, message.statement, performance.now());
     this.write(this.options.codec.encodeAnswer(answer));
   }
 
