refactor(gateway): leftovers removed: frame kind Suspect, step-down, exports that nothing imports

Cause: no code sends or takes the frame Suspect; nothing calls UpstreamProbe.stepDown, the only user of the command step-down; several schemas and limits were exported and used in their own file only; one time limit stood twice. Change: these are gone or private; the time limit of a status stands in successor-search.ts. An incoming frame of kind Suspect now ends its link as any unknown kind does.

--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -15,7 +15,7 @@
 import { PromotionLog } from './promotion-log.js';
 import type { RecordClaim } from './record-claimer.js';
 import { RecordClaimer } from './record-claimer.js';
-import { SuccessorSearch } from './successor-search.js';
+import { STATUS_TIMEOUT_MS, SuccessorSearch } from './successor-search.js';
 
 /** Longest time for naming the new primary in the record, milliseconds. */
 const PUBLISH_TIMEOUT_MS = 1000;
@@ -23,8 +23,6 @@
 const REVOKE_TIMEOUT_MS = 700;
 /** Time for which writes are held before a planned change, milliseconds; callers wait no longer. */
 const HOLD_MS = 350;
-/** Longest time for an upstream's status, milliseconds. */
-const STATUS_TIMEOUT_MS = 200;
 /** Longest time for one call for a promotion, milliseconds. */
 const CALL_TIMEOUT_MS = 1000;
 /** Longest time for a promotion to take effect, milliseconds; the platform's takes 300 to 600. */
--- a/packages/gateway/src/control/store-documents.ts
+++ b/packages/gateway/src/control/store-documents.ts
@@ -17,7 +17,7 @@
 const count = z.int().nonnegative();
 
 /** A group's record as stored and as sent between hosts. */
-export const primaryRecordSchema = z.object({
+const primaryRecordSchema = z.object({
   group: z.string().transform(groupId),
   epoch: count,
   phase: z.enum(RecordPhase),
@@ -26,7 +26,7 @@
 });
 
 /** A host as stored and as sent between hosts. */
-export const hostEntrySchema = z.object({
+const hostEntrySchema = z.object({
   host: z.string().transform(hostId),
   az: z.string().transform(azId),
   address: z.string(),
@@ -34,8 +34,7 @@
   incarnation: count,
 });
 
-/** Who may call for promotions. */
-export const dutyRecordSchema = z.object({
+const dutyRecordSchema = z.object({
   holder: z.string().transform(hostId),
   incarnation: count,
   /** Grows whenever the holder changes. */
--- a/packages/gateway/src/control/successor-search.ts
+++ b/packages/gateway/src/control/successor-search.ts
@@ -8,7 +8,7 @@
 import type { PromotionLog } from './promotion-log.js';
 
 /** Longest time for an upstream's status, milliseconds. */
-const STATUS_TIMEOUT_MS = 200;
+export const STATUS_TIMEOUT_MS = 200;
 /** Longest time for a successor to receive what the former primary holds, milliseconds. */
 const CATCH_UP_MS = 500;
 /** Time between two rounds of questions to the upstreams, milliseconds. */
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -31,7 +31,7 @@
 }
 
 /** Least time left for which an exchange is started, milliseconds. */
-export const LEAST_EXCHANGE_MS = 2;
+const LEAST_EXCHANGE_MS = 2;
 /**
  * Part of an operation's target latency that a statement may wait for a connection. Longer waits
  * seldom end in time, and the caller does better to ask again elsewhere.
--- a/packages/gateway/src/home/upstream-probe.ts
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -2,8 +2,8 @@
  * Asks upstreams for their status on connections of its own, so that a full pool or a dead pooled
  * connection does not pass for a dead upstream.
  */
-import { UpstreamFault } from '@gladespool/coordination';
 import type { GroupId, UpstreamId } from '@gladespool/coordination';
+import { UpstreamFault } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamDriver, UpstreamStatus, UpstreamWire } from '../model/upstream-wire.js';
 
@@ -44,14 +44,7 @@
     return this.askOn(wire.value, entry, leftMs);
   }
 
-  /** Sends a step-down of terms below `term`; the answer does not matter. */
-  async stepDown(entry: UpstreamEntry, group: GroupId, term: number, ms: number): Promise<void> {
-    const wire = await this.driver.connect(entry, group, ms);
-    if (wire.isErr()) return;
-    await wire.value.exchange({ kind: 'step-down', term }, ms);
-    wire.value.close();
-  }
-
+  /** Closes the connections kept. */
   stop(): void {
     for (const { wire, timer } of this.channels.values()) {
       clearTimeout(timer);
--- a/packages/gateway/src/model/upstream-wire.ts
+++ b/packages/gateway/src/model/upstream-wire.ts
@@ -31,8 +31,7 @@
   | { readonly kind: 'set-value'; readonly name: string; readonly value: string }
   | { readonly kind: 'prepare'; readonly name: string; readonly prepared: PreparedShape }
   | { readonly kind: 'discard' }
-  | { readonly kind: 'status' }
-  | { readonly kind: 'step-down'; readonly term: number };
+  | { readonly kind: 'status' };
 
 /** Why no answer came. */
 export enum WireLoss {
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -42,7 +42,6 @@
   HoldReply = 'hold-reply',
   ReachAsk = 'reach-ask',
   ReachReply = 'reach-reply',
-  Suspect = 'suspect',
   RenewAsk = 'renew-ask',
   RenewReply = 'renew-reply',
   ForwardAsk = 'forward-ask',
@@ -276,7 +275,6 @@
   z.object({ kind: z.literal(FrameKind.HoldReply), id }),
   z.object({ kind: z.literal(FrameKind.ReachAsk), id, group: z.string(), epoch: count }),
   z.object({ kind: z.literal(FrameKind.ReachReply), id, reaches: z.boolean() }),
-  z.object({ kind: z.literal(FrameKind.Suspect), group: z.string(), epoch: count }),
   z.object({ kind: z.literal(FrameKind.RenewAsk), id }),
   z.object({
     kind: z.literal(FrameKind.RenewReply),
