style(gateway): one import a module in order, doc comments of public members, named numbers

Change: imports and exports in order; comments; constants with unit and, where it is written down, origin. No behaviour.

--- a/packages/coordination/src/failover.ts
+++ b/packages/coordination/src/failover.ts
@@ -20,6 +20,7 @@
   readonly dutyGapMs: number;
 }
 
+/** Times in force; docs/PLATFORM.md tells the duty's window and its gap. */
 export const DEFAULT_FAILOVER: FailoverRules = {
   suspectAfterMs: 250,
   rankDelayMs: 100,
--- a/packages/gateway/src/board.ts
+++ b/packages/gateway/src/board.ts
@@ -63,11 +63,13 @@
     return true;
   }
 
+  /** Takes the upstreams listed now. */
   putUpstreams(upstreams: ReadonlyMap<UpstreamId, UpstreamEntry>): void {
     this.upstreams = upstreams;
     this.notify(BoardSection.Upstreams);
   }
 
+  /** Takes the hosts listed now. */
   putHosts(hosts: ReadonlyMap<HostId, HostEntry>): void {
     this.hosts = hosts;
     this.notify(BoardSection.Hosts);
@@ -96,18 +98,22 @@
     return this.provedAt;
   }
 
+  /** Record of a group's primary; undefined before the first one is read. */
   record(group: GroupId): PrimaryRecord | undefined {
     return this.records.get(group);
   }
 
+  /** The records of all groups. */
   get allRecords(): readonly PrimaryRecord[] {
     return [...this.records.values()];
   }
 
+  /** What decides whether the primary of a group may be used. */
   authority(group: GroupId): AuthorityView {
     return { record: this.records.get(group), provedAt: this.provedAt };
   }
 
+  /** How statements for a database are served; undefined when it is not configured. */
   route(database: string): Route | undefined {
     return this.catalog?.routes.get(database);
   }
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -19,6 +19,7 @@
   readonly timeoutMs: number;
 }
 
+/** Times in force, for proofs that live 1.5 s. */
 export const DEFAULT_PROOFS: ProofRules = { intervalMs: 450, timeoutMs: 1000 };
 
 /** The hosts that were listed when this host last read the store. */
@@ -48,7 +49,9 @@
 
 /** Reads records and hosts at intervals while it is wanted. */
 export class ProofKeeper {
+  /** Newest proof that may be passed on; undefined before the first. */
   firstHand: FirstHandProof | undefined;
+  /** The hosts listed at the latest read; undefined before the first. */
   list: HostList | undefined;
   private reading = false;
   private lastSentAt = Number.NEGATIVE_INFINITY;
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -32,7 +32,9 @@
   readonly endMs: number;
 }
 
+/** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 4096;
+/** Time between two looks at whether all callers are gone, milliseconds. */
 const POLL_MS = 20;
 
 /** Listening side towards callers. */
@@ -42,6 +44,7 @@
 
   constructor(private readonly options: CallerServerOptions) {}
 
+  /** Starts to accept callers. */
   async listen(address: string, port: number): Promise<void> {
     const server = createServer((socket) => {
       this.accept(socket);
--- a/packages/gateway/src/entry/request-journal.ts
+++ b/packages/gateway/src/entry/request-journal.ts
@@ -28,6 +28,7 @@
     private readonly log: Logger,
   ) {}
 
+  /** Records the end of one statement. */
   note(end: RequestEnd): void {
     const tookMs = performance.now() - end.arrivedAt;
     this.metrics.latency.observe(tookMs / MS_PER_SECOND);
@@ -65,6 +66,7 @@
     this.metrics.refusals.inc({ reason });
   }
 
+  /** Records that a transaction was ended for having rested `idleMs`. */
   noteIdle(database: string, idleMs: number): void {
     this.metrics.refusals.inc({ reason: RefusalReason.TransactionIdle });
     this.log.info('transaction-idle', { database, idle_ms: idleMs });
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -45,6 +45,8 @@
 
 /** Values and prepared names that one session may hold; more is taken for a fault of the caller. */
 const MAX_NAMES = 1000;
+/** Time for which a transaction may rest before a configuration is known, milliseconds. */
+const DEFAULT_IDLE_MS = 3000;
 
 /** Session of one caller. */
 export class Session {
@@ -60,6 +62,7 @@
     private readonly context: SessionContext,
   ) {}
 
+  /** Transaction state as the caller sees it. */
   get state(): SessionState {
     if (this.open === undefined) return SessionState.Idle;
     return this.open.failed ? SessionState.Failed : SessionState.Open;
@@ -233,9 +236,6 @@
   }
 }
 
-/** Used until a configuration is known, milliseconds. */
-const DEFAULT_IDLE_MS = 3000;
-
 /** A transaction's upstream side, or why there is none. */
 type Pinning =
   | { readonly kind: 'pinned'; readonly pinned: OpenTransaction }
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -83,6 +83,7 @@
     return !this.board.draining && this.board.catalog !== undefined;
   }
 
+  /** Listens for callers and other hosts, and begins to follow the store. */
   async start(): Promise<void> {
     const { callers, self } = this.options;
     await this.callers.listen(callers.address, callers.port);
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -2,8 +2,8 @@
  * Times and bounds of a gateway host.
  */
 import type { FailoverRules } from '@gladespool/coordination';
-import type { DrainTimes } from './entry/caller-server.js';
 import type { SyncRules } from './control/sync-service.js';
+import type { DrainTimes } from './entry/caller-server.js';
 import type { HomeRules } from './home/group-home.js';
 
 /** Rules of one host. */
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -3,6 +3,7 @@
  * statement may run.
  */
 import type {
+  AuthorityRules,
   GladespoolError,
   GroupId,
   PrimaryRecord,
@@ -17,12 +18,11 @@
   Priority,
   RetryReason,
 } from '@gladespool/coordination';
-import type { AuthorityRules } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../board.js';
+import type { WriteHolds } from '../control/write-holds.js';
 import type { HomeDirectory } from '../forward/home-directory.js';
 import type { ReachNotes } from '../forward/reach-notes.js';
-import type { WriteHolds } from '../control/write-holds.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
 import { UpstreamSlot } from './upstream-slot.js';
@@ -62,6 +62,7 @@
     readonly context: HomeContext,
   ) {}
 
+  /** Record of the group's primary, as this host has it. */
   get record(): PrimaryRecord | undefined {
     return this.context.board.record(this.group);
   }
--- a/packages/gateway/src/home/upstream-health.ts
+++ b/packages/gateway/src/home/upstream-health.ts
@@ -17,8 +17,11 @@
 
 /** Health of one upstream as one home sees it. */
 export class UpstreamHealth {
+  /** Statements of this home that are at the upstream. */
   inFlight = 0;
+  /** Moving average of the time of an answer, milliseconds. */
   meanMs = FIRST_MEAN_MS;
+  /** Local time until which the upstream is avoided. */
   avoidUntil = Number.NEGATIVE_INFINITY;
   /** Local time of the latest answer of any kind. */
   lastAnswerAt = Number.NEGATIVE_INFINITY;
@@ -28,6 +31,7 @@
   lastFailureAt = Number.NEGATIVE_INFINITY;
   private failures = 0;
 
+  /** Notes an answer and the time that it took. */
   noteAnswer(now: number, tookMs: number): void {
     this.meanMs += (tookMs - this.meanMs) * MEAN_WEIGHT;
     this.noteAlive(now);
@@ -49,10 +53,12 @@
     this.avoidUntil = Math.max(this.avoidUntil, now + avoidMs);
   }
 
+  /** Notes that a replica lacked the position that a read needs. */
   noteLagging(now: number): void {
     this.avoidUntil = Math.max(this.avoidUntil, now + LAGGING_AVOID_MS);
   }
 
+  /** Notes that the upstream shed a statement. */
   noteBusy(now: number): void {
     this.avoidUntil = Math.max(this.avoidUntil, now + BUSY_AVOID_MS);
   }
--- a/packages/gateway/src/home/upstream-slot.ts
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -1,8 +1,7 @@
 /**
  * One upstream of a home: its pool of connections and what was seen of it.
  */
-import type { GladespoolError, GroupId, Priority } from '@gladespool/coordination';
-import type { RefusalReason } from '@gladespool/coordination';
+import type { GladespoolError, GroupId, Priority, RefusalReason } from '@gladespool/coordination';
 import type { Lease, PoolLimits } from '@gladespool/pool';
 import { ConnectionPool } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
@@ -45,10 +44,12 @@
     return this.health.inFlight + this.pool.queued;
   }
 
+  /** Connections open or being opened. */
   get connections(): number {
     return this.pool.connections;
   }
 
+  /** Lends a connection, waiting at most `timeoutMs`. */
   acquire(
     priority: Priority,
     now: number,
@@ -57,10 +58,12 @@
     return this.pool.acquire(priority, now, timeoutMs);
   }
 
+  /** Changes the bounds of the pool. */
   resize(limits: PoolLimits): void {
     this.pool.resize(limits);
   }
 
+  /** Closes idle connections and refuses new work. */
   stop(): void {
     this.pool.stop();
   }
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -1,7 +1,12 @@
 /**
  * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
  */
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { UpstreamId } from '@gladespool/coordination';
 import {
+  Access,
   azId,
   Consistency,
   DEFAULT_AUTHORITY,
@@ -10,22 +15,16 @@
   hostId,
   upstreamId,
 } from '@gladespool/coordination';
-import type { UpstreamId } from '@gladespool/coordination';
-import { HostMetrics } from '@gladespool/observability';
-import type { AddressInfo } from 'node:net';
-import { createServer } from 'node:net';
-import { setTimeout as pause } from 'node:timers/promises';
+import { createLogger, HostMetrics } from '@gladespool/observability';
 import type { ForeignDocument, GatewayRules, Outcome, UpstreamEntry } from '../../src/index.js';
 import {
   DEFAULT_SYNC,
   GatewayHost,
   ReportedRole,
-  Session,
   RequestJournal,
+  Session,
   StatementKind,
 } from '../../src/index.js';
-import { Access } from '@gladespool/coordination';
-import { createLogger } from '@gladespool/observability';
 import { FakeDriver, FakeGroup, FakeUpstream } from './fake-group.js';
 import { FakeStore, FakeStoreClient } from './fake-store.js';
 
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -2,11 +2,11 @@
  * A group of upstreams in memory: one log each, replicas that hold what the primary had when it was
  * lost, promotions with growing terms.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { GladespoolError, GroupId, UpstreamId } from '@gladespool/coordination';
 import { gladespoolError, Step, UpstreamFault } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import { setTimeout as pause } from 'node:timers/promises';
 import type {
   PromotionPort,
   PromotionRequest,
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -1,11 +1,11 @@
 /**
  * A metadata store in memory, shared by the hosts of a test, that can be away or lose answers.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { GladespoolError } from '@gladespool/coordination';
 import { gladespoolError, Step } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import { setTimeout as pause } from 'node:timers/promises';
 import type {
   ChangeResult,
   MetadataStore,
--- a/packages/observability/src/log.ts
+++ b/packages/observability/src/log.ts
@@ -24,7 +24,9 @@
 
 /** Lines of one kind of event in a second at most; about 60 KB/s for the busiest ten kinds. */
 const MAX_LINES_OF_EVENT = 30;
+/** Time between two reports of lines left out, milliseconds. */
 const REPORT_INTERVAL_MS = 1000;
+/** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
 
 let limiter: LogLimiter | undefined;
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -84,6 +84,7 @@
     return this.remoteHost;
   }
 
+  /** Whether the handshake is done and the link open. */
   get ready(): boolean {
     return this.state === 'ready';
   }
--- a/packages/pool/src/connection-pool.ts
+++ b/packages/pool/src/connection-pool.ts
@@ -53,6 +53,7 @@
 const HOLD_WEIGHT = 0.1;
 /** Connection attempts at once; more would be a storm on an upstream that has just returned. */
 const MAX_CONNECTING = 2;
+/** Pause after a failed attempt while other connections are open, milliseconds. */
 const RECONNECT_PAUSE_MS = 100;
 
 /** Pool of connections to one upstream. */
