fix(gateway): a claim made of an outdated record is neither written nor acknowledged

Cause (found by reading): a claim that waited its turn took its conditions from the record held by then but its epoch from the record judged before; it could write an epoch a second time, and hosts that held the later version would have acknowledged it without giving anything up. Ruled out: that the store catches it (the condition names the later revision, so it passes). Change: the record judged must still be the one held; a host acknowledges only a claim that it holds, or an older one. Test: authority.feature, "acknowledges a claim only if it holds it".

--- a/packages/coordination/src/primary-record.ts
+++ b/packages/coordination/src/primary-record.ts
@@ -32,3 +32,9 @@
 export function isNewerRecord(held: PrimaryRecord | undefined, next: PrimaryRecord): boolean {
   return held === undefined || recordRank(next) > recordRank(held);
 }
+
+/** Whether a host that holds `held` uses nothing any more that the claim takes away. */
+export function isGivenUp(held: PrimaryRecord, claim: PrimaryRecord): boolean {
+  if (held.epoch !== claim.epoch) return held.epoch > claim.epoch;
+  return held.phase === RecordPhase.Claimed;
+}
--- a/packages/coordination/tests/authority.feature
+++ b/packages/coordination/tests/authority.feature
@@ -39,3 +39,14 @@
   Scenario: Silent hosts are waited for from the majority's acknowledgement on
     Given the majority acknowledged a claim at 200 ms
     Then silent hosts have given the primary up at 1800 ms
+
+  Scenario Outline: A host acknowledges a claim only if it holds it, or a later version
+    Given a host that holds epoch <held> in phase "<phase>"
+    Then it <acks> the claim of epoch 2
+
+    Examples:
+      | held | phase   | acks                | why                                              |
+      | 2    | claimed | acknowledges        | it has just taken it                             |
+      | 3    | serving | acknowledges        | that epoch is over                               |
+      | 2    | serving | doesn't acknowledge | a claim made of an outdated record               |
+      | 1    | serving | doesn't acknowledge | it has not taken the claim                       |
--- a/packages/coordination/tests/authority.steps.ts
+++ b/packages/coordination/tests/authority.steps.ts
@@ -7,6 +7,7 @@
   groupId,
   hasAuthority,
   hostId,
+  isGivenUp,
   RecordPhase,
   renewalCounts,
   silentHostFreeAt,
@@ -28,10 +29,16 @@
   return { group, epoch, phase, primary: upstreamId('a'), holder: hostId('h') };
 }
 
+function phaseOf(text: string): RecordPhase {
+  const phase = Object.values(RecordPhase).find((value) => String(value) === text);
+  assert.ok(phase, text);
+  return phase;
+}
+
 Given(
   'a record in phase {string} and a proof sent at {int} ms',
   function (this: AuthorityWorld, phase: string, provedAt: number) {
-    this.record = phase === 'none' ? undefined : recordOf(2, phase as RecordPhase);
+    this.record = phase === 'none' ? undefined : recordOf(2, phaseOf(phase));
     this.provedAt = provedAt;
   },
 );
@@ -81,3 +88,19 @@
     assert.equal(silentHostFreeAt(this.majorityAt, DEFAULT_AUTHORITY), at);
   },
 );
+
+Given(
+  'a host that holds epoch {int} in phase {string}',
+  function (this: AuthorityWorld, epoch: number, phase: string) {
+    this.record = recordOf(epoch, phaseOf(phase));
+  },
+);
+
+Then(
+  /^it (acknowledges|doesn't acknowledge) the claim of epoch 2$/,
+  function (this: AuthorityWorld, acks: string) {
+    assert.ok(this.record);
+    const claim = recordOf(2, RecordPhase.Claimed);
+    assert.equal(isGivenUp(this.record, claim), acks === 'acknowledges');
+  },
+);
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -5,10 +5,11 @@
 import {
   FailoverVerdict,
   groupId,
+  isGivenUp,
   judgeSuspicion,
   rankCandidates,
-  recordRank,
   RecordPhase,
+  recordRank,
 } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
@@ -19,6 +20,7 @@
 import { PromotionCause } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
 import { ReachPoll } from './reach-poll.js';
+import { readOwnDocument } from './store-documents.js';
 
 /** What the controller works with. */
 export interface PromotionControllerOptions {
@@ -89,8 +91,7 @@
   onFrame(link: PeerLink, frame: Frame): void {
     switch (frame.kind) {
       case FrameKind.RevokeAsk:
-        this.options.context.view.takeItems([frame.item], performance.now());
-        link.send({ kind: FrameKind.RevokeReply, id: frame.id });
+        this.answerRevoke(link, frame);
         return;
       case FrameKind.HoldAsk:
         void this.answerHold(link, frame);
@@ -194,6 +195,17 @@
     return verdict;
   }
 
+  /** Gives the former primary up, and says so only if the claim is what this host now holds. */
+  private answerRevoke(link: PeerLink, ask: FrameOf<FrameKind.RevokeAsk>): void {
+    const { view, board } = this.options.context;
+    view.takeItems([ask.item], performance.now());
+    const claim = readOwnDocument(ask.item.key, ask.item.value);
+    if (claim?.kind !== 'primary') return;
+    const held = board.record(claim.record.group);
+    if (held === undefined || !isGivenUp(held, claim.record)) return;
+    link.send({ kind: FrameKind.RevokeReply, id: ask.id });
+  }
+
   private async answerHold(link: PeerLink, ask: FrameOf<FrameKind.HoldAsk>): Promise<void> {
     const group = groupId(ask.group);
     await this.options.context.holds.hold(group, ask.epoch, ask.holdMs, performance.now());
--- a/packages/gateway/src/control/record-claimer.ts
+++ b/packages/gateway/src/control/record-claimer.ts
@@ -2,7 +2,7 @@
  * Claims a group's record, and with it the duty, in one change of the store.
  */
 import type { PrimaryRecord } from '@gladespool/coordination';
-import { claimDuty, RecordPhase } from '@gladespool/coordination';
+import { claimDuty, RecordPhase, recordRank } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { StoreChange, StoreItem } from './metadata-store.js';
@@ -41,6 +41,10 @@
 
   /** Claims the record that follows `former`; sent at `now`. */
   async claim(former: PrimaryRecord, now: number): Promise<Result<RecordClaim, ClaimRefusal>> {
+    if (!this.isCurrent(former)) {
+      this.log.info('promotion-claim-outdated', { former: former.primary });
+      return err({ kind: 'not-written' });
+    }
     const duty = this.takeDuty(now);
     if (duty.isErr()) return err(duty.error);
     const fence = duty.value;
@@ -53,6 +57,12 @@
     return this.write(record, fence, now);
   }
 
+  /** Whether the record is still the one held; it may have changed while other claims went first. */
+  private isCurrent(former: PrimaryRecord): boolean {
+    const held = this.ctx.board.record(former.group);
+    return held !== undefined && recordRank(held) === recordRank(former);
+  }
+
   /** The fence under which this host may take the duty. */
   private takeDuty(now: number): Result<number, ClaimRefusal> {
     const { self, view, rules } = this.ctx;
