--- a/packages/coordination/tests/authority.steps.ts
+++ b/packages/coordination/tests/authority.steps.ts
@@ -30,7 +30,8 @@
 }
 
 function phaseOf(text: string): RecordPhase {
-  const phase = Object.values(RecordPhase).find((value) => String(value) === text);
+  const phases = new Map<string, RecordPhase>(Object.values(RecordPhase).map((of) => [of, of]));
+  const phase = phases.get(text);
   assert.ok(phase, text);
   return phase;
 }
