--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -28,3 +28,4 @@
 export * from './upstream-choice.js';
 export * from './failover.js';
 export * from './statement-terms.js';
+export * from './host-retirement.js';
--- a/packages/coordination/tests/authority.feature
+++ b/packages/coordination/tests/authority.feature
@@ -50,3 +50,15 @@
       | 3    | serving | acknowledges        | that epoch is over                               |
       | 2    | serving | doesn't acknowledge | a claim made of an outdated record               |
       | 1    | serving | doesn't acknowledge | it has not taken the claim                       |
+
+  Scenario Outline: A host is taken off the list when nobody hears it for long
+    Given <missing> of <listed> hosts miss a host and <reaching> reach it, for <silent> ms
+    Then it is <verdict>
+
+    Examples:
+      | missing | listed | reaching | silent | verdict | why                                     |
+      | 8       | 9      | 0        | 20000  | retired | gone for good                           |
+      | 8       | 9      | 0        | 19999  | kept    | it may restart                          |
+      | 7       | 9      | 1        | 60000  | kept    | somebody hears it                       |
+      | 4       | 9      | 0        | 60000  | kept    | too few are left to know                |
+      | 5       | 9      | 0        | 60000  | retired | more than half miss it, others silent   |
--- a/packages/coordination/tests/authority.steps.ts
+++ b/packages/coordination/tests/authority.steps.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict';
 import { Given, Then } from '@cucumber/cucumber';
-import type { PeerRenewal, PrimaryRecord } from '../src/index.js';
+import type { PeerRenewal, PrimaryRecord, SilenceEvidence } from '../src/index.js';
 import {
   answerCounts,
   DEFAULT_AUTHORITY,
   groupId,
   hasAuthority,
   hostId,
+  DEFAULT_RETIREMENT,
   isGivenUp,
+  mayRetire,
   RecordPhase,
   renewalCounts,
   silentHostFreeAt,
@@ -20,6 +22,8 @@
   sentUnder: PrimaryRecord;
   renewal: PeerRenewal;
   majorityAt: number;
+  silence: SilenceEvidence;
+  silentMs: number;
 }
 
 const NOW = 50_000;
@@ -105,3 +109,22 @@
     assert.equal(isGivenUp(this.record, claim), acks === 'acknowledges');
   },
 );
+
+Given(
+  '{int} of {int} hosts miss a host and {int} reach it, for {int} ms',
+  function (
+    this: AuthorityWorld,
+    missing: number,
+    listed: number,
+    reaching: number,
+    silentMs: number,
+  ) {
+    this.silence = { missing, listed, reaching };
+    this.silentMs = silentMs;
+  },
+);
+
+Then(/^it is (retired|kept)$/, function (this: AuthorityWorld, verdict: string) {
+  const retires = mayRetire(this.silence, this.silentMs, DEFAULT_RETIREMENT);
+  assert.equal(retires, verdict === 'retired');
+});
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -14,6 +14,7 @@
 import { UpstreamProbe } from '../home/upstream-probe.js';
 import type { UpstreamDriver } from '../model/upstream-wire.js';
 import { ClaimLock } from './claim-lock.js';
+import { HostRetirer } from './host-retirer.js';
 import type { MetadataStore } from './metadata-store.js';
 import { PeerCalls } from './peer-calls.js';
 import { PeerRenewer } from './peer-renewer.js';
@@ -63,6 +64,7 @@
   private readonly founder: RecordFounder;
   private readonly sync: SyncService;
   private readonly renewer: PeerRenewer;
+  private readonly retirer: HostRetirer;
   private readonly probe: UpstreamProbe;
   private readonly promotions: PromotionController;
   private timer: NodeJS.Timeout | undefined;
@@ -70,7 +72,7 @@
   constructor(private readonly options: ControlPlaneOptions) {
     const { self, board, store, documents } = options;
     this.log = createLogger('control', { host: self.host });
-    this.view = new StoreView(board, documents, this.log);
+    this.view = new StoreView(board, documents, this.log, performance.now());
     this.follower = this.createFollower();
     this.registrar = new Registrar(self, board, store, this.log);
     this.proofs = this.createProofs();
@@ -79,9 +81,11 @@
     this.calls = new PeerCalls(this.network);
     this.sync = this.createSync();
     this.renewer = this.createRenewer();
+    this.retirer = this.createRetirer();
     this.probe = this.createProbe();
     this.promotions = this.createPromotions();
-    for (const handler of [this.calls, this.sync, this.renewer, this.promotions]) {
+    const { calls, sync, renewer, retirer, promotions } = this;
+    for (const handler of [calls, sync, renewer, retirer, promotions]) {
       this.network.addHandler(handler);
     }
   }
@@ -111,6 +115,7 @@
     if (!this.registrar.isListed && this.view.revision > 0) void this.registrar.ensure();
     this.sync.tick(now);
     this.renewer.tick(now);
+    this.retirer.tick(now);
     this.view.review(now);
     this.founder.tick(now);
     this.promotions.tick(now);
@@ -165,6 +170,12 @@
     });
   }
 
+  private createRetirer(): HostRetirer {
+    const { board, store, rules } = this.options;
+    const { view, calls, log } = this;
+    return new HostRetirer({ board, view, store, calls, rules: rules.retirement, log });
+  }
+
   private createRenewer(): PeerRenewer {
     const { self, board, rules } = this.options;
     return new PeerRenewer({
--- /dev/null
+++ b/packages/gateway/src/control/host-retirer.ts
@@ -0,0 +1,129 @@
+/**
+ * Takes hosts off the list that are gone for good. Each host pings the one that follows it in the
+ * list, and those after it until one answers, so every host is watched and nobody is set aside for it.
+ */
+import type { HostId, RetirementRules } from '@gladespool/coordination';
+import { hostId, mayRetire } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
+import type { Frame, FrameOf } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { MetadataStore } from './metadata-store.js';
+import { changeEnd, StorePurpose } from './metadata-store.js';
+import { OtherHosts } from './other-hosts.js';
+import type { PeerCalls } from './peer-calls.js';
+import { hostKey } from './store-documents.js';
+import type { StoreView } from './store-view.js';
+
+/** What the retirer works on. */
+export interface HostRetirerOptions {
+  readonly board: GatewayBoard;
+  readonly view: StoreView;
+  readonly store: MetadataStore;
+  readonly calls: PeerCalls;
+  readonly rules: RetirementRules;
+  readonly log: Logger;
+}
+
+/** Longest time for a ping, milliseconds; links are mostly there already. */
+const PING_TIMEOUT_MS = 700;
+/** Longest time for another host's own ping and its answer, milliseconds. */
+const ASK_TIMEOUT_MS = 1500;
+const WRITE_TIMEOUT_MS = 1500;
+
+/** Retirer of one host. */
+export class HostRetirer implements PeerHandler {
+  private readonly silentSince = new Map<HostId, number>();
+  private lastRoundAt = Number.NEGATIVE_INFINITY;
+  private running = false;
+
+  constructor(private readonly options: HostRetirerOptions) {}
+
+  /** Starts a round of pings if one is due at `now`. */
+  tick(now: number): void {
+    const { rules, board } = this.options;
+    if (this.running || board.draining || now - this.lastRoundAt < rules.pingMs) return;
+    this.lastRoundAt = now;
+    void this.round();
+  }
+
+  onFrame(link: PeerLink, frame: Frame): void {
+    if (frame.kind === FrameKind.PingAsk) link.send({ kind: FrameKind.PingReply, id: frame.id });
+    if (frame.kind === FrameKind.MissedAsk) void this.answerMissed(link, frame);
+  }
+
+  onLost(): void {
+    // A lost link is a ping without an answer.
+  }
+
+  private async round(): Promise<void> {
+    this.running = true;
+    for (const entry of this.followers()) {
+      if (await this.answers(entry)) {
+        this.silentSince.delete(entry.host);
+        break;
+      }
+      await this.consider(entry, performance.now());
+    }
+    this.running = false;
+  }
+
+  /** The other hosts in the order of the list, beginning after this one. */
+  private followers(): readonly HostEntry[] {
+    const { board } = this.options;
+    const entries = [...board.hosts.values()].sort((a, b) => (a.host < b.host ? -1 : 1));
+    const own = entries.findIndex((entry) => entry.host === board.host);
+    return own < 0 ? [] : [...entries.slice(own + 1), ...entries.slice(0, own)];
+  }
+
+  private async answers(entry: HostEntry): Promise<boolean> {
+    const build = (id: number) => ({ kind: FrameKind.PingAsk, id }) as const;
+    return (await this.options.calls.ask(entry, build, PING_TIMEOUT_MS)).isOk();
+  }
+
+  private async consider(entry: HostEntry, now: number): Promise<void> {
+    const since = this.silentSince.get(entry.host) ?? now;
+    this.silentSince.set(entry.host, since);
+    if (now - since < this.options.rules.silentMs) return;
+    const evidence = await this.evidenceOf(entry);
+    const retires = mayRetire(evidence, now - since, this.options.rules);
+    this.options.log.info('host-silent', { silent: entry.host, ...evidence, retires });
+    if (retires) await this.retire(entry);
+  }
+
+  private async evidenceOf(
+    silent: HostEntry,
+  ): Promise<{ readonly listed: number; readonly missing: number; readonly reaching: number }> {
+    const { board, calls } = this.options;
+    const others = new OtherHosts(board, calls).entries.filter((e) => e.host !== silent.host);
+    const ask = (id: number) => ({ kind: FrameKind.MissedAsk, id, host: silent.host }) as const;
+    const answers = await Promise.all(others.map((other) => calls.ask(other, ask, ASK_TIMEOUT_MS)));
+    const told = answers.map((answer) =>
+      answer.isOk() && answer.value.kind === FrameKind.MissedReply
+        ? answer.value.reached
+        : undefined,
+    );
+    return {
+      listed: board.hosts.size,
+      missing: 1 + told.filter((reached) => reached === false).length,
+      reaching: told.filter((reached) => reached === true).length,
+    };
+  }
+
+  /** Removes the entry unless it was written anew meanwhile. */
+  private async retire(entry: HostEntry): Promise<void> {
+    const { store, view, log } = this.options;
+    const key = hostKey(entry.host);
+    const conditions = [{ key, revision: view.revisionOf(key) }];
+    const change = { conditions, writes: [], removals: [key] };
+    const result = await store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
+    log.info('host-retired', { retired: entry.host, result: changeEnd(result) });
+  }
+
+  private async answerMissed(link: PeerLink, ask: FrameOf<FrameKind.MissedAsk>): Promise<void> {
+    const entry = this.options.board.hosts.get(hostId(ask.host));
+    const reached = entry !== undefined && (await this.answers(entry));
+    link.send({ kind: FrameKind.MissedReply, id: ask.id, reached });
+  }
+}
--- a/packages/gateway/src/control/peer-calls.ts
+++ b/packages/gateway/src/control/peer-calls.ts
@@ -5,6 +5,7 @@
 import { gladespoolError, Step } from '@gladespool/coordination';
 import type { PeerAddress, PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
@@ -44,9 +45,11 @@
     return this.network.sendTo(peer, frame);
   }
 
-  onFrame(_link: PeerLink, frame: Frame): void {
+  onFrame(link: PeerLink, frame: Frame): void {
     if (!isReply(frame)) return;
-    this.pending.get(frame.id)?.settle(ok(frame));
+    const waiting = this.pending.get(frame.id);
+    if (waiting !== undefined) waiting.settle(ok(frame));
+    else giveBack(link, frame);
   }
 
   onLost(link: PeerLink): void {
@@ -78,6 +81,12 @@
   }
 }
 
+/** A transaction whose answer came too late has no owner here; the other host must not keep it. */
+function giveBack(link: PeerLink, frame: ReplyFrame): void {
+  if (frame.kind !== FrameKind.ForwardReply || frame.transaction === 0) return;
+  link.send({ kind: FrameKind.ForwardRollback, transaction: frame.transaction });
+}
+
 function isReply(frame: Frame): frame is ReplyFrame {
   return frame.kind.endsWith('-reply') && 'id' in frame;
 }
--- a/packages/gateway/src/control/peer-renewer.ts
+++ b/packages/gateway/src/control/peer-renewer.ts
@@ -2,7 +2,7 @@
  * Renews this host's proof by way of the other hosts while the store does not answer.
  */
 import type { AuthorityRules } from '@gladespool/coordination';
-import { renewalCounts } from '@gladespool/coordination';
+import { hostId, renewalCounts } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
@@ -53,7 +53,8 @@
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind !== FrameKind.RenewAsk) return;
     const { self, view, board } = this.options;
-    if (board.draining) return;
+    const isListed = board.hosts.get(hostId(frame.host))?.incarnation === frame.incarnation;
+    if (board.draining || !isListed) return;
     const { host, incarnation } = self;
     const items = [...view.recordItems()];
     link.send({ kind: FrameKind.RenewReply, id: frame.id, host, incarnation, items });
@@ -83,8 +84,10 @@
   /** Whether a host answered as the very process that is listed; what it knows is taken over. */
   private async supportOf(entry: HostEntry | undefined, incarnation: number): Promise<boolean> {
     if (entry === undefined) return false;
-    const { calls, view } = this.options;
-    const answer = await calls.ask(entry, (id) => ({ kind: FrameKind.RenewAsk, id }), TIMEOUT_MS);
+    const { calls, view, self } = this.options;
+    const { host, incarnation: own } = self;
+    const ask = (id: number) => ({ kind: FrameKind.RenewAsk, id, host, incarnation: own }) as const;
+    const answer = await calls.ask(entry, ask, TIMEOUT_MS);
     if (answer.isErr() || answer.value.kind !== FrameKind.RenewReply) return false;
     view.takeItems(answer.value.items, performance.now());
     return answer.value.host === entry.host && answer.value.incarnation === incarnation;
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -107,11 +107,17 @@
     );
     const silent = answers.filter((answered) => !answered).length;
     this.log.info('promotion-revoked', { listed, silent });
-    if (silent === 0) return performance.now();
+    const now = performance.now();
+    if (silent === 0) return Math.max(now, this.retiredHostsFreeAt());
     if (!isMajority(listed - silent, listed)) return undefined;
     return silentHostFreeAt(majorityAt, this.ctx.authority);
   }
 
+  /** When hosts that were taken off the list shortly before hold no proof any more. */
+  private retiredHostsFreeAt(): number {
+    return silentHostFreeAt(this.ctx.view.hostLastGoneAt, this.ctx.authority);
+  }
+
   /** The upstream to promote, chosen shortly before the last silent host is free; resolves then. */
   private async chooseSuccessor(
     claim: RecordClaim,
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -149,13 +149,17 @@
 
   private async act(record: PrimaryRecord, occasion: Occasion, state: GroupState): Promise<void> {
     state.busy = true;
-    const asks = MISSED.has(occasion.cause);
-    const agreed = !asks || (await this.othersAgree(record, occasion, state));
     const attempt = new PromotionAttempt(record, occasion.cause, this.options.context);
-    const done = agreed && (await attempt.run());
-    state.busy = false;
-    const retryAt = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
-    state.notBefore = Math.max(retryAt, attempt.notBefore);
+    let done = false;
+    try {
+      const asks = MISSED.has(occasion.cause);
+      const agreed = !asks || (await this.othersAgree(record, occasion, state));
+      done = agreed && (await attempt.run());
+    } finally {
+      state.busy = false;
+      const retryAt = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
+      state.notBefore = Math.max(retryAt, attempt.notBefore);
+    }
   }
 
   /**
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -53,6 +53,8 @@
   firstHand: FirstHandProof | undefined;
   /** The hosts listed at the latest read; undefined before the first. */
   list: HostList | undefined;
+  /** Whether the latest read got no answer. */
+  failing = false;
   private reading = false;
   private lastSentAt = Number.NEGATIVE_INFINITY;
 
@@ -72,6 +74,7 @@
     this.lastSentAt = sentAt;
     const range = await store.range(OWN_PREFIX, StorePurpose.Proof, rules.timeoutMs);
     this.reading = false;
+    this.failing = range.isErr();
     if (range.isErr()) {
       const { step, peer, message } = range.error;
       const age = Math.round(sentAt - board.provenSince);
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -59,6 +59,7 @@
   revision = 0;
   duty: HeldDuty | undefined;
   private currentAt = Number.NEGATIVE_INFINITY;
+  private hostGoneAt: number;
   private readonly held = new Map<string, Held>();
   private removed: RemovedKey[] = [];
   /** Changes at or below this revision are not all remembered as removals. */
@@ -69,7 +70,11 @@
     private readonly board: GatewayBoard,
     private readonly documents: ForeignDocuments,
     private readonly log: Logger,
-  ) {}
+    /** Local time at which this view begins; what was removed shortly before is not known. */
+    startedAt: number,
+  ) {
+    this.hostGoneAt = startedAt;
+  }
 
   /** Local time at which the documents held were surely those of the store. */
   get currentSince(): number {
@@ -81,6 +86,11 @@
     this.currentAt = Math.max(this.currentAt, at);
   }
 
+  /** Latest local time at which a host may have been taken off the list, as far as this view knows. */
+  get hostLastGoneAt(): number {
+    return this.hostGoneAt;
+  }
+
   /** Revision of a key's latest change; 0 when it is not there. */
   revisionOf(key: string): number {
     return this.held.get(key)?.item.revision ?? 0;
@@ -160,6 +170,7 @@
   private write(item: StoreItem, now: number): void {
     const held = this.held.get(item.key);
     if (held !== undefined && held.item.revision >= item.revision) return;
+    if (this.wasRemovedAfter(item)) return;
     const document =
       readOwnDocument(item.key, item.value) ?? this.documents.read(item.key, item.value);
     if (document === undefined) {
@@ -194,6 +205,11 @@
     }
   }
 
+  /** Whether a key was removed later than this version of it was written. */
+  private wasRemovedAfter(item: StoreItem): boolean {
+    return this.removed.some(({ key, revision }) => key === item.key && revision > item.revision);
+  }
+
   /** After a complete read, removals before it are no longer known one by one. */
   private noteComplete(revision: number): void {
     if (revision <= this.revision) return;
@@ -210,6 +226,7 @@
     if (this.removed.length > MAX_REMOVED) {
       this.removalsSince = Math.max(this.removalsSince, this.removed.shift()?.revision ?? 0);
     }
+    if (held?.kind === 'host') this.hostGoneAt = now;
     if (held?.kind !== 'upstream') return;
     this.missing.set(held.entry.id, { entry: held.entry, since: now });
     this.log.info('upstream-entry-missing', { upstream: held.entry.id, group: held.entry.group });
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -68,7 +68,7 @@
     follower.setActive(direct);
     if (direct) proofs.tick(now);
     const due = now - this.lastAskAt >= rules.intervalMs;
-    if (!due || (this.isRelay && !this.isStale(now))) return;
+    if (!due || (this.isRelay && !proofs.failing && !this.isStale(now))) return;
     this.lastAskAt = now;
     for (const peer of this.peersToAsk(now)) void this.ask(peer);
   }
@@ -109,14 +109,15 @@
   }
 
   /**
-   * A relay of the own zone. While this host is stale also the one that helped last, and a host of each
-   * zone in turn: some of them may be cut off or turned away as well.
+   * A relay of the own zone, or the host that helped last. While this host is stale both, and a host of
+   * each zone in turn: some of them may be cut off or turned away as well.
    */
   private peersToAsk(now: number): readonly PeerAddress[] {
     const { board, seeds, rules } = this.options;
     this.turn += 1;
     const relay = this.pick(relaysOf(board.az, this.hostsOf(board.az), rules.relays));
-    if (!this.isStale(now)) return relay === undefined ? [] : [relay];
+    const usual = relay ?? this.helpful;
+    if (usual !== undefined && !this.isStale(now)) return [usual];
     const zones = [...new Set([...board.hosts.values()].map((entry) => entry.az))];
     const inTurn = zones.map((az) => this.pick(this.hostsOf(az)));
     const seed = board.hosts.size > 1 ? undefined : seeds[this.turn % Math.max(1, seeds.length)];
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -152,6 +152,10 @@
     const job = { route, id, readOnly, values: this.values, own, beganAt, arrivedAt: now };
     const opened = await this.context.executor.begin(job);
     if (opened.isErr()) return notPinned(opened.error);
+    if (this.closed) {
+      opened.value.rollback();
+      return notPinned(refused(RefusalReason.TransactionLost, 'caller left'));
+    }
     open.pinned = opened.value;
     return { kind: 'pinned', pinned: opened.value };
   }
--- a/packages/gateway/src/forward/reach-notes.ts
+++ b/packages/gateway/src/forward/reach-notes.ts
@@ -21,10 +21,11 @@
     this.notes.set(group, { epoch, hosts, at: now });
   }
 
-  /** Hosts that reach the primary, in the order in which they are to be asked. */
-  reaching(group: GroupId, now: number): readonly HostId[] {
+  /** Hosts that reach the primary of `epoch`, in the order in which they are to be asked. */
+  reaching(group: GroupId, epoch: number | undefined, now: number): readonly HostId[] {
     const note = this.notes.get(group);
-    return note === undefined || now - note.at > COUNTS_MS ? [] : note.hosts;
+    if (note === undefined || note.epoch !== epoch || now - note.at > COUNTS_MS) return [];
+    return note.hosts;
   }
 
   /** Takes a host out that did not help. */
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -94,7 +94,7 @@
     const { board, directory, reach, local } = this.options;
     const home = local.home(group);
     if (needsPrimary && home.missesPrimary(now)) {
-      const reaching = reach.reaching(group, now).slice(0, MAX_DETOURS);
+      const reaching = reach.reaching(group, home.record?.epoch, now).slice(0, MAX_DETOURS);
       if (reaching.length > 0) return this.addresses(reaching);
     }
     if (directory.isHome(group)) return [];
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -1,7 +1,7 @@
 /**
  * Times and bounds of a gateway host.
  */
-import type { FailoverRules } from '@gladespool/coordination';
+import type { FailoverRules, RetirementRules } from '@gladespool/coordination';
 import type { SyncRules } from './control/sync-service.js';
 import type { DrainTimes } from './entry/caller-server.js';
 import type { HomeRules } from './home/group-home.js';
@@ -11,6 +11,7 @@
   readonly home: HomeRules;
   readonly sync: SyncRules;
   readonly failover: FailoverRules;
+  readonly retirement: RetirementRules;
   readonly drain: DrainTimes;
   /** Callers' connections at most. */
   readonly maxCallers: number;
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -82,7 +82,7 @@
 
   /** Whether another host is known to reach the primary. */
   hasDetour(now: number): boolean {
-    return this.context.reach.reaching(this.group, now).length > 0;
+    return this.context.reach.reaching(this.group, this.record?.epoch, now).length > 0;
   }
 
   /** Whether an answer of the primary that arrived at `now` counts. */
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { UpstreamId } from '@gladespool/coordination';
-import { RecordPhase, upstreamId } from '@gladespool/coordination';
+import { hostId, RecordPhase, upstreamId } from '@gladespool/coordination';
 import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
 
 interface ActionWorld {
@@ -228,3 +228,35 @@
     assert.equal(board.catalog?.version, version);
   },
 );
+
+When(
+  'host {int} can no longer be asked by others and does not reach the store',
+  async function (this: ActionWorld, index: number) {
+    host(this, index).store.cut = true;
+    await host(this, index).gateway.closePeers();
+  },
+);
+
+Then(
+  'the others take host {int} off the list',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, index: number) {
+    const others = this.deployment.hosts.filter((_, other) => other !== index);
+    await this.deployment.until(() =>
+      others.every(({ gateway }) => !gateway.board.hosts.has(hostId(`h${index}`))),
+    );
+  },
+);
+
+When('host {int} reaches the store again', function (this: ActionWorld, index: number) {
+  host(this, index).store.cut = false;
+});
+
+Then(
+  'host {int} is listed again',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, index: number) {
+    const { board } = host(this, 0).gateway;
+    await this.deployment.until(() => board.hosts.has(hostId(`h${index}`)));
+  },
+);
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -36,6 +36,7 @@
 const RULES: GatewayRules = {
   sync: DEFAULT_SYNC,
   failover: DEFAULT_FAILOVER,
+  retirement: { pingMs: 100, silentMs: 800 },
   home: { authority: DEFAULT_AUTHORITY, connectTimeoutMs: 200, maxWaiting: 16 },
   drain: { acceptMs: 0, transactionsMs: 10, endMs: 20 },
   maxCallers: 10,
--- a/packages/gateway/tests/session.feature
+++ b/packages/gateway/tests/session.feature
@@ -39,6 +39,11 @@
     When the caller leaves
     Then the transaction was rolled back
 
+  Scenario: A caller that leaves while its transaction is being opened leaves nothing open
+    Given a session whose transaction is being opened
+    When the caller leaves and the transaction opens
+    Then the transaction was rolled back
+
   Scenario: An idle transaction is rolled back after the configured time
     Given a session with an open transaction and an idle time of 20 ms
     Then it is rolled back by itself and the session is "failed"
--- a/packages/peers/src/peer-link.ts
+++ b/packages/peers/src/peer-link.ts
@@ -48,6 +48,9 @@
   FrameKind.Abandon,
   FrameKind.Answer,
   FrameKind.Cancel,
+  FrameKind.ForwardAsk,
+  FrameKind.ForwardReply,
+  FrameKind.ForwardRollback,
   FrameKind.Run,
 ]);
 
@@ -132,7 +135,7 @@
         this.checkDialer(frame);
         return;
       case FrameKind.Ready:
-        this.become();
+        this.takeReady();
         return;
       default:
         this.end(`frame ${frame.kind} before the handshake was done`);
@@ -151,7 +154,7 @@
   }
 
   private answerHello(hello: FrameOf<FrameKind.Hello>): void {
-    if (this.options.side !== HandshakeSide.Listener) {
+    if (this.options.side !== HandshakeSide.Listener || this.remoteHost !== '') {
       this.end('unexpected hello');
       return;
     }
@@ -206,6 +209,12 @@
     return false;
   }
 
+  /** Only the listener says that it is ready, and only to a dialer that has proved the key. */
+  private takeReady(): void {
+    if (this.options.side === HandshakeSide.Dialer) this.become();
+    else this.end('dialer skipped its proof');
+  }
+
   private become(): void {
     if (this.state !== 'handshake' || this.remoteHost === '') {
       this.end('handshake out of order');
