feat(coordination): reads go to a near upstream while it serves in comfort

Ruled out: proofs and documents (their bytes stay inside zones but for a few relays), writes and primary reads (they have to cross). Change: chooseUpstream takes the operation's target latency; an upstream of the own zone that is expected to answer within a quarter of it goes first, else the least expected time of all decides as before.

--- a/packages/coordination/src/upstream-choice.ts
+++ b/packages/coordination/src/upstream-choice.ts
@@ -1,5 +1,6 @@
 /**
- * Which upstream serves a read: the one with the least expected time, the primary at a surcharge.
+ * Which upstream serves a read: one of the own zone that serves it in comfort, else the one with the
+ * least expected time; the primary at a surcharge.
  */
 import type { UpstreamId } from './ids.js';
 import type { RandomSource } from './random.js';
@@ -8,6 +9,8 @@
 export interface UpstreamLoad {
   readonly id: UpstreamId;
   readonly isPrimary: boolean;
+  /** Whether it is in the zone of the choosing host. */
+  readonly isNear: boolean;
   /** Statements of this home that are at the upstream or wait for a connection to it. */
   readonly inFlight: number;
   /** Moving average of the time of an answer, milliseconds. */
@@ -18,21 +21,32 @@
 
 /** A read costs this much more at the primary, which also has all writes to do. */
 const PRIMARY_SURCHARGE = 2;
+/**
+ * Part of an operation's target latency that a near upstream may be expected to take while a far one
+ * would be faster. Up to here the caller gains nothing from the faster answer, and bytes between
+ * zones are dear; a near upstream whose queue grows passes this long before its answers are late.
+ */
+const COMFORT_SHARE = 0.25;
 /** Width of the random factor that spreads hosts over equal upstreams. */
 const SPREAD = 0.2;
 
 /**
- * Upstream with the least expected time among those not to be avoided; if all are to be avoided,
- * the one whose time of avoidance ends first.
+ * Upstream for a read of an operation with the given target latency (milliseconds), among those not
+ * to be avoided: the fastest of the own zone if that is comfortable, else the fastest of all. If all
+ * are to be avoided, the one whose time of avoidance ends first.
  */
 export function chooseUpstream(
   loads: readonly UpstreamLoad[],
+  targetLatencyMs: number,
   now: number,
   random: RandomSource,
 ): UpstreamId | undefined {
   const open = loads.filter((load) => load.avoidUntil <= now);
   if (open.length === 0) return leastBy(loads, (load) => load.avoidUntil);
-  return leastBy(open, (load) => expectedMs(load) * (1 + SPREAD * random.unit()));
+  const comfortMs = targetLatencyMs * COMFORT_SHARE;
+  const comfortable = open.filter((load) => load.isNear && expectedMs(load) <= comfortMs);
+  const candidates = comfortable.length > 0 ? comfortable : open;
+  return leastBy(candidates, (load) => expectedMs(load) * (1 + SPREAD * random.unit()));
 }
 
 function expectedMs(load: UpstreamLoad): number {
--- a/packages/coordination/tests/reads-and-room.feature
+++ b/packages/coordination/tests/reads-and-room.feature
@@ -15,11 +15,11 @@
       | 100:1.5,200:1.8         | 350   | 1500  | 1:1.7 | 1.5   | a commit of an earlier epoch needs no more |
       | 100:1.5,110:1.6         | 350   | 1500  | none  | 1.5   | marks closer than 20 ms are not kept       |
 
-  Scenario Outline: The upstream with the least expected time serves
+  Scenario Outline: The near upstream serves in comfort, else the one with the least expected time
     Given upstreams loaded "<loads>"
     Then a read at 1000 ms goes to "<chosen>"
 
-    # load = id:role:inFlight:meanMs[:avoidUntil]
+    # load = id:role:inFlight:meanMs[:avoidUntil[:near]]; the operation's target latency is 200 ms
     Examples:
       | loads                                        | chosen | why                                   |
       | a:primary:0:20,b:replica:0:20                | b      | the primary has the writes to do      |
@@ -27,6 +27,13 @@
       | b:replica:0:20,c:replica:0:90                | b      | the faster one                        |
       | b:replica:0:20:2000,c:replica:5:90           | c      | a lagging one is avoided for a while  |
       | b:replica:0:20:2000,c:replica:0:20:1500      | c      | all avoided: the first to be back     |
+      | b:replica:1:20:0:near,c:replica:0:20         | b      | the near one serves in comfort        |
+      | b:replica:4:20:0:near,c:replica:0:20         | c      | the near one has a queue              |
+      | b:replica:0:60:0:near,c:replica:0:20         | c      | the near one is slow                  |
+      | b:replica:0:20:2000:near,c:replica:0:20      | c      | the near one lags                     |
+      | a:primary:0:20:0:near,c:replica:0:20         | a      | a near primary with room              |
+      | a:primary:1:20:0:near,c:replica:0:20         | c      | a near primary that has work          |
+      | b:replica:4:20:0:near,c:replica:9:20         | b      | a far one would be slower still       |
 
   Scenario Outline: Connections are split over few homes, or over all hosts
     Given <zones> zones of <hosts> hosts and upstreams of <connections> connections and <slots> slots
--- a/packages/coordination/tests/reads-and-room.steps.ts
+++ b/packages/coordination/tests/reads-and-room.steps.ts
@@ -21,6 +21,7 @@
 }
 
 const EPOCH = 2;
+const TARGET_LATENCY_MS = 200;
 
 function positionOf(text: string): Position {
   const [term, offset] = text.split('.').map(Number);
@@ -53,10 +54,11 @@
 
 Given('upstreams loaded {string}', function (this: ReadWorld, loads: string) {
   this.loads = loads.split(',').map((load) => {
-    const [id, role, inFlight, meanMs, avoidUntil] = load.split(':');
+    const [id, role, inFlight, meanMs, avoidUntil, place] = load.split(':');
     return {
       id: upstreamId(id ?? ''),
       isPrimary: role === 'primary',
+      isNear: place === 'near',
       inFlight: Number(inFlight),
       meanMs: Number(meanMs),
       avoidUntil: Number(avoidUntil ?? '0'),
@@ -66,7 +68,7 @@
 
 Then('a read at {int} ms goes to {string}', function (this: ReadWorld, now: number, id: string) {
   const random = new SeededRandom(1);
-  assert.equal(chooseUpstream(this.loads, now, random), id);
+  assert.equal(chooseUpstream(this.loads, TARGET_LATENCY_MS, now, random), id);
 });
 
 Given(
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -111,8 +111,12 @@
     return slot;
   }
 
-  /** The upstream that would serve a read soonest, of those that pass `isAllowed`. */
-  choose(isAllowed: (entry: UpstreamEntry) => boolean, now: number): UpstreamEntry | undefined {
+  /** The upstream that serves a read best, of those that pass `isAllowed`. */
+  choose(
+    isAllowed: (entry: UpstreamEntry) => boolean,
+    targetLatencyMs: number,
+    now: number,
+  ): UpstreamEntry | undefined {
     const { board, random } = this.context;
     const primary = this.record?.primary;
     const entries = board.upstreamsOf(this.group).filter(isAllowed);
@@ -121,12 +125,13 @@
       return {
         id: entry.id,
         isPrimary: entry.id === primary,
+        isNear: entry.az === board.az,
         inFlight: slot?.load ?? 0,
         meanMs: slot?.health.meanMs ?? 0,
         avoidUntil: slot?.health.avoidUntil ?? now,
       };
     });
-    const chosen = chooseUpstream(loads, now, random);
+    const chosen = chooseUpstream(loads, targetLatencyMs, now, random);
     return entries.find((entry) => entry.id === chosen);
   }
 
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -37,11 +37,13 @@
   const isFresh = (entry: UpstreamEntry): boolean => !tried.has(entry.id);
   // A primary that is leaving still has every commit, and leads until it is replaced.
   const isPrimary = (entry: UpstreamEntry): boolean => entry.id === primary && authority;
+  const choose = (passes: (entry: UpstreamEntry) => boolean): UpstreamEntry | undefined =>
+    home.choose(passes, job.route.targetLatencyMs, now);
   const entry =
-    home.choose((any) => isAllowed(any) && isFresh(any), now) ??
-    home.choose((any) => isPrimary(any) && isFresh(any), now) ??
-    home.choose(isAllowed, now) ??
-    home.choose((any) => any.id !== primary, now);
+    choose((any) => isAllowed(any) && isFresh(any)) ??
+    choose((any) => isPrimary(any) && isFresh(any)) ??
+    choose(isAllowed) ??
+    choose((any) => any.id !== primary);
   if (entry === undefined) return err(refuse(RefusalReason.NoCoveringUpstream, home.group));
   return ok({ entry, after, needsAuthority: false });
 }
