feat(gateway): hosts that don't answer on their links get no forwarded work

Ruled out: taking hosts off the list sooner (needs the store, which is down just then), a shorter time for all forwarded work (slow upstreams would look like dead hosts). Errors of questions tell by their step whether the question may have arrived: a write that was never sent is "not run". ForwardService rolls back transactions that rest for longer than the configuration allows, since the word of a silent link never comes.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -119,6 +119,7 @@
 
   private tick(): void {
     const now = performance.now();
+    this.calls.tick(now);
     if (!this.registrar.isListed && this.view.revision > 0) void this.registrar.ensure();
     this.sync.tick(now);
     this.renewer.tick(now);
--- a/packages/gateway/src/control/peer-calls.ts
+++ b/packages/gateway/src/control/peer-calls.ts
@@ -1,5 +1,6 @@
 /**
- * Questions to other hosts and their answers, matched by id, each with a time limit.
+ * Questions to other hosts and their answers, matched by id, each with a time limit. The error of a
+ * question tells by its step whether it may have reached the other host.
  */
 import type { GladespoolError } from '@gladespool/coordination';
 import { gladespoolError, Step } from '@gladespool/coordination';
@@ -8,6 +9,7 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import { PeerLiveness } from './peer-liveness.js';
 
 /** A frame that answers a question. */
 type ReplyFrame = Extract<Frame, { readonly id: number }>;
@@ -17,22 +19,35 @@
   readonly settle: (result: Result<ReplyFrame, GladespoolError>) => void;
 }
 
+/** Longest wait for a link to a host that is tried again, milliseconds: far above three round trips. */
+const REDIAL_TIMEOUT_MS = 1000;
+
+/** Whether the question behind `error` may have reached the other host. */
+export function mayHaveArrived(error: GladespoolError): boolean {
+  return error.step === Step.PeerExchange;
+}
+
 /** Asks other hosts. */
 export class PeerCalls implements PeerHandler {
   private readonly pending = new Map<number, Pending>();
+  private readonly liveness = new PeerLiveness();
   private nextId = 1;
 
   constructor(private readonly network: PeerNetwork) {}
 
-  /** Sends the frame that `build` makes for a fresh id, and waits for the answer. */
+  /**
+   * Sends the frame that `build` makes for a fresh id, and waits for the answer.
+   *
+   * @param linkTimeoutMs longest wait for a link to the host, part of `timeoutMs`
+   */
   async ask(
     peer: PeerAddress,
     build: (id: number) => Frame,
     timeoutMs: number,
+    linkTimeoutMs = timeoutMs,
   ): Promise<Result<ReplyFrame, GladespoolError>> {
     const startedAt = performance.now();
-    const link = await within(this.network.linkTo(peer), timeoutMs);
-    if (link === undefined) return err(silent(peer, 'no link in time'));
+    const link = await this.open(peer, Math.min(timeoutMs, linkTimeoutMs));
     if (link.isErr()) return err(link.error);
     const id = this.nextId;
     this.nextId += 1;
@@ -40,12 +55,24 @@
     return this.exchange(peer, link.value, id, build(id), leftMs);
   }
 
+  /** Whether a host answers as far as is known at `now`; one that did not is tried again meanwhile. */
+  isReachable(peer: PeerAddress, now: number): boolean {
+    if (this.liveness.shouldRedial(peer, now)) void this.open(peer, REDIAL_TIMEOUT_MS);
+    return this.liveness.isReachable(peer, now);
+  }
+
+  /** Looks after links that owe an answer at `now`. */
+  tick(now: number): void {
+    this.liveness.tick(now);
+  }
+
   /** Sends a frame that needs no answer; false when it could not be sent. */
   tell(peer: PeerAddress, frame: Frame): Promise<boolean> {
     return this.network.sendTo(peer, frame);
   }
 
   onFrame(link: PeerLink, frame: Frame): void {
+    this.liveness.noteFrame(link);
     if (!isReply(frame)) return;
     const waiting = this.pending.get(frame.id);
     if (waiting !== undefined) waiting.settle(ok(frame));
@@ -53,12 +80,24 @@
   }
 
   onLost(link: PeerLink): void {
+    this.liveness.noteLost(link);
     for (const waiting of [...this.pending.values()]) {
       if (waiting.link !== link) continue;
       waiting.settle(err(silent({ host: link.host, address: '', port: 0 }, 'link was lost')));
     }
   }
 
+  private async open(
+    peer: PeerAddress,
+    timeoutMs: number,
+  ): Promise<Result<PeerLink, GladespoolError>> {
+    const link = await within(this.network.linkTo(peer), timeoutMs);
+    const now = performance.now();
+    if (link?.isOk() === true) this.liveness.noteReached(peer.host);
+    else this.liveness.noteUnreachable(peer.host, now);
+    return link ?? err(errorOf(Step.PeerConnect, peer, 'no link in time'));
+  }
+
   private exchange(
     peer: PeerAddress,
     link: PeerLink,
@@ -76,7 +115,8 @@
         resolve(result);
       };
       this.pending.set(id, { link, settle });
-      link.send(frame);
+      if (link.send(frame)) this.liveness.noteAsked(link, performance.now());
+      else settle(err(errorOf(Step.PeerConnect, peer, 'link was closed')));
     });
   }
 }
@@ -92,8 +132,11 @@
 }
 
 function silent(peer: PeerAddress, message: string): GladespoolError {
-  const place = { step: Step.PeerExchange, peer: `${peer.host}@${peer.address}:${peer.port}` };
-  return gladespoolError(place, message);
+  return errorOf(Step.PeerExchange, peer, message);
+}
+
+function errorOf(step: Step, peer: PeerAddress, message: string): GladespoolError {
+  return gladespoolError({ step, peer: `${peer.host}@${peer.address}:${peer.port}` }, message);
 }
 
 async function within<Value>(
--- a/packages/gateway/src/forward/forward-service.ts
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -6,6 +6,7 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { ForwardOperation, FrameKind } from '@gladespool/protocol';
+import type { GatewayBoard } from '../board.js';
 import type { Executor, OpenTransaction } from '../home/job.js';
 import type { Outcome } from '../model/outcome.js';
 import { refused } from '../model/outcome.js';
@@ -16,8 +17,18 @@
 interface HeldTransaction {
   readonly link: PeerLink;
   readonly transaction: OpenTransaction;
+  /** Rolls the transaction back when no statement of it has come for too long. */
+  idleTimer: NodeJS.Timeout | undefined;
 }
 
+/** Time for which a transaction may rest before a configuration is known, milliseconds. */
+const DEFAULT_IDLE_MS = 3000;
+/**
+ * Added to the time for which a transaction may rest, milliseconds: the caller's host ends it first,
+ * unless the link has gone silent and its word can't arrive.
+ */
+const IDLE_SLACK_MS = 1000;
+
 /** Outcome of a question, with the handle of a transaction that it opened. */
 interface Served {
   readonly handle: number;
@@ -29,7 +40,10 @@
   private readonly held = new Map<number, HeldTransaction>();
   private nextHandle = 1;
 
-  constructor(private readonly executor: Executor) {}
+  constructor(
+    private readonly executor: Executor,
+    private readonly board: GatewayBoard,
+  ) {}
 
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind === FrameKind.ForwardAsk) void this.answer(link, frame);
@@ -58,13 +72,16 @@
         const held = this.held.get(ask.transaction);
         if (held === undefined) return served(refused(RefusalReason.TransactionLost));
         if (work === undefined) return misuse();
+        clearTimeout(held.idleTimer);
         const outcome = await held.transaction.run(decodeStep(ask, work, now));
         if (outcome.kind !== 'completed') this.held.delete(ask.transaction);
+        else this.watchIdle(ask.transaction, held);
         return served(outcome);
       }
       case ForwardOperation.Commit: {
         const held = this.held.get(ask.transaction);
         if (held === undefined) return served(refused(RefusalReason.TransactionLost));
+        clearTimeout(held.idleTimer);
         this.held.delete(ask.transaction);
         return served(await held.transaction.commit(ask.request, now - ask.arrivedMs));
       }
@@ -78,13 +95,25 @@
     if (opened.isErr()) return served(opened.error);
     const handle = this.nextHandle;
     this.nextHandle += 1;
-    this.held.set(handle, { link, transaction: opened.value });
+    const held = { link, transaction: opened.value, idleTimer: undefined };
+    this.held.set(handle, held);
+    this.watchIdle(handle, held);
     if (!link.ready) this.rollBack(handle);
     return { handle, outcome: undefined };
   }
 
+  private watchIdle(handle: number, held: HeldTransaction): void {
+    const idleMs = this.board.catalog?.transactionIdleMs ?? DEFAULT_IDLE_MS;
+    held.idleTimer = setTimeout(() => {
+      this.rollBack(handle);
+    }, idleMs + IDLE_SLACK_MS);
+  }
+
   private rollBack(handle: number): void {
-    this.held.get(handle)?.transaction.rollback();
+    const held = this.held.get(handle);
+    if (held === undefined) return;
+    clearTimeout(held.idleTimer);
+    held.transaction.rollback();
     this.held.delete(handle);
   }
 }
--- a/packages/gateway/src/forward/remote-executor.ts
+++ b/packages/gateway/src/forward/remote-executor.ts
@@ -1,13 +1,15 @@
 /**
  * Runs the work of sessions on another host.
  */
-import { Access, RefusalReason } from '@gladespool/coordination';
+import type { GladespoolError } from '@gladespool/coordination';
+import { Access, gladespoolError, RefusalReason, Step } from '@gladespool/coordination';
 import type { PeerAddress } from '@gladespool/peers';
-import type { FrameOf } from '@gladespool/protocol';
+import type { Frame, FrameOf } from '@gladespool/protocol';
 import { ForwardOperation, FrameKind } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { PeerCalls } from '../control/peer-calls.js';
+import { mayHaveArrived } from '../control/peer-calls.js';
 import type { BeginJob, Job, OpenTransaction, StatementJob, StepJob } from '../home/job.js';
 import type { Outcome } from '../model/outcome.js';
 import { refused } from '../model/outcome.js';
@@ -19,6 +21,11 @@
 
 /** Added to a statement's time before the other host counts as silent, milliseconds. */
 const SLACK_MS = 50;
+/**
+ * Longest wait for a link to the other host, milliseconds: a link takes three round trips, and a host
+ * that is dark must not use up the time of a statement that another host could run.
+ */
+const LINK_TIMEOUT_MS = 400;
 
 /** Work on one other host. */
 export class RemoteExecutor {
@@ -34,7 +41,8 @@
       work: encodeWork(job.work),
     };
     const reply = await this.ask(fields, timeLeft(job));
-    if (reply !== undefined) return decodeOutcome(reply.outcome) ?? refused(RefusalReason.PeerLost);
+    if (reply.isOk()) return decodeOutcome(reply.value.outcome) ?? refused(RefusalReason.PeerLost);
+    if (!mayHaveArrived(reply.error)) return refused(RefusalReason.PeerUnreachable);
     const isRead = accessOf(job.work) === Access.Read;
     return refused(isRead ? RefusalReason.UpstreamLostReading : RefusalReason.PeerLost);
   }
@@ -45,18 +53,23 @@
       readOnly: job.readOnly,
     };
     const reply = await this.ask(fields, timeLeft(job));
-    if (reply === undefined) return err(refused(RefusalReason.PeerUnreachable));
-    const outcome = decodeOutcome(reply.outcome);
+    if (reply.isErr()) return err(refused(RefusalReason.PeerUnreachable));
+    const outcome = decodeOutcome(reply.value.outcome);
     if (outcome !== undefined) return err(outcome);
-    return ok(new RemoteTransaction(this, job, reply.transaction));
+    return ok(new RemoteTransaction(this, job, reply.value.transaction));
   }
 
-  /** Asks the other host; undefined when no answer came. */
-  async ask(fields: AskFields, timeoutMs: number): Promise<ForwardReply | undefined> {
+  /** Asks the other host. */
+  async ask(fields: AskFields, timeoutMs: number): Promise<Result<ForwardReply, GladespoolError>> {
     const build = (id: number) => ({ kind: FrameKind.ForwardAsk, id, ...fields }) as const;
-    const answer = await this.calls.ask(this.peer, build, timeoutMs + SLACK_MS);
-    if (answer.isErr() || answer.value.kind !== FrameKind.ForwardReply) return undefined;
-    return answer.value;
+    const answer = await this.calls.ask(this.peer, build, timeoutMs + SLACK_MS, LINK_TIMEOUT_MS);
+    return answer.andThen((frame) => this.expectReply(frame));
+  }
+
+  private expectReply(frame: Frame): Result<ForwardReply, GladespoolError> {
+    if (frame.kind === FrameKind.ForwardReply) return ok(frame);
+    const place = { step: Step.PeerExchange, peer: this.peer.host };
+    return err(gladespoolError(place, `answered by ${frame.kind}`));
   }
 
   /** Tells the other host to roll a transaction back. */
@@ -81,8 +94,8 @@
     const fields = this.fields(ForwardOperation.Step, step.id, step);
     const ask = { ...fields, work: encodeWork(step.work) };
     const reply = await this.executor.ask(ask, this.begin.route.timeoutMs);
-    const outcome =
-      decodeOutcome(reply?.outcome) ?? refused(RefusalReason.TransactionLost, 'host was lost');
+    const told = reply.isOk() ? decodeOutcome(reply.value.outcome) : undefined;
+    const outcome = told ?? refused(RefusalReason.TransactionLost, 'host was lost');
     if (outcome.kind !== 'completed') this.rollback();
     return outcome;
   }
@@ -92,9 +105,10 @@
     this.over = true;
     const fields = this.fields(ForwardOperation.Commit, id, { values: new Map(), arrivedAt });
     const reply = await this.executor.ask(fields, this.begin.route.timeoutMs);
-    const outcome = decodeOutcome(reply?.outcome);
+    const outcome = reply.isOk() ? decodeOutcome(reply.value.outcome) : undefined;
     if (outcome !== undefined) return outcome;
-    return refused(this.wrote ? RefusalReason.PeerLost : RefusalReason.TransactionLost);
+    const isCertain = !this.wrote || (reply.isErr() && !mayHaveArrived(reply.error));
+    return refused(isCertain ? RefusalReason.TransactionLost : RefusalReason.PeerLost);
   }
 
   rollback(): void {
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -74,17 +74,25 @@
   private async route<Value>(attempt: Attempt<Value>): Promise<Value> {
     const { job, needsPrimary } = attempt;
     const { group } = job.route;
-    const detours = this.detours(group, needsPrimary, performance.now());
+    const now = performance.now();
+    const detours = this.reachable(this.detours(group, needsPrimary, now), now);
     const first = await this.runElsewhere(attempt, detours);
     if (first !== undefined) return first;
     const own = await attempt.on(this.options.local);
     const outcome = attempt.outcomeOf(own);
     if (outcome === undefined || !couldGoElsewhere(outcome)) return own;
     const { reason } = outcome.refusal;
-    const helpers = this.helpers(group, needsPrimary, reason, performance.now());
+    const later = performance.now();
+    const helpers = this.reachable(this.helpers(group, needsPrimary, reason, later), later);
     return (await this.runElsewhere(attempt, helpers)) ?? own;
   }
 
+  /** Without the hosts that don't answer; work forwarded to them would wait for nothing. */
+  private reachable(peers: readonly PeerAddress[], now: number): readonly PeerAddress[] {
+    const { calls } = this.options;
+    return peers.filter((peer) => calls.isReachable(peer, now)).slice(0, MAX_DETOURS);
+  }
+
   /** Tries `peers` in turn; undefined when none of them ran the work. */
   private async runElsewhere<Value>(
     attempt: Attempt<Value>,
@@ -117,7 +125,7 @@
     const asks = reason === RefusalReason.UpstreamUnreachable && directory.isHome(group);
     if (!asks) return [];
     const homes = directory.homesFor(group, board.host).filter((host) => host !== board.host);
-    return this.addresses(homes.slice(0, MAX_DETOURS));
+    return this.addresses(homes);
   }
 
   private noteFailed(job: Job, peer: PeerAddress, reason: RefusalReason): void {
@@ -133,11 +141,11 @@
     const { board, directory, reach, local } = this.options;
     const home = local.home(group);
     if (needsPrimary && home.missesPrimary(now)) {
-      const reaching = reach.reaching(group, home.record?.epoch, now).slice(0, MAX_DETOURS);
+      const reaching = reach.reaching(group, home.record?.epoch, now);
       if (reaching.length > 0) return this.addresses(reaching);
     }
     if (directory.isHome(group)) return [];
-    return this.addresses(directory.homesFor(group, board.host).slice(0, MAX_DETOURS));
+    return this.addresses(directory.homesFor(group, board.host));
   }
 
   private addresses(hosts: readonly HostId[]): readonly PeerAddress[] {
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -76,7 +76,7 @@
       reach: this.reach,
       home: (group) => this.executor.home(group),
     });
-    this.control.network.addHandler(new ForwardService(this.executor));
+    this.control.network.addHandler(new ForwardService(this.executor, this.board));
     this.routing = this.createRouting();
     this.callers = this.createCallers();
     this.isolation = this.createIsolationGuard();
