test(gateway): open connections between hosts, to the store and to upstreams go silent

Cause: open connections may go silent for good while new ones work; nothing tried it on any of the three kinds. Change: SilencingProxy drops the bytes of the connections open at a moment, one way or both, and tells nobody.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 export * from './faults/fault-network.js';
 export * from './faults/fault-server.js';
+export * from './faults/silencing-proxy.js';
 export * from './free-port.js';
 export * from './store/store-server.js';
 export * from './store/store-state.js';
