feat(gateway): statements wait for a primary only when it is expected in time

The hint when to come back was a constant. Ruled out: refusing always at once (callers ask again before the next primary is there), holding to the deadline (never wanted). Change: coordination/primary-gap works out when the primary is expected, from the age of the proof, the claim, the pace of promotions seen so far (PromotionPace) and the age of the failure; awaitAuthority waits only if that lies within 0.75 of the statement's time. Refusals carry the expectation as retry_after_ms, also from home to caller's host, spread by half. The scenario in which a host misses the primary asks again when the refusals say so, no longer ten times at once.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -24,6 +24,7 @@
 export * from './authority.js';
 export * from './connection-share.js';
 export * from './mark-log.js';
+export * from './primary-gap.js';
 export * from './primary-record.js';
 export * from './upstream-choice.js';
 export * from './failover.js';
--- a/packages/coordination/src/refusal.ts
+++ b/packages/coordination/src/refusal.ts
@@ -218,6 +218,8 @@
   readonly reason: RefusalReason;
   /** What exactly was refused; empty when the reason says it all. */
   readonly detail: string;
+  /** When it is worth coming back, milliseconds from now; undefined where the reason's rule says it. */
+  readonly retryAfterMs?: number;
 }
 
 /** Builds a refusal. */
@@ -229,3 +231,8 @@
 export function ranOf(refusal: Refusal): Ran {
   return REFUSAL_RULES[refusal.reason].ran;
 }
+
+/** When the caller of this refusal may ask again, milliseconds from now; 0 when that is useless. */
+export function retryAfterMsOf(refusal: Refusal): number {
+  return refusal.retryAfterMs ?? REFUSAL_RULES[refusal.reason].retryAfterMs;
+}
--- /dev/null
+++ b/packages/coordination/tests/primary-gap.steps.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { GapView } from '../src/index.js';
+import { DEFAULT_GAP, expectedGapEnd, isWorthHolding, learnPromotionMs } from '../src/index.js';
+
+interface GapWorld {
+  promotionMs: number;
+  view: GapView;
+  arrivedAt: number;
+  timeoutMs: number;
+}
+
+Given('promotions that take {int} ms', function (this: GapWorld, promotionMs: number) {
+  this.promotionMs = promotionMs;
+});
+
+Given('a gap known by {string}', function (this: GapWorld, known: string) {
+  const since = new Map(
+    known.split(',').map((fact) => {
+      const [what, at] = fact.split(':');
+      return [what, Number(at)] as const;
+    }),
+  );
+  this.view = {
+    unprovenSince: since.get('unproven'),
+    claimedAt: since.get('claimed'),
+    failingSince: since.get('failing'),
+  };
+});
+
+Then(
+  'at {int} ms the primary is expected at {int} ms',
+  function (this: GapWorld, now: number, expected: number) {
+    const pace = { promotionMs: this.promotionMs, ...DEFAULT_GAP };
+    assert.equal(expectedGapEnd(this.view, pace, now), expected);
+  },
+);
+
+Given(
+  'a statement of {int} ms that arrived at {int} ms',
+  function (this: GapWorld, timeoutMs: number, arrivedAt: number) {
+    this.timeoutMs = timeoutMs;
+    this.arrivedAt = arrivedAt;
+  },
+);
+
+Then(
+  /^it (waits|is refused) for a primary expected at (\d+) ms$/,
+  function (this: GapWorld, does: string, expected: string) {
+    const holds = isWorthHolding(Number(expected), this.arrivedAt, this.timeoutMs);
+    assert.equal(holds, does === 'waits');
+  },
+);
+
+When('one takes {int} ms', function (this: GapWorld, tookMs: number) {
+  this.promotionMs = learnPromotionMs(this.promotionMs, tookMs);
+});
+
+Then('promotions are expected to take {int} ms', function (this: GapWorld, expected: number) {
+  assert.equal(this.promotionMs, expected);
+});
--- a/packages/gateway/src/forward/forward-frames.ts
+++ b/packages/gateway/src/forward/forward-frames.ts
@@ -1,18 +1,19 @@
 /**
  * Jobs and outcomes as they travel between hosts.
  */
+import type { Refusal } from '@gladespool/coordination';
 import { groupId } from '@gladespool/coordination';
 import type { FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { Job, StepJob } from '../home/job.js';
 import type { Route } from '../model/catalog.js';
 import type { Outcome } from '../model/outcome.js';
-import { refused } from '../model/outcome.js';
 import type { Work } from '../model/statement.js';
 
 type ForwardAsk = FrameOf<FrameKind.ForwardAsk>;
 type ForwardReply = FrameOf<FrameKind.ForwardReply>;
 type WireWork = NonNullable<ForwardAsk['work']>;
+type WireRefusal = Extract<ForwardReply['outcome'], { readonly kind: 'refused' }>;
 type WireRoute = NonNullable<ForwardAsk['route']>;
 
 /** Encodes work. */
@@ -76,8 +77,7 @@
   const base = { kind: FrameKind.ForwardReply, id, transaction } as const;
   if (outcome === undefined) return base;
   if (outcome.kind === 'refused') {
-    const { reason, detail } = outcome.refusal;
-    return { ...base, outcome: { kind: 'refused', reason, detail } };
+    return { ...base, outcome: { kind: 'refused', ...outcome.refusal } };
   }
   if (outcome.kind === 'faulted') return { ...base, outcome };
   const { rows, signature, committed } = outcome;
@@ -91,10 +91,15 @@
     case undefined:
       return undefined;
     case 'refused':
-      return refused(wire.reason, wire.detail);
+      return { kind: 'refused', refusal: decodeRefusal(wire) };
     case 'faulted':
       return wire;
     case 'completed':
       return { ...wire, committed: wire.committed };
   }
 }
+
+function decodeRefusal(wire: WireRefusal): Refusal {
+  const { reason, detail, retryAfterMs } = wire;
+  return retryAfterMs === undefined ? { reason, detail } : { reason, detail, retryAfterMs };
+}
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -23,6 +23,7 @@
 import { RoutedExecutor } from './forward/routed-executor.js';
 import type { GatewayRules } from './gateway-rules.js';
 import { LocalExecutor } from './home/local-executor.js';
+import { PromotionPace } from './home/promotion-pace.js';
 import type { UpstreamDriver } from './model/upstream-wire.js';
 
 /** What a gateway host is made of. */
@@ -125,6 +126,7 @@
       driver,
       rules: rules.home,
       holds: this.holds,
+      pace: new PromotionPace(this.board, performance.now()),
       directory: this.directory,
       reach: this.reach,
       random: new SeededRandom(seed),
--- a/packages/gateway/src/home/await-authority.ts
+++ b/packages/gateway/src/home/await-authority.ts
@@ -1,33 +1,30 @@
 /**
- * Holds a statement for a short time while the proof of the primary is being renewed or another
- * primary takes over.
+ * Holds a statement while the proof of the primary is being renewed or another primary takes over,
+ * if that is expected to be over in time.
  */
+import { isWorthHolding } from '@gladespool/coordination';
 import { BoardSection } from '../board.js';
 import type { GroupHome } from './group-home.js';
 import type { Job } from './job.js';
 
-/**
- * Part of the statement's time for which it is held, counted from its arrival. A promotion takes
- * most of a second; a caller that asks again later is served as well as one that is held longer.
- */
-const HOLD_SHARE = 0.3;
 /** Longest wait before the authority is looked at again, milliseconds. */
 const REVIEW_MS = 25;
 
 /**
- * Waits until the primary may be used and answers.
+ * Waits until the primary may be used and answers, for as long as that is expected to happen in time
+ * for the statement.
  *
- * @returns false when the time for which the statement may be held is over, or when another host can
- *   run it meanwhile.
+ * @returns false as soon as waiting is not worth it, or when another host can run the statement.
  */
 export async function awaitAuthority(home: GroupHome, job: Job, now: number): Promise<boolean> {
-  const until = job.arrivedAt + job.route.timeoutMs * HOLD_SHARE;
-  for (let time = now; time < until; time = performance.now()) {
+  const { timeoutMs } = job.route;
+  for (let time = now; ; time = performance.now()) {
     if (mayUsePrimary(home, time)) return true;
     if (home.missesPrimary(time) && home.hasDetour(time)) return false;
-    await recordChange(home, Math.min(REVIEW_MS, until - time));
+    const expectedAt = home.expectedPrimaryAt(time);
+    if (!isWorthHolding(expectedAt, job.arrivedAt, timeoutMs)) return false;
+    await recordChange(home, REVIEW_MS);
   }
-  return false;
 }
 
 function mayUsePrimary(home: GroupHome, now: number): boolean {
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -4,18 +4,23 @@
  */
 import type {
   AuthorityRules,
+  GapPace,
   GladespoolError,
   GroupId,
   PrimaryRecord,
   RandomSource,
+  Refusal,
+  RefusalReason,
   UpstreamId,
 } from '@gladespool/coordination';
 import {
   answerCounts,
   chooseUpstream,
+  expectedGapEnd,
   hasAuthority,
   MarkLog,
   Priority,
+  refuse,
   RetryReason,
 } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
@@ -25,10 +30,13 @@
 import type { ReachNotes } from '../forward/reach-notes.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
+import type { PromotionPace } from './promotion-pace.js';
 import { UpstreamSlot } from './upstream-slot.js';
 
 /** Longer than a connection that is lost and opened anew, milliseconds. */
 const MISSED_AFTER_MS = 150;
+/** Callers that are refused alike are told to come back over this part more of the time, not all at once. */
+const RETURN_SPREAD = 0.5;
 
 /** Times and bounds of homes. */
 export interface HomeRules {
@@ -37,6 +45,8 @@
   readonly connectTimeoutMs: number;
   /** Statements waiting for a connection to one upstream at most. */
   readonly maxWaiting: number;
+  /** Usual times of the parts of a gap without a primary, but for the promotion, which is observed. */
+  readonly gap: Omit<GapPace, 'promotionMs'>;
 }
 
 /** What every home of a host shares. */
@@ -45,6 +55,7 @@
   readonly driver: UpstreamDriver;
   readonly rules: HomeRules;
   readonly holds: WriteHolds;
+  readonly pace: PromotionPace;
   readonly directory: HomeDirectory;
   readonly reach: ReachNotes;
   readonly random: RandomSource;
@@ -80,6 +91,28 @@
     return since !== undefined && now - since >= MISSED_AFTER_MS;
   }
 
+  /** Local time at which the primary, which can't be used at `now`, is expected to be usable. */
+  expectedPrimaryAt(now: number): number {
+    const { board, rules, pace } = this.context;
+    const { record } = this;
+    const { proofLifeMs } = rules.authority;
+    const lapsedAt = Math.max(board.provenSince + proofLifeMs, pace.startedAt);
+    const view = {
+      unprovenSince: board.isIsolated(now, rules.authority) ? lapsedAt : undefined,
+      claimedAt: pace.claimedAt(this.group),
+      failingSince: record && this.slot(record.primary)?.health.failingSince,
+    };
+    const { promotionMs } = pace;
+    return expectedGapEnd(view, { promotionMs, ...rules.gap }, now);
+  }
+
+  /** Refusal of work that needs the primary while there is none to use, with when to come back. */
+  refuseWithoutPrimary(reason: RefusalReason, now: number): Refusal {
+    const waitMs = this.expectedPrimaryAt(now) - now;
+    const spread = 1 + RETURN_SPREAD * this.context.random.unit();
+    return { ...refuse(reason, this.group), retryAfterMs: Math.ceil(waitMs * spread) };
+  }
+
   /** Whether another host is known to reach the primary. */
   hasDetour(now: number): boolean {
     return this.context.reach.reaching(this.group, this.record?.epoch, now).length > 0;
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -14,7 +14,7 @@
 import type { GroupHome } from './group-home.js';
 import type { BeginJob, OpenTransaction, StepJob } from './job.js';
 import type { ReadTarget } from './read-plan.js';
-import { confirmed } from './write-flow.js';
+import { confirmed, notBorrowed } from './write-flow.js';
 
 /** Longest time for a rollback before its connection is closed instead, milliseconds. */
 const ROLLBACK_TIMEOUT_MS = 1000;
@@ -28,7 +28,12 @@
   const slot = home.slot(target.entry.id);
   if (slot === undefined) return err(refused(RefusalReason.NoCoveringUpstream, home.group));
   const borrowed = await borrow(home, slot, job, undefined);
-  if (borrowed.isErr()) return err(refused(borrowed.error, home.group));
+  if (borrowed.isErr()) {
+    const outcome = target.needsAuthority
+      ? notBorrowed(home, borrowed.error)
+      : refused(borrowed.error, home.group);
+    return err(outcome);
+  }
   const { lease, record } = borrowed.value;
   const { after } = target;
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
--- /dev/null
+++ b/packages/gateway/src/home/promotion-pace.ts
@@ -0,0 +1,52 @@
+/**
+ * Follows the records of primaries: when a claim was first seen, and how long claims take until the
+ * next primary serves.
+ */
+import type { GroupId } from '@gladespool/coordination';
+import { learnPromotionMs, RecordPhase } from '@gladespool/coordination';
+import type { GatewayBoard } from '../board.js';
+import { BoardSection } from '../board.js';
+
+/** Assumed time of a promotion before one was seen, milliseconds: some hundred are usual. */
+const FIRST_PROMOTION_MS = 700;
+
+interface SeenClaim {
+  readonly epoch: number;
+  readonly at: number;
+}
+
+/** Pace of the promotions that one host has seen. */
+export class PromotionPace {
+  /** Usual time from a claim to the next primary, milliseconds. */
+  promotionMs = FIRST_PROMOTION_MS;
+  private readonly claims = new Map<GroupId, SeenClaim>();
+
+  /** @param startedAt local time at which this host began to look for proofs */
+  constructor(
+    private readonly board: GatewayBoard,
+    readonly startedAt: number,
+  ) {
+    board.onChange(BoardSection.Records, () => {
+      this.review(performance.now());
+    });
+  }
+
+  /** When the claim in force of a group was first seen; undefined while its primary serves. */
+  claimedAt(group: GroupId): number | undefined {
+    return this.claims.get(group)?.at;
+  }
+
+  private review(now: number): void {
+    for (const { group, epoch, phase } of this.board.allRecords) {
+      const claim = this.claims.get(group);
+      if (phase === RecordPhase.Claimed) {
+        if (claim?.epoch !== epoch) this.claims.set(group, { epoch, at: now });
+      } else if (claim !== undefined) {
+        this.claims.delete(group);
+        if (claim.epoch === epoch) {
+          this.promotionMs = learnPromotionMs(this.promotionMs, now - claim.at);
+        }
+      }
+    }
+  }
+}
--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -12,6 +12,7 @@
 import { awaitAuthority } from './await-authority.js';
 import type { ReadTarget } from './read-plan.js';
 import { planRead } from './read-plan.js';
+import { notBorrowed } from './write-flow.js';
 
 /** Upstreams tried for one read at most. */
 const MAX_TRIES = 4;
@@ -49,7 +50,7 @@
   const slot = home.slot(target.entry.id);
   if (slot === undefined) return again(RetryReason.ConnectFailed, RefusalReason.NoCoveringUpstream);
   const borrowed = await borrow(home, slot, job, job.work);
-  if (borrowed.isErr()) return notBorrowed(borrowed.error, target);
+  if (borrowed.isErr()) return withoutConnection(home, borrowed.error, target);
   const { lease, record } = borrowed.value;
   const command = lease.connection.commandFor(job.work, job.id, target.after);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
@@ -66,8 +67,8 @@
 }
 
 /** Without a connection another upstream may serve; where only the primary may, the answer is final. */
-function notBorrowed(reason: Reason, target: ReadTarget): Try {
-  if (target.needsAuthority) return final(refused(reason));
+function withoutConnection(home: GroupHome, reason: Reason, target: ReadTarget): Try {
+  if (target.needsAuthority) return final(notBorrowed(home, reason));
   const unreachable = reason === RefusalReason.UpstreamUnreachable;
   return again(unreachable ? RetryReason.ConnectFailed : RetryReason.UpstreamBusy, reason);
 }
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -63,9 +63,9 @@
 export function planAtPrimary(home: GroupHome, now: number): Result<ReadTarget, Refusal> {
   const { record } = home;
   if (record === undefined || !home.hasAuthority(now)) {
-    return err(refuse(RefusalReason.NoAuthority, home.group));
+    return err(home.refuseWithoutPrimary(RefusalReason.NoAuthority, now));
   }
   const entry = home.context.board.upstreams.get(record.primary);
-  if (entry === undefined) return err(refuse(RefusalReason.NoPrimary, home.group));
+  if (entry === undefined) return err(home.refuseWithoutPrimary(RefusalReason.NoPrimary, now));
   return ok({ entry, after: undefined, needsAuthority: true });
 }
--- a/packages/gateway/src/home/write-flow.ts
+++ b/packages/gateway/src/home/write-flow.ts
@@ -21,13 +21,13 @@
   let last: Outcome = refused(RefusalReason.NoPrimary, home.group);
   for (let count = 0; count < MAX_TRIES; count += 1) {
     if (!(await awaitAuthority(home, job, performance.now()))) {
-      return refused(RefusalReason.NoAuthority, home.group);
+      return withoutPrimary(home, RefusalReason.NoAuthority);
     }
     const { record } = home;
     const slot = record === undefined ? undefined : home.slot(record.primary);
     if (slot === undefined) return last;
     const borrowed = await borrow(home, slot, job, job.work);
-    if (borrowed.isErr()) return refused(borrowed.error, home.group);
+    if (borrowed.isErr()) return notBorrowed(home, borrowed.error);
     const outcome = await writeOnce(home, job, borrowed.value);
     if (!mayRepeat(outcome)) return outcome;
     last = outcome;
@@ -54,6 +54,16 @@
   return confirmed(home, borrowed, answer);
 }
 
+/** Refusal of work for which no connection to the primary could be had. */
+export function notBorrowed(home: GroupHome, reason: RefusalReason): Outcome {
+  if (reason === RefusalReason.UpstreamUnreachable) return withoutPrimary(home, reason);
+  return refused(reason, home.group);
+}
+
+function withoutPrimary(home: GroupHome, reason: RefusalReason): Outcome {
+  return { kind: 'refused', refusal: home.refuseWithoutPrimary(reason, performance.now()) };
+}
+
 /** Outcome of a commit or single write, given what came back. */
 export function confirmed(home: GroupHome, borrowed: Borrowed, answer: UpstreamAnswer): Outcome {
   if (answer.kind === 'lost') {
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { UpstreamId } from '@gladespool/coordination';
-import { hostId, RecordPhase, upstreamId } from '@gladespool/coordination';
+import { hostId, RecordPhase, retryAfterMsOf, upstreamId } from '@gladespool/coordination';
 import type { Outcome, UpstreamEntry } from '../src/index.js';
 import { RelayOrder } from '../src/index.js';
 import type { FakeHost } from './fakes/fake-deployment.js';
@@ -131,11 +131,12 @@
   { timeout: 20_000 },
   async function (this: ActionWorld, index: number) {
     const { deployment } = this;
-    let last = '';
-    for (let tries = 0; tries < 10 && last !== 'completed'; tries += 1) {
-      last = (await deployment.run(host(this, index), 'WRITE x 1')).kind;
+    let last = await deployment.run(host(this, index), 'WRITE x 1');
+    for (let tries = 1; tries < 10 && last.kind === 'refused'; tries += 1) {
+      await pause(retryAfterMsOf(last.refusal));
+      last = await deployment.run(host(this, index), 'WRITE x 1');
     }
-    assert.equal(last, 'completed');
+    assert.equal(last.kind, 'completed');
   },
 );
 
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -155,7 +155,12 @@
     code: z.string(),
     text: z.string(),
   }),
-  z.object({ kind: z.literal('refused'), reason: z.enum(RefusalReason), detail: z.string() }),
+  z.object({
+    kind: z.literal('refused'),
+    reason: z.enum(RefusalReason),
+    detail: z.string(),
+    retryAfterMs: count.optional(),
+  }),
 ]);
 
 const partSchema = z.object({ hash: z.string(), text: z.string() }).readonly();
