feat(gateway): hosts that are no homes give their connections back, homes use 0.6 of the budget

Upstreams count dark connections for 3 s more. Change: a host that is no home holds one connection to an upstream and closes it after 1 s without use; a full queue of a home is no reason to open one; homes use 0.6 of the budget; an upstream that refused a connection is left alone for 0.1 s, and requests go elsewhere meanwhile.

--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -13,7 +13,7 @@
 
 /** Bounds of the split. */
 export interface ShareRules {
-  /** Part of an upstream's connections that is used; the rest covers hosts that come and go. */
+  /** Part of an upstream's connections that is used; the rest covers hosts that come back or go. */
   readonly usableShare: number;
   /** Connections for each statement that an upstream runs at once; more only make its queue longer. */
   readonly perSlot: number;
@@ -22,11 +22,12 @@
 }
 
 /**
- * 0.85: an upstream counts a dark host's connections for 3 s more. Six a slot: one running, one
- * queued, the others in transactions or hosts with nothing to do; what is left of the budget lets all
- * hosts connect again at once after they lost power. Two a home: one transaction and one read.
+ * 0.6: an upstream counts the connections of dark hosts for 3 s more; the rest lets most of them in again
+ * at once after a power loss of all hosts. With 0.5 transactions wait for connections
+ * (docs/DECISIONS.md). Six a slot: one running, one queued, the others in transactions or hosts with
+ * nothing to do. Two a home: one transaction and one read.
  */
-export const DEFAULT_SHARES: ShareRules = { usableShare: 0.85, perSlot: 6, leastPerHome: 2 };
+export const DEFAULT_SHARES: ShareRules = { usableShare: 0.6, perSlot: 6, leastPerHome: 2 };
 
 /** What upstreams of a group allow. */
 export interface UpstreamRoom {
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -160,9 +160,17 @@
   }
 }
 
+/** Refusals by which an upstream or its queue is known to be full: another host would only add to that. */
+const FULL: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.ExpectedWait,
+  RefusalReason.QueueFull,
+  RefusalReason.DeadlineBeforeRun,
+]);
+
 /** Whether the work has certainly not run, for a reason that another host may not have. */
 function couldGoElsewhere(
   outcome: Outcome,
 ): outcome is Extract<Outcome, { readonly kind: 'refused' }> {
-  return outcome.kind === 'refused' && ranOf(outcome.refusal) === Ran.No;
+  if (outcome.kind !== 'refused' || FULL.has(outcome.refusal.reason)) return false;
+  return ranOf(outcome.refusal) === Ran.No;
 }
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -45,8 +45,8 @@
   readonly seed: number;
 }
 
-/** Time between two looks at whether this host is cut off, milliseconds; far below the balancer's second. */
-const ISOLATION_TICK_MS = 200;
+/** Time between two looks at what is due, milliseconds; far below the balancer's second. */
+const TICK_MS = 200;
 
 /** A running gateway host. */
 export class GatewayHost {
@@ -59,7 +59,7 @@
   private readonly control: ControlPlane;
   private readonly callers: CallerServer;
   private readonly isolation: IsolationGuard;
-  private isolationTimer: NodeJS.Timeout | undefined;
+  private timer: NodeJS.Timeout | undefined;
   /** Runs the work of sessions, here or on another host. */
   readonly routing: RoutedExecutor;
 
@@ -97,9 +97,11 @@
     const { callers, self } = this.options;
     await this.callers.listen(callers.address, callers.port);
     await this.control.start();
-    this.isolationTimer = setInterval(() => {
-      this.isolation.tick(performance.now());
-    }, ISOLATION_TICK_MS);
+    this.timer = setInterval(() => {
+      const now = performance.now();
+      this.isolation.tick(now);
+      this.executor.tick(now);
+    }, TICK_MS);
     this.log.info('started', { incarnation: self.incarnation, port: callers.port });
   }
 
@@ -107,7 +109,7 @@
   async drain(): Promise<void> {
     this.log.info('draining');
     this.board.draining = true;
-    clearInterval(this.isolationTimer);
+    clearInterval(this.timer);
     await this.callers.drain(this.options.rules.drain);
     this.executor.stop();
     await this.control.stop();
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -35,6 +35,13 @@
 
 /** Longer than a connection that is lost and opened anew, milliseconds. */
 const MISSED_AFTER_MS = 150;
+/**
+ * Connections to one upstream of a host that is no home of the group. It opens them while no home
+ * serves it, and the homes' share of the budget leaves little room for them.
+ */
+const GUEST_CONNECTIONS = 1;
+/** Time after which such a connection is closed when nobody uses it, milliseconds. */
+const GUEST_IDLE_MS = 1000;
 /** Callers that are refused alike are told to come back over this part more of the time, not all at once. */
 const RETURN_SPREAD = 0.5;
 
@@ -181,6 +188,12 @@
     }
   }
 
+  /** Gives back connections that this host opened for want of a home and does not use at `now`. */
+  tick(now: number): void {
+    if (this.context.directory.isHome(this.group)) return;
+    for (const slot of this.slots.values()) slot.closeIdle(now - GUEST_IDLE_MS);
+  }
+
   /** Closes every idle connection; those in use close as they come back. */
   stop(): void {
     for (const slot of this.slots.values()) slot.stop();
@@ -218,7 +231,8 @@
   private limits(): { readonly maxConnections: number; readonly maxWaiting: number } {
     const { directory, rules } = this.context;
     const { connectionsPerHome } = directory.plan(this.group);
-    return { maxConnections: connectionsPerHome, maxWaiting: rules.maxWaiting };
+    const maxConnections = directory.isHome(this.group) ? connectionsPerHome : GUEST_CONNECTIONS;
+    return { maxConnections, maxWaiting: rules.maxWaiting };
   }
 }
 
--- a/packages/gateway/src/home/local-executor.ts
+++ b/packages/gateway/src/home/local-executor.ts
@@ -75,6 +75,11 @@
     return err(last);
   }
 
+  /** Gives back at `now` what this host holds without being a home. */
+  tick(now: number): void {
+    for (const home of this.homes.values()) home.tick(now);
+  }
+
   /** Closes every connection that is not in use. */
   stop(): void {
     for (const home of this.homes.values()) home.stop();
--- a/packages/gateway/src/home/upstream-slot.ts
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -63,6 +63,11 @@
     this.pool.resize(limits);
   }
 
+  /** Closes connections that nobody has used since `before`. */
+  closeIdle(before: number): void {
+    this.pool.closeIdle(before);
+  }
+
   /** Closes idle connections and refuses new work. */
   stop(): void {
     this.pool.stop();
--- a/packages/pool/src/connection-pool.ts
+++ b/packages/pool/src/connection-pool.ts
@@ -30,6 +30,12 @@
   release(): void;
 }
 
+interface Idle<C extends PoolConnection> {
+  readonly connection: C;
+  /** Local time since which nobody has used it. */
+  readonly since: number;
+}
+
 interface Waiter<C extends PoolConnection> {
   readonly priority: Priority;
   /** When its caller stops waiting, local milliseconds. */
@@ -53,12 +59,15 @@
 const HOLD_WEIGHT = 0.1;
 /** Connection attempts at once; more would be a storm on an upstream that has just returned. */
 const MAX_CONNECTING = 2;
-/** Pause after a failed attempt while other connections are open, milliseconds. */
+/**
+ * Pause after a failed attempt, milliseconds. An upstream that is full or gone is not helped by an
+ * attempt for each request; where none is open, requests go elsewhere meanwhile.
+ */
 const RECONNECT_PAUSE_MS = 100;
 
 /** Pool of connections to one upstream. */
 export class ConnectionPool<C extends PoolConnection> {
-  private readonly idle: C[] = [];
+  private readonly idle: Idle<C>[] = [];
   private readonly waiting: Waiter<C>[] = [];
   private open = 0;
   private connecting = 0;
@@ -66,6 +75,8 @@
   private turns = 0;
   private holdMs = 1;
   private stopped = false;
+  /** Local time before which no connection is opened, after one was refused. */
+  private dialNotBefore = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly dial: () => Promise<Result<C, GladespoolError>>,
@@ -100,11 +111,20 @@
     while (this.connections > limits.maxConnections) {
       const surplus = this.idle.pop();
       if (surplus === undefined) return;
-      this.discard(surplus);
+      this.discard(surplus.connection);
     }
     this.grow();
   }
 
+  /** Closes connections that nobody has used since `before`. */
+  closeIdle(before: number): void {
+    const stale = this.idle.filter((idle) => idle.since < before);
+    for (const entry of stale) {
+      this.idle.splice(this.idle.indexOf(entry), 1);
+      this.discard(entry.connection);
+    }
+  }
+
   /** Lends a connection, waiting at most `timeoutMs`. */
   acquire(
     priority: Priority,
@@ -113,7 +133,7 @@
   ): Promise<Result<Lease<C>, RefusalReason>> {
     const ready = this.stopped ? undefined : this.takeIdle();
     if (ready !== undefined) return Promise.resolve(ok(this.lend(ready, now)));
-    const refusal = this.refusalAtDoor(timeoutMs);
+    const refusal = this.refusalAtDoor(now, timeoutMs);
     if (refusal !== undefined) return Promise.resolve(err(refusal));
     return this.enqueue(priority, now, timeoutMs);
   }
@@ -121,12 +141,15 @@
   /** Closes idle connections and refuses new work; leases in use end as they are given back. */
   stop(): void {
     this.stopped = true;
-    for (const connection of this.idle.splice(0)) this.discard(connection);
+    for (const { connection } of this.idle.splice(0)) this.discard(connection);
     for (const waiter of this.waiting.splice(0)) waiter.settle(err(RefusalReason.Draining));
   }
 
-  private refusalAtDoor(timeoutMs: number): RefusalReason | undefined {
+  private refusalAtDoor(now: number, timeoutMs: number): RefusalReason | undefined {
     if (this.stopped) return RefusalReason.Draining;
+    if (this.connections === 0 && now < this.dialNotBefore) {
+      return RefusalReason.UpstreamUnreachable;
+    }
     if (this.waiting.length >= this.limits.maxWaiting) return RefusalReason.QueueFull;
     if (this.expectedWaitMs() > timeoutMs * WAIT_SHARE) return RefusalReason.ExpectedWait;
     return undefined;
@@ -167,6 +190,7 @@
     const result = await this.dial();
     this.connecting -= 1;
     if (result.isErr()) {
+      this.dialNotBefore = performance.now() + RECONNECT_PAUSE_MS;
       this.onConnectFailure(result.error);
       if (this.open === 0) this.refuseWaiting();
       else {
@@ -196,7 +220,7 @@
     const now = performance.now();
     const waiter = this.nextWaiterInTime(now);
     if (waiter === undefined) {
-      this.idle.push(connection);
+      this.idle.push({ connection, since: now });
       return;
     }
     waiter.settle(ok(this.lend(connection, now)));
@@ -223,7 +247,7 @@
 
   private takeIdle(): C | undefined {
     for (;;) {
-      const connection = this.idle.pop();
+      const connection = this.idle.pop()?.connection;
       if (connection === undefined) return undefined;
       if (connection.usable) return connection;
       this.discard(connection);
