feat(gateway): reads wait until upstreams that were tried are worth another try

Ruled out: more tries without a pause (more load for busy upstreams). Change: an upstream that has been tried is tried again once its time of avoidance is over, if that is within 0.6 of the operation's target latency; six tries at most.

--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -1,6 +1,7 @@
 /**
  * Single reads: tried at one upstream after another within the statement's time.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { RefusalReason as Reason, UpstreamId } from '@gladespool/coordination';
 import { RefusalReason, RetryReason, UpstreamFault } from '@gladespool/coordination';
 import type { Outcome } from '../model/outcome.js';
@@ -14,8 +15,13 @@
 import { planRead } from './read-plan.js';
 import { notBorrowed } from './write-flow.js';
 
-/** Upstreams tried for one read at most. */
-const MAX_TRIES = 4;
+/** Upstreams tried for one read at most: each of three twice. */
+const MAX_TRIES = 6;
+/**
+ * Part of an operation's target latency that a read may wait until upstreams that were tried are worth
+ * another try: those that shed it have room again, those that lagged have caught up.
+ */
+const PAUSE_SHARE = 0.6;
 /** Part of the time left that one try may take while another could follow. */
 const TRY_SHARE = 0.6;
 
@@ -37,6 +43,7 @@
       if (!(await awaitAuthority(home, job, now))) return last;
       continue;
     }
+    if (!(await awaitRecovery(home, job, target.value, tried, now))) return last;
     const attempt = await tryRead(home, job, target.value);
     if (attempt.kind === 'final') return attempt.outcome;
     tried.add(target.value.entry.id);
@@ -46,6 +53,26 @@
   return last;
 }
 
+/**
+ * Waits until an upstream that has been tried already is worth another try; asked at once it would only
+ * give the same answer.
+ *
+ * @returns false when that is too late for the read
+ */
+async function awaitRecovery(
+  home: GroupHome,
+  job: StatementJob,
+  { entry }: ReadTarget,
+  tried: ReadonlySet<UpstreamId>,
+  now: number,
+): Promise<boolean> {
+  const avoidUntil = home.slot(entry.id)?.health.avoidUntil ?? now;
+  if (!tried.has(entry.id) || avoidUntil <= now) return true;
+  if (avoidUntil > job.arrivedAt + job.route.targetLatencyMs * PAUSE_SHARE) return false;
+  await pause(avoidUntil - now);
+  return true;
+}
+
 async function tryRead(home: GroupHome, job: StatementJob, target: ReadTarget): Promise<Try> {
   const slot = home.slot(target.entry.id);
   if (slot === undefined) return again(RetryReason.ConnectFailed, RefusalReason.NoCoveringUpstream);
