perf(gateway): a host reads its proof at once after it has registered

Cause: a host that starts is listed 20 ms later, but the read that could prove its records came just before; the next one is due after 0.28 s, by way of a relay after 0.46 s. Until then the host is cut off in its own eyes and refuses all that needs a primary. Change: ProofKeeper reads again as soon as the registration is acknowledged. first-proof.feature fails without it.

--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -110,18 +110,23 @@
 
   /** Takes what a read brought that was sent at `sentAt`; it proves this host's records if it lists it. */
   private take(range: StoreRange, sentAt: number, now: number): void {
-    const { self, view, board, registrar } = this.options;
+    const { self, view, board } = this.options;
     const behind = view.revision < range.revision;
     view.replace(OWN_PREFIX, range, now);
     const hosts = listedHosts(range.items);
     this.list = { readAt: sentAt, hosts };
     this.firstHand = { sentAt, list: this.list };
     if (hosts.get(self.host) === self.incarnation) board.prove(sentAt);
-    else void registrar.ensure();
+    else void this.register();
     if (!behind) view.noteCurrent(sentAt);
     this.checkWatch(behind, range.revision);
   }
 
+  /** Lists this host and reads again at once: callers of a host that restarts wait for its first proof. */
+  private async register(): Promise<void> {
+    if (await this.options.registrar.ensure()) await this.read();
+  }
+
   /** A watch that has not brought a change within an interval has lost it; without one all is read. */
   private checkWatch(behind: boolean, revision: number): void {
     if (!behind) return;
--- a/packages/gateway/src/control/registrar.ts
+++ b/packages/gateway/src/control/registrar.ts
@@ -27,9 +27,13 @@
     return this.board.hosts.get(this.self.host)?.incarnation === this.self.incarnation;
   }
 
-  /** Writes the entry if it is not listed. */
-  async ensure(): Promise<void> {
-    if (this.isListed || this.writing || this.board.draining) return;
+  /**
+   * Writes the entry if it is not listed.
+   *
+   * @returns whether this call has written it
+   */
+  async ensure(): Promise<boolean> {
+    if (this.isListed || this.writing || this.board.draining) return false;
     this.writing = true;
     const key = hostKey(this.self.host);
     const change = {
@@ -41,10 +45,11 @@
     this.writing = false;
     if (result.isOk()) {
       this.log.info('registered', { incarnation: this.self.incarnation });
-      return;
+      return true;
     }
     const { step, peer, message } = result.error;
     this.log.warn('registering-failed', { step, peer, error: message });
+    return false;
   }
 
   /** Removes the entry; only when this host uses no primary any more. */
