feat(gateway): a host that no upstream lets in asks homes of other zones

Ruled out: fewer connections still (transactions wait for them), more tries at the same upstream. Scenario in authority-in-action.feature that fails without it; tables of features aligned.

--- a/packages/coordination/tests/reads-and-room.feature
+++ b/packages/coordination/tests/reads-and-room.feature
@@ -21,19 +21,19 @@
 
     # load = id:role:inFlight:meanMs[:avoidUntil[:near]]; the operation's target latency is 200 ms
     Examples:
-      | loads                                        | chosen | why                                   |
-      | a:primary:0:20,b:replica:0:20                | b      | the primary has the writes to do      |
-      | a:primary:0:20,b:replica:4:20                | a      | unless the replica is busy            |
-      | b:replica:0:20,c:replica:0:90                | b      | the faster one                        |
-      | b:replica:0:20:2000,c:replica:5:90           | c      | a lagging one is avoided for a while  |
-      | b:replica:0:20:2000,c:replica:0:20:1500      | c      | all avoided: the first to be back     |
-      | b:replica:1:20:0:near,c:replica:0:20         | b      | the near one serves in comfort        |
-      | b:replica:4:20:0:near,c:replica:0:20         | c      | the near one has a queue              |
-      | b:replica:0:60:0:near,c:replica:0:20         | c      | the near one is slow                  |
-      | b:replica:0:20:2000:near,c:replica:0:20      | c      | the near one lags                     |
-      | a:primary:0:20:0:near,c:replica:0:20         | a      | a near primary with room              |
-      | a:primary:1:20:0:near,c:replica:0:20         | c      | a near primary that has work          |
-      | b:replica:4:20:0:near,c:replica:9:20         | b      | a far one would be slower still       |
+      | loads                                   | chosen | why                                  |
+      | a:primary:0:20,b:replica:0:20           | b      | the primary has the writes to do     |
+      | a:primary:0:20,b:replica:4:20           | a      | unless the replica is busy           |
+      | b:replica:0:20,c:replica:0:90           | b      | the faster one                       |
+      | b:replica:0:20:2000,c:replica:5:90      | c      | a lagging one is avoided for a while |
+      | b:replica:0:20:2000,c:replica:0:20:1500 | c      | all avoided: the first to be back    |
+      | b:replica:1:20:0:near,c:replica:0:20    | b      | the near one serves in comfort       |
+      | b:replica:4:20:0:near,c:replica:0:20    | c      | the near one has a queue             |
+      | b:replica:0:60:0:near,c:replica:0:20    | c      | the near one is slow                 |
+      | b:replica:0:20:2000:near,c:replica:0:20 | c      | the near one lags                    |
+      | a:primary:0:20:0:near,c:replica:0:20    | a      | a near primary with room             |
+      | a:primary:1:20:0:near,c:replica:0:20    | c      | a near primary that has work         |
+      | b:replica:4:20:0:near,c:replica:9:20    | b      | a far one would be slower still      |
 
   Scenario Outline: Connections are split over few homes, or over all hosts
     Given <zones> zones of <hosts> hosts and upstreams of <connections> connections and <slots> slots
@@ -41,9 +41,9 @@
 
     Examples:
       | zones | hosts | connections | slots | homes | each | why                                  |
-      | 3 | 3 | 23 | 3 | 2 | 2 | Ramdin: 0.6 of the budget |
+      | 3     | 3     | 23          | 3     | 2     | 2    | Ramdin: 0.6 of the budget            |
       | 3     | 24    | 53          | 3     | 3     | 2    | Ramdin, grown: a few of each zone    |
       | 4     | 18    | 283         | 5     | 3     | 2    | Harborline, grown: slots, not budget |
       | 3     | 3     | 4           | 3     | 1     | 1    | a tiny budget                        |
-      | 1 | 1 | 23 | 3 | 1 | 13 | a single host |
-      | 3 | 3 | 16 | 2 | 1 | 3 | Riga: few connections |
+      | 1     | 1     | 23          | 3     | 1     | 13   | a single host                        |
+      | 3     | 3     | 16          | 2     | 1     | 3    | Riga: few connections                |
--- a/packages/gateway/src/forward/home-directory.ts
+++ b/packages/gateway/src/forward/home-directory.ts
@@ -46,4 +46,13 @@
     const homes = this.plan(group).homes.get(this.board.az) ?? [];
     return rankCandidates(`entry|${host}`, homes);
   }
+
+  /** Homes of the other zones in the order in which `host` asks them. */
+  homesElsewhere(group: GroupId, host: HostId): readonly HostId[] {
+    const zones = [...this.plan(group).homes].filter(([az]) => az !== this.board.az);
+    return rankCandidates(
+      `entry|${host}`,
+      zones.flatMap(([, homes]) => homes),
+    );
+  }
 }
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -109,7 +109,8 @@
 
   /**
    * Other hosts that may do what this one could not: those that reach the primary, or, when no upstream
-   * let this host in, other homes of the zone. Upstreams are full for a while after hosts lost power.
+   * let this host in, other homes. Upstreams are full for a while after hosts lost power, and who got in
+   * first serves the others.
    */
   private helpers(
     group: GroupId,
@@ -117,15 +118,19 @@
     reason: RefusalReason,
     now: number,
   ): readonly PeerAddress[] {
-    const { board, directory, local } = this.options;
-    if (needsPrimary && local.home(group).missesPrimary(now)) {
-      return this.detours(group, needsPrimary, now);
-    }
-    // A host that is no home has asked them already.
-    const asks = reason === RefusalReason.UpstreamUnreachable && directory.isHome(group);
-    if (!asks) return [];
-    const homes = directory.homesFor(group, board.host).filter((host) => host !== board.host);
-    return this.addresses(homes);
+    const { directory } = this.options;
+    const reaching = needsPrimary ? this.reachingPrimary(group, now) : [];
+    if (reaching.length > 0) return this.addresses(reaching);
+    if (reason !== RefusalReason.UpstreamUnreachable) return [];
+    // A host that is no home has asked those of its zone already.
+    const near = directory.isHome(group) ? this.homesOfZone(group) : [];
+    return this.addresses([...near, ...directory.homesElsewhere(group, this.options.board.host)]);
+  }
+
+  /** Homes of the own zone but this host. */
+  private homesOfZone(group: GroupId): readonly HostId[] {
+    const { board, directory } = this.options;
+    return directory.homesFor(group, board.host).filter((host) => host !== board.host);
   }
 
   private noteFailed(job: Job, peer: PeerAddress, reason: RefusalReason): void {
@@ -138,16 +143,20 @@
 
   /** Other hosts to ask first, the best one first; none when this host does it itself. */
   private detours(group: GroupId, needsPrimary: boolean, now: number): readonly PeerAddress[] {
-    const { board, directory, reach, local } = this.options;
-    const home = local.home(group);
-    if (needsPrimary && home.missesPrimary(now)) {
-      const reaching = reach.reaching(group, home.record?.epoch, now);
-      if (reaching.length > 0) return this.addresses(reaching);
-    }
+    const { board, directory } = this.options;
+    const reaching = needsPrimary ? this.reachingPrimary(group, now) : [];
+    if (reaching.length > 0) return this.addresses(reaching);
     if (directory.isHome(group)) return [];
     return this.addresses(directory.homesFor(group, board.host));
   }
 
+  /** Hosts that are known to reach the primary while this one misses it. */
+  private reachingPrimary(group: GroupId, now: number): readonly HostId[] {
+    const { reach, local } = this.options;
+    const home = local.home(group);
+    return home.missesPrimary(now) ? reach.reaching(group, home.record?.epoch, now) : [];
+  }
+
   private addresses(hosts: readonly HostId[]): readonly PeerAddress[] {
     const { board } = this.options;
     return hosts.map((host) => board.hosts.get(host)).filter((entry) => entry !== undefined);
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -79,6 +79,11 @@
     When host 0 can open no connection to any upstream
     Then the next statement of host 0 is served
 
+  Scenario: A host that no upstream lets in, and that is the only home of its zone, is helped by another zone
+    Given 3 hosts that serve a group
+    When host 0 can open no connection to any upstream
+    Then the next statement of host 0 is served
+
   Scenario: The answer to a claim is lost
     Given 3 hosts that serve a group
     When the primary dies and the answer to the next change of the store is lost
--- a/packages/pool/tests/connection-pool.feature
+++ b/packages/pool/tests/connection-pool.feature
@@ -7,11 +7,11 @@
 
     # ask:NAME, back:NAME; full: the upstream lets nobody in from now on
     Examples:
-      | connections | events                                     | served | refused | why                                   |
-      | 2           | ask:a,ask:b,ask:c                          | a,b    |         | the third waits                       |
-      | 2           | ask:a,ask:b,ask:c,back:a                   | a,b,c  |         | and is served next                    |
-      | 1           | full,ask:a                                 |        | a       | the upstream lets nobody in           |
-      | 1           | full,ask:a,ask:b                           |        | a,b     | the second is not tried so soon       |
+      | connections | events                   | served | refused | why                             |
+      | 2           | ask:a,ask:b,ask:c        | a,b    |         | the third waits                 |
+      | 2           | ask:a,ask:b,ask:c,back:a | a,b,c  |         | and is served next              |
+      | 1           | full,ask:a               |        | a       | the upstream lets nobody in     |
+      | 1           | full,ask:a,ask:b         |        | a,b     | the second is not tried so soon |
 
   Scenario: Connections that nobody has used for a while are closed
     Given a pool of 2 connections
