feat(coordination): a proof lost for less than a second may be back

Ruled out: the fixed hold (it holds also what is known to last). Change: only after 1 s does a missing proof count as a cut that lasts for seconds; until then it is expected back after as long again as it is late.

--- a/packages/coordination/src/primary-gap.ts
+++ b/packages/coordination/src/primary-gap.ts
@@ -30,7 +30,9 @@
  */
 export const DEFAULT_GAP: Omit<GapPace, 'promotionMs'> = { suspicionMs: 500, renewalMs: 250 };
 
-/** Expected rest of a cut that has outlasted the renewals, milliseconds: cuts last for seconds. */
+/** Age from which a lost proof is known to be no passing matter, milliseconds: several renewals failed. */
+const CUT_OFF_MS = 1000;
+/** Expected rest of such a cut, milliseconds: cuts last for seconds. */
 const CUT_MS = 2000;
 /**
  * Expected rest of a failure that should have led to a claim by now, milliseconds: the store is away, or
@@ -45,7 +47,8 @@
   const { unprovenSince, claimedAt, failingSince } = view;
   const ends: number[] = [];
   if (unprovenSince !== undefined) {
-    ends.push(unlessOverdue(unprovenSince + pace.renewalMs, CUT_MS, now));
+    const restMs = now - unprovenSince < CUT_OFF_MS ? 0 : CUT_MS;
+    ends.push(unlessOverdue(unprovenSince + pace.renewalMs, restMs, now));
   }
   if (claimedAt !== undefined) {
     ends.push(unlessOverdue(claimedAt + pace.promotionMs, 0, now));
