feat(gateway): lines for hosts that go silent, can't be reached, and are reached again

Change: peer-silent, peer-unreachable and peer-reached, one line a transition; "fallback" instead of "guest" for connections of hosts that are no homes; comments.

--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -13,7 +13,7 @@
 
 /** Bounds of the split. */
 export interface ShareRules {
-  /** Part of an upstream's connections that is used; the rest covers hosts that come back or go. */
+  /** Part of an upstream's connections that is used; the rest covers hosts that come and go. */
   readonly usableShare: number;
   /** Connections for each statement that an upstream runs at once; more only make its queue longer. */
   readonly perSlot: number;
--- a/packages/coordination/src/primary-gap.ts
+++ b/packages/coordination/src/primary-gap.ts
@@ -18,7 +18,7 @@
 export interface GapPace {
   /** Usual time from the claim to the record of the next primary, milliseconds; observed. */
   readonly promotionMs: number;
-  /** Time from the first failure until it is claimed, or another host is found that reaches it, milliseconds. */
+  /** Time from the first failure until the primary is claimed, or a host is found that reaches it, milliseconds. */
   readonly suspicionMs: number;
   /** Time within which a proof that was missed is renewed if this host is not cut off, milliseconds. */
   readonly renewalMs: number;
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -83,7 +83,7 @@
     this.proofs = this.createProofs();
     this.founder = new RecordFounder({ board, store, view: this.view, log: this.log });
     this.network = this.createNetwork();
-    this.calls = new PeerCalls(this.network);
+    this.calls = new PeerCalls(this.network, this.log);
     const { view, calls, log } = this;
     this.documents = new DocumentExchange({ view, calls, log });
     this.sync = this.createSync();
--- a/packages/gateway/src/control/peer-calls.ts
+++ b/packages/gateway/src/control/peer-calls.ts
@@ -4,6 +4,7 @@
  */
 import type { GladespoolError } from '@gladespool/coordination';
 import { gladespoolError, Step } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
 import type { PeerAddress, PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -30,10 +31,15 @@
 /** Asks other hosts. */
 export class PeerCalls implements PeerHandler {
   private readonly pending = new Map<number, Pending>();
-  private readonly liveness = new PeerLiveness();
+  private readonly liveness: PeerLiveness;
   private nextId = 1;
 
-  constructor(private readonly network: PeerNetwork) {}
+  constructor(
+    private readonly network: PeerNetwork,
+    log: Logger,
+  ) {
+    this.liveness = new PeerLiveness(log);
+  }
 
   /**
    * Sends the frame that `build` makes for a fresh id, and waits for the answer.
--- a/packages/gateway/src/control/peer-liveness.ts
+++ b/packages/gateway/src/control/peer-liveness.ts
@@ -4,6 +4,7 @@
  * whatever the question waits for. Hosts that don't answer it get no forwarded work meanwhile, and
  * their link is closed in the end, so that what waits on it is settled and a new link is opened.
  */
+import type { Logger } from '@gladespool/observability';
 import type { PeerAddress, PeerLink } from '@gladespool/peers';
 import { FrameKind } from '@gladespool/protocol';
 
@@ -54,7 +55,10 @@
   private readonly waiting = new Map<WatchedLink, Waiting>();
   private readonly unreachable = new Map<string, Unreachable>();
 
-  constructor(private readonly rules: LivenessRules = DEFAULT_LIVENESS) {}
+  constructor(
+    private readonly log: Logger,
+    private readonly rules: LivenessRules = DEFAULT_LIVENESS,
+  ) {}
 
   /** Notes a question sent on `link` at `now`. */
   noteAsked(link: WatchedLink, now: number): void {
@@ -63,12 +67,13 @@
 
   /** Notes at `now` that no link to a host could be opened. */
   noteUnreachable(host: string, now: number): void {
+    if (!this.unreachable.has(host)) this.log.info('peer-unreachable', { peer: host });
     this.unreachable.set(host, { dialedAt: now });
   }
 
   /** Notes that a link to a host is open. */
   noteReached(host: string): void {
-    this.unreachable.delete(host);
+    if (this.unreachable.delete(host)) this.log.info('peer-reached', { peer: host });
   }
 
   /** Whether a host may be given work at `now`. */
@@ -97,6 +102,7 @@
         state.pingedAt = now;
         link.send({ kind: FrameKind.PingAsk, id: PING_ID });
       } else if (now - pingedAt >= closeAfterMs) {
+        this.log.info('peer-silent', { peer: link.host, silent_ms: Math.round(now - askedAt) });
         this.noteUnreachable(link.host, now);
         link.close('no answer to a ping');
       }
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -39,9 +39,12 @@
  * Connections to one upstream of a host that is no home of the group. It opens them while no home
  * serves it, and the homes' share of the budget leaves little room for them.
  */
-const GUEST_CONNECTIONS = 1;
-/** Time after which such a connection is closed when nobody uses it, milliseconds. */
-const GUEST_IDLE_MS = 1000;
+const FALLBACK_CONNECTIONS = 1;
+/**
+ * Time after which such a connection is closed when nobody uses it, milliseconds: longer than a home's
+ * restart, so that it is not opened again and again meanwhile.
+ */
+const FALLBACK_IDLE_MS = 1000;
 /** Callers that are refused alike are told to come back over this part more of the time, not all at once. */
 const RETURN_SPREAD = 0.5;
 
@@ -191,7 +194,7 @@
   /** Gives back connections that this host opened for want of a home and does not use at `now`. */
   tick(now: number): void {
     if (this.context.directory.isHome(this.group)) return;
-    for (const slot of this.slots.values()) slot.closeIdle(now - GUEST_IDLE_MS);
+    for (const slot of this.slots.values()) slot.closeIdle(now - FALLBACK_IDLE_MS);
   }
 
   /** Closes every idle connection; those in use close as they come back. */
@@ -231,7 +234,7 @@
   private limits(): { readonly maxConnections: number; readonly maxWaiting: number } {
     const { directory, rules } = this.context;
     const { connectionsPerHome } = directory.plan(this.group);
-    const maxConnections = directory.isHome(this.group) ? connectionsPerHome : GUEST_CONNECTIONS;
+    const maxConnections = directory.isHome(this.group) ? connectionsPerHome : FALLBACK_CONNECTIONS;
     return { maxConnections, maxWaiting: rules.maxWaiting };
   }
 }
--- a/packages/gateway/tests/peer-liveness.steps.ts
+++ b/packages/gateway/tests/peer-liveness.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { createLogger } from '@gladespool/observability';
 import type { WatchedLink } from '../src/control/peer-liveness.js';
 import { PeerLiveness } from '../src/control/peer-liveness.js';
 
@@ -13,7 +14,7 @@
 const PEER = { host: 'b', address: '127.0.0.1', port: 1 };
 
 Given('a link to host b', function (this: LivenessWorld) {
-  this.liveness = new PeerLiveness();
+  this.liveness = new PeerLiveness(createLogger('test'));
   this.pings = 0;
   this.closed = false;
   this.link = {
--- a/packages/gateway/tests/silent-link.steps.ts
+++ b/packages/gateway/tests/silent-link.steps.ts
@@ -93,7 +93,7 @@
     transactionIdleMs: IDLE_MS,
   });
   world.home = new CountingExecutor();
-  network.addHandler(new PeerCalls(network));
+  network.addHandler(new PeerCalls(network, createLogger('test')));
   network.addHandler(new ForwardService(world.home, board));
   const port = await freePort();
   await network.listen(LOOPBACK, port);
@@ -108,7 +108,7 @@
   const home = await openHome(this);
   const network = networkOf('entry');
   this.networks.push(network);
-  const calls = new PeerCalls(network);
+  const calls = new PeerCalls(network, createLogger('test'));
   network.addHandler(calls);
   this.linksLost = 0;
   network.addHandler({
