--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -37,6 +37,7 @@
 import type { HomeService } from '../home/home-service.js';
 import type { PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 import { firstRecord } from './first-record.js';
+import { runControl } from './run-control.js';
 import { runPromotion } from './promotion-runner.js';
 import { SuspicionPoll } from './suspicion-poll.js';
 
@@ -237,11 +238,7 @@
         log,
         timeoutMs: rules.attemptTimeoutMs,
         graceMs: rules.graceMs,
-        control: async (upstream, sql) => {
-          const control = home.control(upstream);
-          if (control === undefined) throw new Error(`no control connection to ${upstream}`);
-          return control.run(sql);
-        },
+        control: (upstream, sql) => runControl(home, upstream, sql),
       },
     );
     const { state, times } = result;
