perf(gateway): sections of the board change only when an entry of theirs does

Cause: StoreView put a new list of hosts and upstreams on the board for every answer it took, also when the answer brought nothing; each time every listener planned the homes of all groups anew over all hosts.

--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -1,8 +1,10 @@
 /**
  * The store's documents as this host has seen them, and their effect on the board.
  */
+import { isDeepStrictEqual } from 'node:util';
 import type { HostId, LapseRules, SeenDuty, UpstreamId } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
+import { BoardSection } from '../board.js';
 import type { GatewayBoard, HostEntry } from '../board.js';
 import type { Catalog, UpstreamEntry } from '../model/catalog.js';
 import { LapsedUpstreams } from './lapsed-upstreams.js';
@@ -63,6 +65,8 @@
   /** Changes at or below this revision are not all remembered as removals. */
   private removalsSince = 0;
   private readonly lapsed: LapsedUpstreams;
+  /** Sections of the board that no longer show what is held. */
+  private readonly outdated = new Set<BoardSection>();
 
   constructor(
     private readonly board: GatewayBoard,
@@ -165,13 +169,14 @@
       else if (event.revision > this.revisionOf(event.key)) this.remove(event, now);
     }
     this.revision = Math.max(this.revision, revision);
-    if (events.length > 0) this.publish();
+    this.publish();
   }
 
   /** Looks at the upstreams whose entries are missing. */
   review(now: number): void {
     const current = now - this.currentAt < OUTDATED_AFTER_MS;
-    if (this.lapsed.review(current, now)) this.publish();
+    if (this.lapsed.review(current, now)) this.outdated.add(BoardSection.Upstreams);
+    this.publish();
   }
 
   private write(item: StoreItem, now: number): void {
@@ -185,6 +190,7 @@
       return;
     }
     this.held.set(item.key, { ...document, item });
+    this.noteChange(held, document);
     this.take(document, item.revision, now);
   }
 
@@ -212,6 +218,14 @@
     }
   }
 
+  /** Notes which section of the board a document changes; one that was only written again changes none. */
+  private noteChange(held: Held | undefined, document: OwnDocument | ForeignDocument): void {
+    const section = SECTIONS.get(document.kind);
+    if (section === undefined) return;
+    if (held !== undefined && sameEntry(held, document)) return;
+    this.outdated.add(section);
+  }
+
   /** Whether a key was removed later than this version of it was written. */
   private wasRemovedAfter(item: StoreItem): boolean {
     return this.removed.some(({ key, revision }) => key === item.key && revision > item.revision);
@@ -233,20 +247,50 @@
     if (this.removed.length > MAX_REMOVED) {
       this.removalsSince = Math.max(this.removalsSince, this.removed.shift()?.revision ?? 0);
     }
-    if (held?.kind === 'host') this.hostGoneAt = now;
-    if (held?.kind === 'upstream') this.lapsed.add(held.entry, now);
+    if (held === undefined) return;
+    const section = SECTIONS.get(held.kind);
+    if (section !== undefined) this.outdated.add(section);
+    if (held.kind === 'host') this.hostGoneAt = now;
+    if (held.kind === 'upstream') this.lapsed.add(held.entry, now);
   }
 
-  /** Puts upstreams and hosts on the board as they are now. */
+  /**
+   * Puts upstreams and hosts on the board where they have changed: every listener of a section works
+   * out anew what follows from all of its entries, such as the homes of each group.
+   */
   private publish(): void {
+    if (this.outdated.has(BoardSection.Upstreams)) this.board.putUpstreams(this.upstreams());
+    if (this.outdated.has(BoardSection.Hosts)) this.board.putHosts(this.hosts());
+    this.outdated.clear();
+  }
+
+  private upstreams(): ReadonlyMap<UpstreamId, UpstreamEntry> {
     const upstreams = new Map<UpstreamId, UpstreamEntry>();
-    const hosts = new Map<HostId, HostEntry>();
     for (const entry of this.lapsed.entries) upstreams.set(entry.id, entry);
     for (const document of this.held.values()) {
       if (document.kind === 'upstream') upstreams.set(document.entry.id, document.entry);
+    }
+    return upstreams;
+  }
+
+  private hosts(): ReadonlyMap<HostId, HostEntry> {
+    const hosts = new Map<HostId, HostEntry>();
+    for (const document of this.held.values()) {
       if (document.kind === 'host') hosts.set(document.entry.host, document.entry);
     }
-    this.board.putUpstreams(upstreams);
-    this.board.putHosts(hosts);
+    return hosts;
   }
 }
+
+/** Sections of the board that are made of the documents of one kind. */
+const SECTIONS: ReadonlyMap<Held['kind'], BoardSection> = new Map([
+  ['host', BoardSection.Hosts],
+  ['upstream', BoardSection.Upstreams],
+]);
+
+/** Whether two documents of one key hold the same entry of a host or an upstream. */
+function sameEntry(a: OwnDocument | ForeignDocument, b: OwnDocument | ForeignDocument): boolean {
+  if (a.kind === 'host' && b.kind === 'host') return isDeepStrictEqual(a.entry, b.entry);
+  if (a.kind === 'upstream' && b.kind === 'upstream') return isDeepStrictEqual(a.entry, b.entry);
+  return false;
+}
