perf(gateway): one host reads the store for all, and proofs are passed on as they come

Cause: the first host of each zone read all of the gateway's own documents every 280 ms, 60 KB with 195 hosts, and decoded each entry twice; every other host asked it each 180 ms, answer or not. Ruled out: longer intervals alone, which would only let proofs grow older (they reached 0.5 s). Change: a proof is a read of this host's own entry, whose revision tells up to where the documents held must be complete; the watch brings them, and all documents are read only where it does not. One host of the deployment reads and watches; the first host of each zone asks it, the others ask the first of their zone. Questions wait at the host asked until it has a newer proof, so each is passed on once, at once, and its age counts from the arrival of the question. What changed of the gateway's own documents travels with the answer, so a changed host list is no longer fetched as documents. Who reads in place of others does so the less often the later it stands in its zone's order. A reply that is under way when a host leaves the list proves nothing any more. The scenario that counted three readers counts one now; two scenarios lose the reader in both ways.

--- a/packages/gateway/src/board.ts
+++ b/packages/gateway/src/board.ts
@@ -32,6 +32,8 @@
   Upstreams = 'upstreams',
   Records = 'records',
   Hosts = 'hosts',
+  /** The proof that the records held are those of the store. */
+  Proof = 'proof',
 }
 
 /** What one host believes. */
@@ -43,6 +45,8 @@
   draining = false;
   private readonly records = new Map<GroupId, PrimaryRecord>();
   private provedAt = Number.NEGATIVE_INFINITY;
+  /** Whether no proof is taken any more, since this host is about to leave the list. */
+  private proofsEnded = false;
   private readonly listeners = new Map<BoardSection, Set<() => void>>();
 
   constructor(
@@ -88,11 +92,14 @@
 
   /** Notes that the records held are those of a read sent at `sentAt`. */
   prove(sentAt: number): void {
-    if (sentAt > this.provedAt) this.provedAt = sentAt;
+    if (this.proofsEnded || sentAt <= this.provedAt) return;
+    this.provedAt = sentAt;
+    this.notify(BoardSection.Proof);
   }
 
-  /** Gives every proof up, so that no primary is used any more. */
-  forgetProof(): void {
+  /** Gives every proof up, also those still to come, so that no primary is used any more. */
+  endProofs(): void {
+    this.proofsEnded = true;
     this.provedAt = Number.NEGATIVE_INFINITY;
   }
 
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -29,6 +29,7 @@
 import { DEFAULT_FOLLOWER, StoreFollower } from './store-follower.js';
 import type { ForeignDocuments } from './store-view.js';
 import { StoreView } from './store-view.js';
+import { SyncAnswers } from './sync-answers.js';
 import { SyncService } from './sync-service.js';
 import type { WriteHolds } from './write-holds.js';
 
@@ -67,6 +68,7 @@
   private readonly founder: RecordFounder;
   private readonly documents: DocumentExchange;
   private readonly sync: SyncService;
+  private readonly answers: SyncAnswers;
   private readonly renewer: PeerRenewer;
   private readonly retirer: HostRetirer;
   private readonly probe: UpstreamProbe;
@@ -87,12 +89,13 @@
     const { view, calls, log } = this;
     this.documents = new DocumentExchange({ view, calls, log });
     this.sync = this.createSync();
+    this.answers = new SyncAnswers({ board, view, proofs: this.proofs });
     this.renewer = this.createRenewer();
     this.retirer = this.createRetirer();
     this.probe = this.createProbe();
     this.promotions = this.createPromotions();
-    const { sync, renewer, retirer, promotions } = this;
-    for (const handler of [calls, this.documents, sync, renewer, retirer, promotions]) {
+    const { sync, answers, renewer, retirer, promotions } = this;
+    for (const handler of [calls, this.documents, sync, answers, renewer, retirer, promotions]) {
       this.network.addHandler(handler);
     }
   }
@@ -111,7 +114,8 @@
   async stop(): Promise<void> {
     clearInterval(this.timer);
     this.probe.stop();
-    this.options.board.forgetProof();
+    this.sync.stop();
+    this.options.board.endProofs();
     await this.registrar.remove();
     this.follower.setActive(false);
     await this.network.stop();
@@ -122,6 +126,7 @@
     this.calls.tick(now);
     if (!this.registrar.isListed && this.view.revision > 0) void this.registrar.ensure();
     this.sync.tick(now);
+    this.answers.tick(now);
     this.renewer.tick(now);
     this.retirer.tick(now);
     this.view.review(now);
--- a/packages/gateway/src/control/metadata-store.ts
+++ b/packages/gateway/src/control/metadata-store.ts
@@ -20,6 +20,14 @@
   readonly revision: number;
 }
 
+/** One key as a read found it. */
+export interface StoreEntry {
+  /** Undefined when the key does not exist. */
+  readonly item: StoreItem | undefined;
+  /** Revision of the store that the read showed; 0 when the key does not exist. */
+  readonly revision: number;
+}
+
 /** One change seen by a watch. */
 export type StoreEvent =
   | { readonly kind: 'written'; readonly item: StoreItem }
@@ -70,6 +78,12 @@
     purpose: StorePurpose,
     timeoutMs: number,
   ): Promise<Result<StoreRange, GladespoolError>>;
+  /** Reads one key, never stale. */
+  read(
+    key: string,
+    purpose: StorePurpose,
+    timeoutMs: number,
+  ): Promise<Result<StoreEntry, GladespoolError>>;
   /** Waits up to `waitMs` for changes after a revision. */
   watch(
     prefix: string,
--- a/packages/gateway/src/control/peer-calls.ts
+++ b/packages/gateway/src/control/peer-calls.ts
@@ -20,6 +20,14 @@
   readonly settle: (result: Result<ReplyFrame, GladespoolError>) => void;
 }
 
+/** Times of a question, beside the longest wait for its answer. */
+export interface AskTimes {
+  /** Longest wait for a link to the host, part of the wait for the answer, milliseconds. */
+  readonly linkTimeoutMs?: number;
+  /** Time for which the other host may hold the answer back until it has news, milliseconds. */
+  readonly heldMs?: number;
+}
+
 /** Longest wait for a link to a host that is tried again, milliseconds: far above three round trips. */
 const REDIAL_TIMEOUT_MS = 1000;
 
@@ -41,24 +49,21 @@
     this.liveness = new PeerLiveness(log);
   }
 
-  /**
-   * Sends the frame that `build` makes for a fresh id, and waits for the answer.
-   *
-   * @param linkTimeoutMs longest wait for a link to the host, part of `timeoutMs`
-   */
+  /** Sends the frame that `build` makes for a fresh id, and waits for the answer. */
   async ask(
     peer: PeerAddress,
     build: (id: number) => Frame,
     timeoutMs: number,
-    linkTimeoutMs = timeoutMs,
+    { linkTimeoutMs = timeoutMs, heldMs = 0 }: AskTimes = {},
   ): Promise<Result<ReplyFrame, GladespoolError>> {
     const startedAt = performance.now();
     const link = await this.open(peer, Math.min(timeoutMs, linkTimeoutMs));
     if (link.isErr()) return err(link.error);
     const id = this.nextId;
     this.nextId += 1;
-    const leftMs = Math.max(1, startedAt + timeoutMs - performance.now());
-    return this.exchange(peer, link.value, id, build(id), leftMs);
+    const now = performance.now();
+    this.liveness.expectAnswer(link.value, now + heldMs);
+    return this.exchange(peer, link.value, id, build(id), Math.max(1, startedAt + timeoutMs - now));
   }
 
   /** Whether a host answers as far as is known at `now`; one that did not is tried again meanwhile. */
@@ -121,8 +126,7 @@
         resolve(result);
       };
       this.pending.set(id, { link, settle });
-      if (link.send(frame)) this.liveness.noteAsked(link, performance.now());
-      else settle(err(errorOf(Step.PeerConnect, peer, 'link was closed')));
+      if (!link.send(frame)) settle(err(errorOf(Step.PeerConnect, peer, 'link was closed')));
     });
   }
 }
--- a/packages/gateway/src/control/peer-liveness.ts
+++ b/packages/gateway/src/control/peer-liveness.ts
@@ -41,7 +41,8 @@
 
 /** A link on which a question has been sent since the latest frame. */
 interface Waiting {
-  readonly askedAt: number;
+  /** Local time from which a frame is missed. */
+  readonly dueAt: number;
   pingedAt: number | undefined;
 }
 
@@ -60,9 +61,11 @@
     private readonly rules: LivenessRules = DEFAULT_LIVENESS,
   ) {}
 
-  /** Notes a question sent on `link` at `now`. */
-  noteAsked(link: WatchedLink, now: number): void {
-    if (!this.waiting.has(link)) this.waiting.set(link, { askedAt: now, pingedAt: undefined });
+  /** Notes that a question on `link` should be answered from local time `dueAt` on. */
+  expectAnswer(link: WatchedLink, dueAt: number): void {
+    const held = this.waiting.get(link);
+    if (held !== undefined && held.dueAt <= dueAt) return;
+    this.waiting.set(link, { dueAt, pingedAt: undefined });
   }
 
   /** Notes at `now` that no link to a host could be opened. */
@@ -96,13 +99,13 @@
   tick(now: number): void {
     const { pingAfterMs, closeAfterMs } = this.rules;
     for (const [link, state] of [...this.waiting]) {
-      const { askedAt, pingedAt } = state;
+      const { dueAt, pingedAt } = state;
       if (pingedAt === undefined) {
-        if (now - askedAt < pingAfterMs) continue;
+        if (now - dueAt < pingAfterMs) continue;
         state.pingedAt = now;
         link.send({ kind: FrameKind.PingAsk, id: PING_ID });
       } else if (now - pingedAt >= closeAfterMs) {
-        this.log.info('peer-silent', { peer: link.host, silent_ms: Math.round(now - askedAt) });
+        this.log.info('peer-silent', { peer: link.host, silent_ms: Math.round(now - dueAt) });
         this.noteUnreachable(link.host, now);
         link.close('no answer to a ping');
       }
--- a/packages/gateway/src/control/peer-renewer.ts
+++ b/packages/gateway/src/control/peer-renewer.ts
@@ -127,8 +127,7 @@
   }
 
   private noteStore(now: number): void {
-    const readAt = this.options.proofs.list?.readAt ?? Number.NEGATIVE_INFINITY;
-    if (!this.renewing || now - readAt > RENEW_AT_MS) return;
+    if (!this.renewing || now - this.options.proofs.listedAt > RENEW_AT_MS) return;
     this.renewing = false;
     this.options.log.info('proof-renewed-by-store');
   }
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -1,14 +1,18 @@
 /**
- * Renews this host's proof of who the primaries are, by reading the records from the store.
+ * Renews this host's proof of who the primaries are, by reading its own entry from the store: the answer
+ * shows that the host is listed, and up to which revision the documents held have to be complete for
+ * their records to be those of the store. Its cost does not grow with the number of hosts.
  */
-import type { GladespoolError, HostId } from '@gladespool/coordination';
+import type { GladespoolError } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { GatewayBoard, HostEntry } from '../board.js';
-import type { MetadataStore, StoreItem, StoreRange } from './metadata-store.js';
+import type { MetadataStore, StoreEntry } from './metadata-store.js';
 import { StorePurpose } from './metadata-store.js';
+import type { HostList, PassableProof } from './passable-proof.js';
+import { MajorityProof, StoreProof } from './passable-proof.js';
 import type { Registrar } from './registrar.js';
 import type { StoreFollower } from './store-follower.js';
-import { OWN_PREFIX, readOwnDocument } from './store-documents.js';
+import { hostKey, OWN_PREFIX, readOwnDocument } from './store-documents.js';
 import type { StoreView } from './store-view.js';
 
 /** Times of the proofs' renewal. */
@@ -17,24 +21,12 @@
   readonly intervalMs: number;
   /** Longest time for one read, milliseconds. */
   readonly timeoutMs: number;
+  /** Time for which the watch may bring the changes that a read showed, milliseconds. */
+  readonly watchLagMs: number;
 }
 
-/** Times in force, for proofs that live 1 s. */
-export const DEFAULT_PROOFS: ProofRules = { intervalMs: 280, timeoutMs: 700 };
-
-/** The hosts that were listed in the store at one time. */
-export interface HostList {
-  /** Local time at which the read was sent, or at which a list that others passed on was surely current. */
-  readonly readAt: number;
-  /** Incarnations by host. */
-  readonly hosts: ReadonlyMap<HostId, number>;
-}
-
-/** A proof that this host got from the store or a majority itself; only such ones are passed on. */
-export interface FirstHandProof {
-  readonly sentAt: number;
-  readonly list: HostList;
-}
+/** Times in force, for proofs that live 1 s. 60 ms: the watch answers within a few round trips of the store. */
+export const DEFAULT_PROOFS: ProofRules = { intervalMs: 300, timeoutMs: 700, watchLagMs: 60 };
 
 /** What the keeper works on. */
 export interface ProofKeeperOptions {
@@ -48,78 +40,122 @@
   readonly log: Logger;
 }
 
-/** Reads records and hosts at intervals while it is wanted. */
+/** Reads this host's entry at intervals while that is wanted. */
 export class ProofKeeper {
   /** Newest proof that may be passed on; undefined before the first. */
-  firstHand: FirstHandProof | undefined;
-  /** The hosts listed at the latest read; undefined before the first. */
-  list: HostList | undefined;
+  passable: PassableProof | undefined;
   /** Whether the latest read got no answer. */
   failing = false;
+  /** Local time at which the hosts on the board surely were the listed ones; -Infinity before. */
+  listedAt = Number.NEGATIVE_INFINITY;
   private reading = false;
   private lastSentAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: ProofKeeperOptions) {}
 
-  /** Starts a read if one is due at `now`. */
-  tick(now: number): void {
-    if (this.reading || now - this.lastSentAt < this.options.rules.intervalMs) return;
+  /** Starts a read if one is due at `now`, reads being `pace` times farther apart than usual. */
+  tick(now: number, pace = 1): void {
+    if (this.reading || now - this.lastSentAt < this.options.rules.intervalMs * pace) return;
     void this.read();
   }
 
-  /** Reads at once; false when the store did not answer. */
+  /**
+   * Reads at once; resolves when this host holds every document of its own kind that the store had.
+   *
+   * @returns false when the store did not answer
+   */
   async read(): Promise<boolean> {
-    const { store, rules } = this.options;
     this.reading = true;
-    const sentAt = performance.now();
-    this.lastSentAt = sentAt;
-    const range = await store.range(OWN_PREFIX, StorePurpose.Proof, rules.timeoutMs);
+    const answered = await this.readOnce();
     this.reading = false;
-    this.failing = range.isErr();
-    if (range.isErr()) this.noteFailure(range.error, performance.now());
-    else this.take(range.value, sentAt, performance.now());
-    return range.isOk();
+    this.failing = !answered;
+    return answered;
   }
 
-  /**
-   * The newest list of hosts that this host knows: that of its own latest read, or that of the documents
-   * which others passed on, as of the time at which these were surely the store's.
-   */
+  /** The newest list of hosts that this host knows; undefined before the first. */
   get newestList(): HostList | undefined {
-    const { board, view } = this.options;
-    const passedOnAt = view.currentSince;
-    const isOwnAsNew = this.list !== undefined && this.list.readAt >= passedOnAt;
-    if (!Number.isFinite(passedOnAt) || isOwnAsNew) return this.list;
-    const hosts = [...board.hosts.values()].map(
-      (entry) => [entry.host, entry.incarnation] as const,
-    );
-    return { readAt: passedOnAt, hosts: new Map(hosts) };
+    if (!Number.isFinite(this.listedAt)) return undefined;
+    const entries = [...this.options.board.hosts.values()];
+    const hosts = new Map(entries.map((entry) => [entry.host, entry.incarnation] as const));
+    return { readAt: this.listedAt, hosts };
   }
 
   /** Notes that a majority of `list` renewed the proof, by a round that began at `sentAt`. */
   noteRenewal(sentAt: number, list: HostList): void {
+    this.passable = new MajorityProof(sentAt, list);
     this.options.board.prove(sentAt);
-    this.firstHand = { sentAt, list };
   }
 
-  private noteFailure({ step, peer, message }: GladespoolError, now: number): void {
-    const { board, log } = this.options;
-    const age = Math.round(now - board.provenSince);
-    log.warn('proof-read-failed', { step, peer, error: message, proof_age_ms: age });
+  /**
+   * Notes a proof that another host passed on. One from the store, of a `revision` up to which this
+   * host's own documents are complete, may be passed on again.
+   */
+  notePassedOn(sentAt: number, revision: number | undefined): void {
+    if (revision === undefined) this.options.board.prove(sentAt);
+    else this.takeProof(sentAt, revision);
   }
 
-  /** Takes what a read brought that was sent at `sentAt`; it proves this host's records if it lists it. */
-  private take(range: StoreRange, sentAt: number, now: number): void {
-    const { self, view, board } = this.options;
-    const behind = view.revision < range.revision;
-    view.replace(OWN_PREFIX, range, now);
-    const hosts = listedHosts(range.items);
-    this.list = { readAt: sentAt, hosts };
-    this.firstHand = { sentAt, list: this.list };
-    if (hosts.get(self.host) === self.incarnation) board.prove(sentAt);
-    else void this.register();
-    if (!behind) view.noteCurrent(sentAt);
-    this.checkWatch(behind, range.revision);
+  private async readOnce(): Promise<boolean> {
+    const { self, store, rules } = this.options;
+    const sentAt = performance.now();
+    this.lastSentAt = sentAt;
+    const entry = await store.read(hostKey(self.host), StorePurpose.Proof, rules.timeoutMs);
+    if (entry.isErr()) return this.noteFailure(entry.error);
+    if (this.isOwn(entry.value)) return this.complete(entry.value.revision, sentAt);
+    // A host that was taken off the list learns of it first, since it lists itself only if it is not listed.
+    if (this.options.registrar.isListed) await this.readDocuments();
+    void this.register();
+    return true;
+  }
+
+  /** Whether an entry read is that of this very process. */
+  private isOwn({ item }: StoreEntry): boolean {
+    const document = item && readOwnDocument(item.key, item.value);
+    return (
+      document?.kind === 'host' && document.entry.incarnation === this.options.self.incarnation
+    );
+  }
+
+  /** Takes a read that showed `revision` of the store, once the documents up to there are held. */
+  private async complete(revision: number, sentAt: number): Promise<boolean> {
+    const { view, follower, rules } = this.options;
+    if (view.ownRevision < revision && follower.watches) {
+      await view.waitForOwn(revision, rules.watchLagMs);
+    }
+    if (view.ownRevision < revision) return this.readDocuments();
+    this.takeProof(sentAt, revision);
+    if (view.revision >= revision) view.noteCurrent(sentAt);
+    else this.checkWatch(revision);
+    return true;
+  }
+
+  /** Reads the gateway's own documents, since no watch has brought what has changed of them. */
+  private async readDocuments(): Promise<boolean> {
+    const { store, view, rules } = this.options;
+    const sentAt = performance.now();
+    const range = await store.range(OWN_PREFIX, StorePurpose.Proof, rules.timeoutMs);
+    if (range.isErr()) return this.noteFailure(range.error);
+    const { revision } = range.value;
+    view.replace(OWN_PREFIX, range.value, performance.now());
+    this.takeProof(sentAt, revision);
+    this.checkWatch(revision);
+    return true;
+  }
+
+  private takeProof(sentAt: number, revision: number): void {
+    const { board, view, self } = this.options;
+    this.listedAt = Math.max(this.listedAt, sentAt);
+    const isNewer = sentAt > (this.passable?.sentAt ?? Number.NEGATIVE_INFINITY);
+    const proof = new StoreProof(sentAt, revision, view);
+    if (isNewer) this.passable = proof;
+    if (proof.covers(self.host, self.incarnation)) board.prove(sentAt);
+  }
+
+  private noteFailure({ step, peer, message }: GladespoolError): false {
+    const { board, log } = this.options;
+    const age = Math.round(performance.now() - board.provenSince);
+    log.warn('proof-read-failed', { step, peer, error: message, proof_age_ms: age });
+    return false;
   }
 
   /** Lists this host and reads again at once: callers of a host that restarts wait for its first proof. */
@@ -128,9 +164,9 @@
   }
 
   /** A watch that has not brought a change within an interval has lost it; without one all is read. */
-  private checkWatch(behind: boolean, revision: number): void {
-    if (!behind) return;
+  private checkWatch(revision: number): void {
     const { view, follower, log, rules } = this.options;
+    if (view.revision >= revision) return;
     if (!follower.watches) {
       void follower.catchUp();
       return;
@@ -142,12 +178,3 @@
     }, rules.intervalMs / 2);
   }
 }
-
-function listedHosts(items: readonly StoreItem[]): ReadonlyMap<HostId, number> {
-  const hosts = new Map<HostId, number>();
-  for (const item of items) {
-    const document = readOwnDocument(item.key, item.value);
-    if (document?.kind === 'host') hosts.set(document.entry.host, document.entry.incarnation);
-  }
-  return hosts;
-}
--- a/packages/gateway/src/control/store-follower.ts
+++ b/packages/gateway/src/control/store-follower.ts
@@ -90,14 +90,14 @@
     this.readingAll = true;
     const range = await store.range('', StorePurpose.Follow, rules.readTimeoutMs);
     this.readingAll = false;
-    if (this.turn !== turn) return false;
     if (range.isErr()) {
-      this.noteLost(range.error);
+      if (this.turn === turn) this.noteLost(range.error);
       return false;
     }
     this.noteReached();
+    // What was read counts also when this host no longer follows, or began anew meanwhile.
     view.replace('', range.value, performance.now());
-    return true;
+    return this.turn === turn;
   }
 
   /** @returns false when everything has to be read anew. */
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -1,6 +1,7 @@
 /**
  * The store's documents as this host has seen them, and their effect on the board.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
 import type { HostId, LapseRules, SeenDuty, UpstreamId } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
@@ -10,7 +11,7 @@
 import { LapsedUpstreams } from './lapsed-upstreams.js';
 import type { StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
 import type { DutyRecord, OwnDocument } from './store-documents.js';
-import { OWN_PREFIX, readOwnDocument } from './store-documents.js';
+import { hostKey, OWN_PREFIX, readOwnDocument } from './store-documents.js';
 
 /** A document that others keep in the store: operators and upstreams. */
 export type ForeignDocument =
@@ -41,12 +42,22 @@
   readonly removed: readonly RemovedKey[];
 }
 
+/** What has changed of the gateway's own documents since some revision. */
+export interface OwnChanges {
+  /** Revision of the store up to which these and what was held before are all of them. */
+  readonly revision: number;
+  readonly items: readonly StoreItem[];
+  readonly removed: readonly RemovedKey[];
+}
+
 /** A key that was removed. */
 export interface RemovedKey {
   readonly key: string;
   readonly revision: number;
 }
 
+/** Time between two looks at whether a change has arrived, milliseconds: about a round trip of the store. */
+const WAIT_STEP_MS = 5;
 /** Removals remembered for other hosts. */
 const MAX_REMOVED = 500;
 
@@ -57,11 +68,19 @@
 export class StoreView {
   /** Revision of the store up to which this view is complete; 0 before the first read. */
   revision = 0;
+  /** Revision of the store of the newest change that this view has heard of. */
+  newest = 0;
+  /** Revision of the latest change of a document that is none of the gateway's own. */
+  documentsRevision = 0;
   duty: HeldDuty | undefined;
   private currentAt = Number.NEGATIVE_INFINITY;
   private hostGoneAt: number;
+  private ownKnown = 0;
+  /** Revision of the latest change of one of the gateway's own documents. */
+  private ownNewest = 0;
   private readonly held = new Map<string, Held>();
-  private removed: RemovedKey[] = [];
+  /** Revision of a key's removal, the latest removals last. */
+  private readonly removed = new Map<string, number>();
   /** Changes at or below this revision are not all remembered as removals. */
   private removalsSince = 0;
   private readonly lapsed: LapsedUpstreams;
@@ -100,6 +119,24 @@
     return this.hostGoneAt;
   }
 
+  /** Revision of the store up to which this view has all of the gateway's own documents. */
+  get ownRevision(): number {
+    return Math.max(this.revision, this.ownKnown);
+  }
+
+  /** Whether a host was listed with this incarnation at `revision` of the store, and still is. */
+  wasListed(host: string, incarnation: number, revision: number): boolean {
+    const held = this.held.get(hostKey(host));
+    if (held?.kind !== 'host' || held.entry.incarnation !== incarnation) return false;
+    return held.item.revision <= revision;
+  }
+
+  /** Waits until all of the gateway's own documents up to `revision` are held, `timeoutMs` at most. */
+  async waitForOwn(revision: number, timeoutMs: number): Promise<void> {
+    const until = performance.now() + timeoutMs;
+    while (this.ownRevision < revision && performance.now() < until) await pause(WAIT_STEP_MS);
+  }
+
   /** Revision of a key's latest change; 0 when it is not there. */
   revisionOf(key: string): number {
     return this.held.get(key)?.item.revision ?? 0;
@@ -114,6 +151,7 @@
     }
     for (const item of range.items) this.write(item, now);
     if (prefix === '') this.noteComplete(range.revision);
+    if (prefix === OWN_PREFIX) this.ownKnown = Math.max(this.ownKnown, range.revision);
     this.publish();
   }
 
@@ -123,10 +161,17 @@
     return records.map((held) => held.item);
   }
 
-  /** The gateway's own documents that are newer than `revision`. */
-  ownItemsSince(revision: number): readonly StoreItem[] {
-    const items = [...this.held.values()].map((held) => held.item);
-    return items.filter((item) => item.revision > revision && item.key.startsWith(OWN_PREFIX));
+  /** What has changed of the gateway's own documents since `revision`; undefined if that is not known. */
+  ownChangesSince(revision: number): OwnChanges | undefined {
+    if (revision === 0 || revision < this.removalsSince) return undefined;
+    if (this.ownNewest <= revision) return { revision: this.ownRevision, items: [], removed: [] };
+    const isNews = (change: { readonly key: string; readonly revision: number }): boolean =>
+      change.revision > revision && change.key.startsWith(OWN_PREFIX);
+    return {
+      revision: this.ownRevision,
+      items: [...this.held.values()].map((held) => held.item).filter(isNews),
+      removed: this.removals().filter(isNews),
+    };
   }
 
   /** What a host lacks that is complete up to `revision`. */
@@ -139,7 +184,7 @@
       complete: false,
       revision: this.revision,
       items: items.filter((item) => item.revision > revision),
-      removed: this.removed.filter((removal) => removal.revision > revision),
+      removed: this.removals().filter((removal) => removal.revision > revision),
     };
   }
 
@@ -162,11 +207,24 @@
     this.publish();
   }
 
+  /** Takes what another host told of the gateway's own documents, for the revision that was asked about. */
+  takeOwn(changes: OwnChanges, now: number): void {
+    for (const item of changes.items) this.write(item, now);
+    for (const removal of changes.removed) this.removeOlder(removal, now);
+    this.ownKnown = Math.max(this.ownKnown, changes.revision);
+    this.publish();
+  }
+
+  /** Notes that nothing but own documents, which are held, has changed up to `revision`. */
+  noteNothingElse(revision: number): void {
+    this.revision = Math.max(this.revision, Math.min(revision, this.ownKnown));
+  }
+
   /** Applies what a watch brought. */
   apply(events: readonly StoreEvent[], revision: number, now: number): void {
     for (const event of events) {
       if (event.kind === 'written') this.write(event.item, now);
-      else if (event.revision > this.revisionOf(event.key)) this.remove(event, now);
+      else this.removeOlder(event, now);
     }
     this.revision = Math.max(this.revision, revision);
     this.publish();
@@ -190,6 +248,7 @@
       return;
     }
     this.held.set(item.key, { ...document, item });
+    this.noteRevision(item.key, item.revision);
     this.noteChange(held, document);
     this.take(document, item.revision, now);
   }
@@ -218,6 +277,12 @@
     }
   }
 
+  private noteRevision(key: string, revision: number): void {
+    this.newest = Math.max(this.newest, revision);
+    if (key.startsWith(OWN_PREFIX)) this.ownNewest = Math.max(this.ownNewest, revision);
+    else this.documentsRevision = Math.max(this.documentsRevision, revision);
+  }
+
   /** Notes which section of the board a document changes; one that was only written again changes none. */
   private noteChange(held: Held | undefined, document: OwnDocument | ForeignDocument): void {
     const section = SECTIONS.get(document.kind);
@@ -228,7 +293,7 @@
 
   /** Whether a key was removed later than this version of it was written. */
   private wasRemovedAfter(item: StoreItem): boolean {
-    return this.removed.some(({ key, revision }) => key === item.key && revision > item.revision);
+    return (this.removed.get(item.key) ?? 0) > item.revision;
   }
 
   /** After a complete read, removals before it are no longer known one by one. */
@@ -236,17 +301,23 @@
     if (revision <= this.revision) return;
     this.revision = revision;
     this.removalsSince = revision;
-    this.removed = [];
+    this.documentsRevision = Math.max(this.documentsRevision, revision);
+    this.removed.clear();
+  }
+
+  /** Removes a key unless it was written again after `removal`. */
+  private removeOlder(removal: RemovedKey, now: number): void {
+    const { key, revision } = removal;
+    const isKnown = (this.removed.get(key) ?? 0) >= revision;
+    if (!isKnown && revision > this.revisionOf(key)) this.remove(removal, now);
   }
 
   private remove(removal: RemovedKey, now: number): void {
     const { key, revision } = removal;
     const held = this.held.get(key);
     this.held.delete(key);
-    this.removed.push({ key, revision });
-    if (this.removed.length > MAX_REMOVED) {
-      this.removalsSince = Math.max(this.removalsSince, this.removed.shift()?.revision ?? 0);
-    }
+    this.noteRevision(key, revision);
+    this.noteRemoval(removal);
     if (held === undefined) return;
     const section = SECTIONS.get(held.kind);
     if (section !== undefined) this.outdated.add(section);
@@ -254,6 +325,20 @@
     if (held.kind === 'upstream') this.lapsed.add(held.entry, now);
   }
 
+  private noteRemoval({ key, revision }: RemovedKey): void {
+    this.removed.delete(key);
+    this.removed.set(key, revision);
+    if (this.removed.size <= MAX_REMOVED) return;
+    const [oldest] = this.removals();
+    if (oldest === undefined) return;
+    this.removed.delete(oldest.key);
+    this.removalsSince = Math.max(this.removalsSince, oldest.revision);
+  }
+
+  private removals(): readonly RemovedKey[] {
+    return [...this.removed].map(([key, revision]) => ({ key, revision }));
+  }
+
   /**
    * Puts upstreams and hosts on the board where they have changed: every listener of a section works
    * out anew what follows from all of its entries, such as the homes of each group.
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -1,7 +1,8 @@
 /**
- * Passes proofs and news of the store between hosts: one relay of each zone reads the store, the others
- * ask it; whoever loses the store asks any host that still has it. These exchanges are small and
- * frequent; what else has changed is fetched apart from them.
+ * Keeps this host's proof and documents up to date by way of other hosts: one host of the deployment reads
+ * the store, the first host of each zone asks that one, and the others ask the first host of their zone.
+ * Questions wait at the other host until it has something newer. Whoever loses the store asks any host
+ * that still has it, and hosts stand in for those before them in order.
  */
 import type { AzId } from '@gladespool/coordination';
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
@@ -15,37 +16,41 @@
 import type { StoreFollower } from './store-follower.js';
 import type { StoreView } from './store-view.js';
 
-/** Times and numbers of the passing on. */
+type SyncReply = FrameOf<FrameKind.SyncReply>;
+
+/** Times of the passing on. */
 export interface SyncRules {
-  /** Time between two questions to the relay, milliseconds. */
+  /** Time for which a question waits for news at the host asked, milliseconds. */
+  readonly waitMs: number;
+  /** Time between two questions while nothing comes of them, milliseconds. */
   readonly intervalMs: number;
-  /** Longest time for an answer, milliseconds. */
+  /** Longest time for an answer that need not wait, milliseconds. */
   readonly timeoutMs: number;
-  /** Age of proof or documents from which a host also asks other zones, milliseconds. */
+  /** Age of proof or documents from which a host also asks others, milliseconds. */
   readonly staleMs: number;
-  /** Added for each place in the relays' order before a host reads the store itself, milliseconds. */
+  /** Added for each place in a zone's order before a host reads the store itself, milliseconds. */
   readonly rankStepMs: number;
   /** Time for which a host that had to read the store goes on doing so, milliseconds. */
   readonly standInMs: number;
 }
 
 /**
- * Usual ages reach 0.5 s: 280 ms between two reads, 180 ms between two questions. Hosts that read the
- * store themselves do so one after the other, since every call is paid for; the last ones 0.15 s
- * before their proofs run out. 3 s: a relay that was killed is back by then.
+ * 400 ms: a third more than the time between two reads of the store, so that an answer mostly brings the
+ * next one. Usual ages reach 0.35 s: 300 ms between two reads, and the way over two hosts. 500 ms: half of
+ * a proof's life is left then. Hosts that read the store themselves do so one after the other, since
+ * every call is paid for. 3 s: a host that was killed is back by then.
  */
 export const DEFAULT_SYNC: SyncRules = {
+  waitMs: 400,
   intervalMs: 180,
   timeoutMs: 250,
-  staleMs: 600,
+  staleMs: 500,
   rankStepMs: 50,
   standInMs: 3000,
 };
 
-/** Hosts after the relay that go on reading the store once they had to; later ones read it once. */
+/** Hosts after the first that go on reading the store once they had to; later ones read it now and then. */
 const STAND_INS = 2;
-/** Places after which all hosts stand in alike. */
-const MAX_STEPS = 5;
 /** Added to the age that documents may have, milliseconds: they are fetched apart, unlike proofs. */
 const FETCH_MS = 1000;
 /** Hosts of the own zone that a host asks while it is stale, the first ones in order. */
@@ -66,39 +71,49 @@
   readonly rules: SyncRules;
 }
 
-/** Keeps this host up to date by way of others, and others by way of this one. */
+/** Asking side of one host. */
 export class SyncService implements PeerHandler {
   private lastAskAt = Number.NEGATIVE_INFINITY;
-  /** Until when this host reads the store in place of the relay. */
+  /** Until when this host reads the store in place of those before it. */
   private standInUntil = Number.NEGATIVE_INFINITY;
-  /** Number of rounds of questions; hosts of other zones are asked in turn by it. */
+  /** Number of rounds of questions while stale; hosts of other zones are asked in turn by it. */
   private turn = 0;
   /** The host whose answer last made this one current. */
   private helpful: PeerAddress | undefined;
+  /** Revision of the newest change that any answer told of. */
+  private heard = 0;
+  /** Whether a question waits at this host's parent. */
+  private waiting = false;
+  private stopped = false;
 
   constructor(private readonly options: SyncServiceOptions) {}
 
   /** Does what is due at `now`. */
   tick(now: number): void {
-    const { proofs, follower, rules, order } = this.options;
-    const isRelay = order.rank === 0;
-    follower.setActive(isRelay);
-    if (isRelay || this.standsIn(now)) proofs.tick(now);
-    const due = now - this.lastAskAt >= rules.intervalMs;
-    if (!due || (isRelay && !proofs.failing && !this.isStale(now))) return;
+    const { proofs, follower, order, rules } = this.options;
+    const { parent } = order;
+    follower.setActive(parent === undefined);
+    if (parent === undefined) proofs.tick(now);
+    else this.standIn(now);
+    if (parent !== undefined && !this.waiting) void this.askParent(parent);
+    const seeksHelp = this.isStale(now) || (parent === undefined && proofs.failing);
+    if (!seeksHelp || now - this.lastAskAt < rules.intervalMs) return;
     this.lastAskAt = now;
-    for (const peer of this.peersToAsk(now)) void this.ask(peer);
+    for (const peer of this.helpers()) void this.ask(peer, 0);
   }
 
-  onFrame(link: PeerLink, frame: Frame): void {
-    if (frame.kind === FrameKind.SyncAsk) this.answer(link, frame);
-    if (frame.kind === FrameKind.StoreNews) {
-      this.options.view.takeItems(frame.items, performance.now());
-    }
+  /** Asks no more. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  onFrame(_link: PeerLink, frame: Frame): void {
+    if (frame.kind !== FrameKind.StoreNews) return;
+    this.options.view.takeItems(frame.items, performance.now());
   }
 
   onLost(): void {
-    // The next question goes to another host.
+    // The question that was lost with the link ends without an answer; the next tick asks again.
   }
 
   /**
@@ -115,85 +130,103 @@
   }
 
   /**
-   * Whether this host reads the store because those before it in order don't keep it up to date; once it
-   * has to, it goes on for a while.
+   * Reads the store where those before this host in order don't keep it up to date; the first ones go on
+   * for a while once they had to. The later a host in order, the less often it reads: where the store
+   * can't be reached, a whole zone would call it in vain.
    */
-  private standsIn(now: number): boolean {
-    const { order, rules } = this.options;
-    const afterMs = rules.staleMs + Math.min(order.rank, MAX_STEPS) * rules.rankStepMs;
-    const isLate = this.ageAt(now) > afterMs;
-    if (order.rank > STAND_INS) return isLate;
-    if (isLate) this.standInUntil = now + rules.standInMs;
-    return now < this.standInUntil;
+  private standIn(now: number): void {
+    const { order, proofs, rules } = this.options;
+    const { rank } = order;
+    const isLate = this.ageAt(now) > rules.staleMs + rank * rules.rankStepMs;
+    if (isLate && rank <= STAND_INS) this.standInUntil = now + rules.standInMs;
+    if (isLate || now < this.standInUntil) proofs.tick(now, Math.max(1, rank - STAND_INS));
   }
 
-  /**
-   * The relay and the host that helped last. While this host is stale also the next ones in order, and
-   * a host of each zone in turn: some of them may be cut off or turned away as well.
-   */
-  private peersToAsk(now: number): readonly PeerAddress[] {
+  /** The first hosts of the zone, the host that helped last, and one of another zone, each in turn. */
+  private helpers(): readonly PeerAddress[] {
     const { board, seeds, order } = this.options;
     this.turn += 1;
     const others = order.hosts.filter((entry) => entry.host !== board.host);
-    if (!this.isStale(now)) return distinct([others[0], this.helpful]);
     const zones = [...new Set([...board.hosts.values()].map((entry) => entry.az))];
-    const inTurn = zones.map((az) => this.pick(az));
-    const seed = board.hosts.size > 1 ? undefined : seeds[this.turn % Math.max(1, seeds.length)];
-    return distinct([...others.slice(0, RELAYS_ASKED), this.helpful, seed, ...inTurn]);
+    const az = inTurn(zones, this.turn);
+    const seed = board.hosts.size > 1 ? undefined : inTurn(seeds, this.turn);
+    return distinct([...others.slice(0, RELAYS_ASKED), this.helpful, seed, this.pick(az)]);
   }
 
-  private pick(az: AzId): HostEntry | undefined {
+  private pick(az: AzId | undefined): HostEntry | undefined {
     const { board } = this.options;
     const others = [...board.hosts.values()].filter(
       (entry) => entry.az === az && entry.host !== board.host,
     );
-    return others[this.turn % Math.max(1, others.length)];
+    return inTurn(others, this.turn);
+  }
+
+  /** Asks the parent for what is newer, and again for as long as it answers. */
+  private async askParent(parent: PeerAddress): Promise<void> {
+    this.waiting = true;
+    let next: PeerAddress | undefined = parent;
+    while (next !== undefined) {
+      // A first question is answered at once: what the parent has may be news.
+      const waitMs = this.isStale(performance.now()) ? 0 : this.options.rules.waitMs;
+      const renewed = await this.ask(next, waitMs);
+      next = renewed ? this.parentToAsk() : undefined;
+    }
+    this.waiting = false;
   }
 
-  private async ask(peer: PeerAddress): Promise<void> {
-    const { self, view, calls, board, rules, documents } = this.options;
+  private parentToAsk(): PeerAddress | undefined {
+    return this.stopped ? undefined : this.options.order.parent;
+  }
+
+  /** @returns whether an answer came that renewed this host's proof */
+  private async ask(peer: PeerAddress, waitMs: number): Promise<boolean> {
+    const { self, view, calls, board, rules } = this.options;
     const sentAt = performance.now();
     const { host, incarnation } = self;
-    const { revision } = view;
+    const { provenSince } = board;
+    const question = {
+      host,
+      incarnation,
+      ownRevision: view.ownRevision,
+      heard: Math.max(this.heard, view.newest),
+      waitMs,
+      ...(Number.isFinite(provenSince) && { proofAgeMs: sentAt - provenSince }),
+    };
     const result = await calls.ask(
       peer,
-      (id) => ({ kind: FrameKind.SyncAsk, id, host, incarnation, revision }),
-      rules.timeoutMs,
+      (id) => ({ kind: FrameKind.SyncAsk, id, ...question }),
+      waitMs + rules.timeoutMs,
+      { heldMs: waitMs },
     );
-    if (result.isErr() || result.value.kind !== FrameKind.SyncReply) return;
-    const now = performance.now();
-    const { items, proofAgeMs, documentsAgeMs } = result.value;
-    view.takeItems(items, now);
-    if (proofAgeMs !== undefined) board.prove(sentAt - proofAgeMs);
-    if (result.value.revision > view.revision) void documents.fetch(peer);
-    else if (documentsAgeMs !== undefined) view.noteCurrent(sentAt - documentsAgeMs);
-    if (!this.isStale(now)) this.helpful = peer;
+    // Who does not answer is noted by the calls themselves.
+    if (result.isErr() || result.value.kind !== FrameKind.SyncReply || this.stopped) return false;
+    this.take(result.value, peer, sentAt);
+    if (!this.isStale(performance.now())) this.helpful = peer;
+    return board.provenSince > provenSince;
   }
 
-  private answer(link: PeerLink, ask: FrameOf<FrameKind.SyncAsk>): void {
-    const { view } = this.options;
-    const now = performance.now();
-    const reply: FrameOf<FrameKind.SyncReply> = {
-      kind: FrameKind.SyncReply,
-      id: ask.id,
-      revision: view.revision,
-      items: [...view.ownItemsSince(ask.revision)],
-    };
-    const documentsAgeMs = now - view.currentSince;
-    if (Number.isFinite(documentsAgeMs)) reply.documentsAgeMs = documentsAgeMs;
-    const provedAt = this.provedFor(ask);
-    link.send(provedAt === undefined ? reply : { ...reply, proofAgeMs: now - provedAt });
+  /** Takes the answer to a question that was sent at `sentAt`. */
+  private take(reply: SyncReply, peer: PeerAddress, sentAt: number): void {
+    const { view, proofs, documents } = this.options;
+    const { own, proof, documentsAgeMs } = reply;
+    this.heard = Math.max(this.heard, reply.newest);
+    if (own !== undefined) view.takeOwn(own, performance.now());
+    // The age counts from the arrival of the question, which was not before its sending.
+    if (proof !== undefined && view.ownRevision >= (proof.revision ?? 0)) {
+      proofs.notePassedOn(sentAt - proof.ageMs, proof.revision);
+    }
+    if (own !== undefined && reply.documentsRevision <= view.revision) {
+      view.noteNothingElse(reply.revision);
+    } else if (reply.revision > view.revision) {
+      void documents.fetch(peer);
+    }
+    const isComplete = view.revision >= reply.revision;
+    if (isComplete && documentsAgeMs !== undefined) view.noteCurrent(sentAt - documentsAgeMs);
   }
+}
 
-  /** When the first-hand proof was sent that may be passed on to the asker; undefined if it is not listed. */
-  private provedFor(ask: FrameOf<FrameKind.SyncAsk>): number | undefined {
-    const { firstHand } = this.options.proofs;
-    if (firstHand === undefined) return undefined;
-    const isListed = [...firstHand.list.hosts].some(
-      ([host, incarnation]) => host === ask.host && incarnation === ask.incarnation,
-    );
-    return isListed ? firstHand.sentAt : undefined;
-  }
+function inTurn<Value>(values: readonly Value[], turn: number): Value | undefined {
+  return values[turn % Math.max(1, values.length)];
 }
 
 function distinct(peers: readonly (PeerAddress | undefined)[]): readonly PeerAddress[] {
--- a/packages/gateway/src/forward/remote-executor.ts
+++ b/packages/gateway/src/forward/remote-executor.ts
@@ -62,7 +62,9 @@
   /** Asks the other host. */
   async ask(fields: AskFields, timeoutMs: number): Promise<Result<ForwardReply, GladespoolError>> {
     const build = (id: number) => ({ kind: FrameKind.ForwardAsk, id, ...fields }) as const;
-    const answer = await this.calls.ask(this.peer, build, timeoutMs + SLACK_MS, LINK_TIMEOUT_MS);
+    const answer = await this.calls.ask(this.peer, build, timeoutMs + SLACK_MS, {
+      linkTimeoutMs: LINK_TIMEOUT_MS,
+    });
     return answer.andThen((frame) => this.expectReply(frame));
   }
 
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -10,6 +10,7 @@
   ChangeResult,
   MetadataStore,
   StoreChange,
+  StoreEntry,
   StoreEvent,
   StoreItem,
   StoreRange,
@@ -65,6 +66,14 @@
     return ok({ items, revision: this.store.revision });
   }
 
+  read(key: string): Promise<Result<StoreEntry, GladespoolError>> {
+    this.reads += 1;
+    if (this.away) return Promise.resolve(err(AWAY));
+    const item = this.store.items.get(key);
+    const revision = item === undefined ? 0 : this.store.revision;
+    return Promise.resolve(ok({ item, revision }));
+  }
+
   async watch(
     _prefix: string,
     after: number,
--- a/packages/gateway/tests/peer-liveness.steps.ts
+++ b/packages/gateway/tests/peer-liveness.steps.ts
@@ -34,7 +34,7 @@
   const { liveness, link } = world;
   switch (what) {
     case 'ask':
-      liveness.noteAsked(link, now);
+      liveness.expectAnswer(link, now);
       return;
     case 'frame':
       liveness.noteFrame(link);
--- a/packages/gateway/tests/store-away.feature
+++ b/packages/gateway/tests/store-away.feature
@@ -11,9 +11,9 @@
     Then host 2 refuses writes as "no-authority" within 2500 ms
     And the other hosts still write
 
-  Scenario: Only one host of each zone reads the store while it answers the others
+  Scenario: Only one host of all zones reads the store while it answers the others
     Given 6 hosts that serve a group
-    Then it comes to 1500 ms in which 3 hosts read the store more than 3 times and the others not at all
+    Then it comes to 1500 ms in which 1 hosts read the store more than 3 times and the others not at all
 
   Scenario: The relay of a zone goes, and another host of the zone stands in for it
     Given 6 hosts that serve a group
@@ -34,3 +34,13 @@
     Given 3 hosts that serve a group
     When a host joins that needs 1200 ms to read the whole store, and reaches no other host
     Then that host has configuration 1 within 3000 ms
+
+  Scenario: The host that reads the store for all zones no longer reaches it
+    Given 6 hosts that serve a group
+    When the host that reads the store no longer reaches it
+    Then every other host writes for 2000 ms without a refusal
+
+  Scenario: The host that reads the store for all zones is gone without a word
+    Given 6 hosts that serve a group
+    When the host that reads the store no longer reaches it, nor answers others
+    Then every other host comes to write for 2000 ms without a refusal
--- a/packages/gateway/tests/store-away.steps.ts
+++ b/packages/gateway/tests/store-away.steps.ts
@@ -4,6 +4,7 @@
 import { RelayOrder } from '../src/index.js';
 import type { ActionWorld } from './fakes/action-world.js';
 import { host } from './fakes/action-world.js';
+import type { FakeHost } from './fakes/fake-deployment.js';
 import { GROUP } from './fakes/fake-deployment.js';
 
 When(
@@ -138,3 +139,58 @@
     }
   },
 );
+
+/** The host whose reads of the store all others live on. */
+async function readerOf(world: ActionWorld): Promise<FakeHost> {
+  const { hosts } = world.deployment;
+  const reader = (): FakeHost | undefined =>
+    hosts.find(({ gateway }) => new RelayOrder(gateway.board).parent === undefined);
+  await world.deployment.until(() => reader() !== undefined);
+  const found = reader();
+  assert.ok(found);
+  return found;
+}
+
+When('the host that reads the store no longer reaches it', async function (this: ActionWorld) {
+  this.other = await readerOf(this);
+  this.other.store.cut = true;
+});
+
+When(
+  'the host that reads the store no longer reaches it, nor answers others',
+  async function (this: ActionWorld) {
+    this.other = await readerOf(this);
+    this.other.store.cut = true;
+    await this.other.gateway.closePeers();
+  },
+);
+
+/** Writes on every host but the one that lost the store, until `ms` have passed or one is refused. */
+async function writesFor(world: ActionWorld, ms: number): Promise<boolean> {
+  const others = world.deployment.hosts.filter((each) => each !== world.other);
+  const until = performance.now() + ms;
+  while (performance.now() < until) {
+    const outcomes = await Promise.all(
+      others.map((each) => world.deployment.run(each, 'WRITE x 1')),
+    );
+    if (outcomes.some(({ kind }) => kind !== 'completed')) return false;
+    await pause(20);
+  }
+  return true;
+}
+
+Then(
+  'every other host writes for {int} ms without a refusal',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, ms: number) {
+    assert.equal(await writesFor(this, ms), true);
+  },
+);
+
+Then(
+  'every other host comes to write for {int} ms without a refusal',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, ms: number) {
+    for (let held = false; !held;) held = await writesFor(this, ms);
+  },
+);
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -12,7 +12,7 @@
 } from '@gladespool/coordination';
 import * as z from 'zod';
 import { TransactionStatus } from '../pg/message-type.js';
-import { storeItemSchema } from './store-documents.js';
+import { removedKeySchema, storeItemSchema } from './store-documents.js';
 
 /** Version of this protocol; links between unlike versions are refused in the handshake. */
 export const PEER_PROTOCOL_VERSION = 2;
@@ -79,6 +79,22 @@
 }
 
 const count = z.int().nonnegative();
+
+/** What has changed of the system's own documents since the revision asked for; all of them are small. */
+const ownChangesSchema = z.object({
+  /** Revision of the store up to which the receiver has all of them with these. */
+  revision: count,
+  items: z.array(storeItemSchema),
+  removed: z.array(removedKeySchema),
+});
+
+/** A proof that one host passes on to another. */
+const passedProofSchema = z.object({
+  /** Age when the question arrived, milliseconds; negative if the proof is from later. */
+  ageMs: z.number(),
+  /** Revision that the store's answer showed; missing where the word of a majority is the proof. */
+  revision: count.optional(),
+});
 const bytes = z.custom<Uint8Array>((value) => value instanceof Uint8Array, 'bytes');
 const positionSchema = z.object({ term: count, offset: count }).readonly();
 
@@ -252,20 +268,30 @@
     id,
     host: z.string(),
     incarnation: count,
-    /** Revision of the store up to which the asker is complete. */
-    revision: count,
+    /** Revision of the store up to which the asker has all of the system's own documents. */
+    ownRevision: count,
+    /** Revision of the newest change that the asker has heard of. */
+    heard: count,
+    /** Age of the asker's proof, milliseconds; missing without one. */
+    proofAgeMs: z.number().optional(),
+    /** Time for which the question may wait for a newer proof or for news, milliseconds. */
+    waitMs: count,
   }),
   z.object({
     kind: z.literal(FrameKind.SyncReply),
     id,
     /** Revision of the store up to which the sender is complete. */
     revision: count,
-    /** The system's own documents that are newer than the revision asked for; all of them are small. */
-    items: z.array(storeItemSchema),
-    /** Time since the sender's documents were known to be those of the store, milliseconds. */
-    documentsAgeMs: z.number().nonnegative().optional(),
-    /** Age of a proof that the sender got from the store or a majority, milliseconds, if the asker is listed. */
-    proofAgeMs: z.number().nonnegative().optional(),
+    /** Revision of the newest change that the sender has heard of. */
+    newest: count,
+    /** Revision of the latest change of a document that is fetched apart: configuration, upstreams. */
+    documentsRevision: count,
+    /** What has changed of the system's own documents; missing where the sender does not know all of it. */
+    own: ownChangesSchema.optional(),
+    /** Age of the sender's documents when the question arrived, milliseconds; negative if renewed since. */
+    documentsAgeMs: z.number().optional(),
+    /** A proof that covers the asker; missing if there is none. */
+    proof: passedProofSchema.optional(),
   }),
   z.object({
     kind: z.literal(FrameKind.DocumentsAsk),
--- a/packages/protocol/src/peer/store-documents.ts
+++ b/packages/protocol/src/peer/store-documents.ts
@@ -17,10 +17,13 @@
   .object({ key: z.string(), value: z.string(), revision: count })
   .readonly();
 
+/** A key that was removed from the metadata store. */
+export const removedKeySchema = z.object({ key: z.string(), revision: count }).readonly();
+
 const storeDocumentsSchema = z
   .object({
     items: z.array(storeItemSchema).readonly(),
-    removed: z.array(z.object({ key: z.string(), revision: count }).readonly()).readonly(),
+    removed: z.array(removedKeySchema).readonly(),
   })
   .readonly();
 
