perf(coordination): homes are picked without ranking every host of a zone

Cause: each change of the host list plans the homes of every group: the hosts of each zone were gathered anew for every group by copying, each key was hashed from its first sign, and all hosts were sorted to take one or a few. Change: the zones are made once for all groups, what the keys have in common is hashed once, and the first few are picked in one pass. Ruled out: planning only when asked, which is done already; every pool asks for its limits when the list changes.

--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -43,14 +43,13 @@
   readonly connectionsPerHome: number;
 }
 
-/** Plans the homes of a group from the hosts that live; every host computes the same plan. */
+/** Plans the homes of a group from the hosts that live, by zone; every host computes the same plan. */
 export function planHomes(
   group: GroupId,
-  hosts: readonly HomeCandidate[],
+  zones: ReadonlyMap<AzId, readonly HostId[]>,
   room: UpstreamRoom,
   rules: ShareRules = DEFAULT_SHARES,
 ): HomePlan {
-  const zones = hostsByZone(hosts);
   const allowed = Math.floor(room.connections * rules.usableShare);
   const usable = Math.min(allowed, room.slots * rules.perSlot);
   const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
@@ -60,8 +59,13 @@
   return { homes, connectionsPerHome: Math.max(1, Math.floor(usable / Math.max(1, count))) };
 }
 
-function hostsByZone(hosts: readonly HomeCandidate[]): Map<AzId, HostId[]> {
+/** The hosts of each zone; made once for the plans of all groups. */
+export function hostsByZone(hosts: Iterable<HomeCandidate>): ReadonlyMap<AzId, readonly HostId[]> {
   const zones = new Map<AzId, HostId[]>();
-  for (const { host, az } of hosts) zones.set(az, [...(zones.get(az) ?? []), host]);
+  for (const { host, az } of hosts) {
+    const inZone = zones.get(az);
+    if (inZone === undefined) zones.set(az, [host]);
+    else inZone.push(host);
+  }
   return zones;
 }
--- a/packages/coordination/src/rendezvous.ts
+++ b/packages/coordination/src/rendezvous.ts
@@ -9,27 +9,58 @@
 
 /** FNV-1a over UTF-16 units with the finalizer of MurmurHash3; unsigned 32 bits. */
 export function hash32(text: string): number {
-  let hash = FNV_OFFSET;
+  return finished(absorb(FNV_OFFSET, text));
+}
+
+/** State of the hash after `text`, begun with `state`; what many texts begin with is hashed once. */
+function absorb(state: number, text: string): number {
+  let hash = state;
   for (let i = 0; i < text.length; i += 1) {
     hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
   }
-  hash = Math.imul(hash ^ (hash >>> 16), MIX_A);
+  return hash;
+}
+
+function finished(state: number): number {
+  let hash = Math.imul(state ^ (state >>> 16), MIX_A);
   hash = Math.imul(hash ^ (hash >>> 13), MIX_B);
   return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** A candidate with its weight for one key. */
+interface Weighted<Id extends string> {
+  readonly id: Id;
+  readonly weight: number;
+}
+
 /** Candidates of `key` in order of preference. */
 export function rankCandidates<Id extends string>(key: string, candidates: readonly Id[]): Id[] {
-  const weighted = candidates.map((id) => ({ id, weight: hash32(`${key}|${id}`) }));
-  weighted.sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1));
+  const weighted = weigh(key, candidates);
+  weighted.sort(byPreference);
   return weighted.map((entry) => entry.id);
 }
 
-/** The `count` preferred candidates of `key`. */
+/** The `count` preferred candidates of `key`; picked without ranking them all, since hosts are many. */
 export function topCandidates<Id extends string>(
   key: string,
   candidates: readonly Id[],
   count: number,
 ): Id[] {
-  return rankCandidates(key, candidates).slice(0, count);
+  const top: Weighted<Id>[] = [];
+  for (const entry of weigh(key, candidates)) {
+    const place = top.findIndex((held) => byPreference(entry, held) < 0);
+    if (place >= 0) top.splice(place, 0, entry);
+    else top.push(entry);
+    if (top.length > count) top.pop();
+  }
+  return top.map((entry) => entry.id);
+}
+
+function weigh<Id extends string>(key: string, candidates: readonly Id[]): Weighted<Id>[] {
+  const begun = absorb(FNV_OFFSET, `${key}|`);
+  return candidates.map((id) => ({ id, weight: finished(absorb(begun, id)) }));
+}
+
+function byPreference(a: Weighted<string>, b: Weighted<string>): number {
+  return b.weight - a.weight || (a.id < b.id ? -1 : 1);
 }
--- a/packages/coordination/tests/reads-and-room.steps.ts
+++ b/packages/coordination/tests/reads-and-room.steps.ts
@@ -6,6 +6,7 @@
   chooseUpstream,
   groupId,
   hostId,
+  hostsByZone,
   MarkLog,
   planHomes,
   readFloor,
@@ -78,7 +79,7 @@
       host: hostId(`h${index}`),
       az: azId(`z${index % zones}`),
     }));
-    this.plan = planHomes(groupId('g'), listed, { connections, slots });
+    this.plan = planHomes(groupId('g'), hostsByZone(listed), { connections, slots });
   },
 );
 
--- a/packages/gateway/src/forward/home-directory.ts
+++ b/packages/gateway/src/forward/home-directory.ts
@@ -1,20 +1,25 @@
 /**
  * Which hosts are homes of a group, from the hosts listed now.
  */
-import type { GroupId, HomePlan, HostId, UpstreamRoom } from '@gladespool/coordination';
-import { planHomes, rankCandidates } from '@gladespool/coordination';
+import type { AzId, GroupId, HomePlan, HostId, UpstreamRoom } from '@gladespool/coordination';
+import { hostsByZone, planHomes, rankCandidates } from '@gladespool/coordination';
 import type { GatewayBoard } from '../board.js';
 import { BoardSection } from '../board.js';
 
 /** Homes as this host sees them. */
 export class HomeDirectory {
+  /** The listed hosts of each zone. */
+  zones: ReadonlyMap<AzId, readonly HostId[]> = new Map();
   private plans = new Map<GroupId, HomePlan>();
 
   constructor(private readonly board: GatewayBoard) {
     const reset = (): void => {
       this.plans = new Map();
     };
-    board.onChange(BoardSection.Hosts, reset);
+    board.onChange(BoardSection.Hosts, () => {
+      this.zones = hostsByZone(board.hosts.values());
+      reset();
+    });
     board.onChange(BoardSection.Catalog, reset);
     board.onChange(BoardSection.Upstreams, reset);
   }
@@ -23,7 +28,7 @@
   plan(group: GroupId): HomePlan {
     const held = this.plans.get(group);
     if (held !== undefined) return held;
-    const plan = planHomes(group, [...this.board.hosts.values()], this.room(group));
+    const plan = planHomes(group, this.zones, this.room(group));
     this.plans.set(group, plan);
     return plan;
   }
