feat(coordination): some hosts of each zone are asked about a suspected primary, not all

Cause: a host that missed a primary asked every listed one; each of them probed the primary over a connection of its own, 194 on the large deployment against a cap of 88, and the asker opened a link to each. Ruled out: asking only homes, which are one a zone on the large deployment, so that one slow host would decide for its zone. Change: `reachSample` picks four of each zone, homes first, the others differing from asker to asker; more than half of those asked must miss the primary. With up to four hosts a zone this is everybody, as before.

--- a/packages/coordination/src/failover.ts
+++ b/packages/coordination/src/failover.ts
@@ -34,7 +34,7 @@
   dutyGapMs: 2000,
 };
 
-/** What the hosts say about a suspected primary. */
+/** What the hosts that were asked say about a suspected primary. */
 export interface ReachEvidence {
   /** Hosts that reach it. */
   readonly reaching: number;
@@ -51,9 +51,9 @@
 }
 
 /**
- * Judges a primary that has failed the asking host for `failedMs`. More than half of all listed hosts
- * have to miss it: hosts that are cut off themselves are never that many, and must not act on what
- * only they see.
+ * Judges a primary that has failed the asking host for `failedMs`. More than half of the hosts asked,
+ * some of each zone, have to miss it: hosts that are cut off themselves are never that many, and must
+ * not act on what only they see.
  */
 export function judgeSuspicion(
   evidence: ReachEvidence,
@@ -61,8 +61,8 @@
   rules: FailoverRules,
 ): FailoverVerdict {
   const { reaching, failing, silent } = evidence;
-  const listed = reaching + failing + silent;
-  if (failing * 2 <= listed) return FailoverVerdict.Wait;
+  const asked = reaching + failing + silent;
+  if (failing * 2 <= asked) return FailoverVerdict.Wait;
   return failedMs >= rules.suspectAfterMs ? FailoverVerdict.Promote : FailoverVerdict.Wait;
 }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -5,6 +5,7 @@
 export * from './ids.js';
 export * from './position.js';
 export * from './random.js';
+export * from './reach-sample.js';
 export * from './read-routing.js';
 export * from './refusal.js';
 export * from './rendezvous.js';
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -8,6 +8,7 @@
 import type { PeerAddress } from '@gladespool/peers';
 import { PeerNetwork } from '@gladespool/peers';
 import type { GatewayBoard, HostEntry } from '../board.js';
+import type { HomeDirectory } from '../forward/home-directory.js';
 import type { ReachNotes } from '../forward/reach-notes.js';
 import type { GatewayRules } from '../gateway-rules.js';
 import type { GroupHome } from '../home/group-home.js';
@@ -44,6 +45,7 @@
   readonly holds: WriteHolds;
   readonly home: (group: GroupId) => GroupHome;
   readonly reach: ReachNotes;
+  readonly directory: HomeDirectory;
   readonly peerKey: Buffer;
   readonly seeds: readonly PeerAddress[];
   readonly rules: GatewayRules;
@@ -205,7 +207,8 @@
   }
 
   private createPromotions(): PromotionController {
-    const { self, board, store, promotions, holds, home, reach, rules, metrics } = this.options;
+    const { self, board, directory, store, promotions } = this.options;
+    const { holds, home, reach, rules, metrics } = this.options;
     const monitor = new PrimaryMonitor({ board, home, probe: this.probe, rules: DEFAULT_MONITOR });
     return new PromotionController({
       monitor,
@@ -213,6 +216,7 @@
       context: {
         self,
         board,
+        directory,
         store,
         view: this.view,
         proofs: this.proofs,
--- a/packages/gateway/src/control/promotion-context.ts
+++ b/packages/gateway/src/control/promotion-context.ts
@@ -5,6 +5,7 @@
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { PeerNetwork } from '@gladespool/peers';
 import type { GatewayBoard, HostEntry } from '../board.js';
+import type { HomeDirectory } from '../forward/home-directory.js';
 import type { UpstreamProbe } from '../home/upstream-probe.js';
 import type { ClaimLock } from './claim-lock.js';
 import type { MetadataStore } from './metadata-store.js';
@@ -18,6 +19,7 @@
 export interface PromotionContext {
   readonly self: HostEntry;
   readonly board: GatewayBoard;
+  readonly directory: HomeDirectory;
   readonly store: MetadataStore;
   readonly view: StoreView;
   readonly proofs: ProofKeeper;
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -85,7 +85,8 @@
 
   constructor(private readonly options: PromotionControllerOptions) {
     const { context, monitor } = options;
-    this.poll = new ReachPoll({ board: context.board, calls: context.calls, monitor });
+    const { board, calls, directory } = context;
+    this.poll = new ReachPoll({ board, directory, calls, monitor });
   }
 
   /** Starts what is due at `now`. */
--- a/packages/gateway/src/control/reach-poll.ts
+++ b/packages/gateway/src/control/reach-poll.ts
@@ -1,16 +1,18 @@
 /**
- * Asks hosts whether they reach a group's primary.
+ * Asks some hosts of each zone whether they reach a group's primary.
  */
 import type { GroupId, HostId, PrimaryRecord, ReachEvidence } from '@gladespool/coordination';
-import { hostId, rankCandidates } from '@gladespool/coordination';
+import { hostId, reachSample } from '@gladespool/coordination';
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard, HostEntry } from '../board.js';
+import type { HomeDirectory } from '../forward/home-directory.js';
 import type { PeerCalls } from './peer-calls.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
 
 /** What a poll works with. */
 export interface ReachPollOptions {
   readonly board: GatewayBoard;
+  readonly directory: HomeDirectory;
   readonly calls: PeerCalls;
   readonly monitor: PrimaryMonitor;
 }
@@ -36,20 +38,20 @@
 export class ReachPoll {
   constructor(private readonly options: ReachPollOptions) {}
 
-  /** Asks this host and `maxOthers` others, all of them if that is undefined. */
+  /** Asks this host and others, `maxOthers` of them at most. */
   async run(record: PrimaryRecord, maxOthers: number | undefined): Promise<ReachFindings> {
-    const asked = this.hostsToAsk(maxOthers).map((host) => this.askOther(host, record));
+    const asked = this.hostsToAsk(record.group, maxOthers).map((host) =>
+      this.askOther(host, record),
+    );
     asked.push(this.askSelf(record.group));
     const answers = await collect(asked);
     const reaching = answers.filter((answer) => answer.reaches === true);
     return { evidence: gatherEvidence(answers), reaching: reaching.map((answer) => answer.host) };
   }
 
-  /** Other hosts in an order that differs from host to host, so that small polls spread. */
-  private hostsToAsk(maxOthers: number | undefined): readonly HostEntry[] {
-    const { board } = this.options;
-    return rankCandidates(`reach|${board.host}`, [...board.hosts.keys()])
-      .filter((host) => host !== board.host)
+  private hostsToAsk(group: GroupId, maxOthers: number | undefined): readonly HostEntry[] {
+    const { board, directory } = this.options;
+    return reachSample(board.host, directory.zones, directory.plan(group).homes)
       .slice(0, maxOthers)
       .map((host) => board.hosts.get(host))
       .filter((entry) => entry !== undefined);
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -75,6 +75,7 @@
       board: this.board,
       holds: this.holds,
       reach: this.reach,
+      directory: this.directory,
       home: (group) => this.executor.home(group),
     });
     this.control.network.addHandler(new ForwardService(this.executor, this.board));
