feat(gateway): questions to all hosts go by way of the zones' first hosts; one host renews for all

Cause: renewals by a majority, holds and revocations asked every listed host from one host, which opened a link to each. Ruled out: asking fewer than all, which would give up the overlap of majorities that keeps a former primary unused. Change: `HostRound` asks hosts of small zones (12) directly as before; in a larger one two hosts ask the others and pass answers on every 20 ms. A majority's proof travels like the store's, with the revision that tells whom it covers. A link that another host has opened serves for questions to it as well.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -6,6 +6,7 @@
 export * from './position.js';
 export * from './random.js';
 export * from './reach-sample.js';
+export * from './renewal-order.js';
 export * from './read-routing.js';
 export * from './refusal.js';
 export * from './rendezvous.js';
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -16,6 +16,7 @@
 import type { UpstreamDriver } from '../model/upstream-wire.js';
 import { ClaimLock } from './claim-lock.js';
 import { DocumentExchange } from './document-exchange.js';
+import { HostRound } from './host-round.js';
 import { HostRetirer } from './host-retirer.js';
 import type { MetadataStore } from './metadata-store.js';
 import { PeerCalls } from './peer-calls.js';
@@ -69,6 +70,7 @@
   private readonly proofs: ProofKeeper;
   private readonly founder: RecordFounder;
   private readonly documents: DocumentExchange;
+  private readonly round: HostRound;
   private readonly sync: SyncService;
   private readonly answers: SyncAnswers;
   private readonly renewer: PeerRenewer;
@@ -88,7 +90,8 @@
     this.founder = new RecordFounder({ board, store, view: this.view, log: this.log });
     this.network = this.createNetwork();
     this.calls = new PeerCalls(this.network, this.log);
-    const { view, calls, log } = this;
+    this.round = new HostRound({ board, order: this.order, calls: this.calls });
+    const { view, calls, round, log } = this;
     this.documents = new DocumentExchange({ view, calls, log });
     this.sync = this.createSync();
     this.answers = new SyncAnswers({ board, view, proofs: this.proofs });
@@ -97,7 +100,16 @@
     this.probe = this.createProbe();
     this.promotions = this.createPromotions();
     const { sync, answers, renewer, retirer, promotions } = this;
-    for (const handler of [calls, this.documents, sync, answers, renewer, retirer, promotions]) {
+    for (const handler of [
+      calls,
+      round,
+      this.documents,
+      sync,
+      answers,
+      renewer,
+      retirer,
+      promotions,
+    ]) {
       this.network.addHandler(handler);
     }
   }
@@ -188,8 +200,8 @@
 
   private createRetirer(): HostRetirer {
     const { board, store, rules } = this.options;
-    const { view, calls, log } = this;
-    return new HostRetirer({ board, view, store, calls, rules: rules.retirement, log });
+    const { view, calls, round, log } = this;
+    return new HostRetirer({ board, view, store, calls, round, rules: rules.retirement, log });
   }
 
   private createRenewer(): PeerRenewer {
@@ -200,7 +212,7 @@
       view: this.view,
       order: this.order,
       proofs: this.proofs,
-      calls: this.calls,
+      round: this.round,
       authority: rules.home.authority,
       log: this.log,
     });
@@ -221,6 +233,7 @@
         view: this.view,
         proofs: this.proofs,
         calls: this.calls,
+        round: this.round,
         network: this.network,
         probe: this.probe,
         holds,
--- a/packages/gateway/src/control/host-retirer.ts
+++ b/packages/gateway/src/control/host-retirer.ts
@@ -9,9 +9,9 @@
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard, HostEntry } from '../board.js';
+import type { HostRound } from './host-round.js';
 import type { MetadataStore } from './metadata-store.js';
 import { changeEnd, StorePurpose } from './metadata-store.js';
-import { OtherHosts } from './other-hosts.js';
 import type { PeerCalls } from './peer-calls.js';
 import { hostKey } from './store-documents.js';
 import type { StoreView } from './store-view.js';
@@ -22,6 +22,7 @@
   readonly view: StoreView;
   readonly store: MetadataStore;
   readonly calls: PeerCalls;
+  readonly round: HostRound;
   readonly rules: RetirementRules;
   readonly log: Logger;
 }
@@ -95,8 +96,8 @@
   private async evidenceOf(
     silent: HostEntry,
   ): Promise<{ readonly listed: number; readonly missing: number; readonly reaching: number }> {
-    const { board, calls } = this.options;
-    const others = new OtherHosts(board, calls).entries.filter((e) => e.host !== silent.host);
+    const { board, calls, round } = this.options;
+    const others = round.others.filter((entry) => entry.host !== silent.host);
     const ask = (id: number) => ({ kind: FrameKind.MissedAsk, id, host: silent.host }) as const;
     const answers = await Promise.all(others.map((other) => calls.ask(other, ask, ASK_TIMEOUT_MS)));
     const told = answers.map((answer) =>
--- /dev/null
+++ b/packages/gateway/src/control/host-round.ts
@@ -0,0 +1,210 @@
+/**
+ * One question to every listed host. In a zone of few hosts each is asked directly; in a larger one the first
+ * hosts of the zone ask the others, to whom they have links already, and pass the answers on. So the host
+ * that asks neither opens a link to everyone nor sends each question itself.
+ */
+import type { AzId, HostId } from '@gladespool/coordination';
+import { hostId } from '@gladespool/coordination';
+import type { PeerHandler, PeerLink } from '@gladespool/peers';
+import type { Frame, FrameOf } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
+import type { GatewayBoard, HostEntry } from '../board.js';
+import type { StoreItem } from './metadata-store.js';
+import type { PeerCalls } from './peer-calls.js';
+import type { RelayOrder } from './relay-order.js';
+
+/** A question that all hosts may be asked. */
+export type RoundQuestion = FrameOf<FrameKind.RoundAsk>['question'];
+
+/** One host's answer. */
+export interface RoundAnswer {
+  readonly host: HostId;
+  /** Incarnation of the process that answered, if it told; else that which was listed. */
+  readonly incarnation: number;
+  /** Documents that the host passed on with it. */
+  readonly items: readonly StoreItem[];
+}
+
+/** What the rounds work with. */
+export interface HostRoundOptions {
+  readonly board: GatewayBoard;
+  readonly order: RelayOrder;
+  readonly calls: PeerCalls;
+}
+
+/** Hosts of a zone up to which each is asked directly: one link more is cheaper than one way more. */
+const DIRECT_HOSTS = 12;
+/** Hosts of a larger zone that are asked to ask the others; each asks all, so that one may be lost. */
+const ASKING_HOSTS = 2;
+/** Time for which answers of a zone are gathered before they are passed on together, milliseconds. */
+const GATHER_MS = 20;
+
+type Take = (answer: RoundAnswer) => void;
+
+/** A round whose answers come by way of other hosts. */
+interface OpenRound {
+  readonly take: Take;
+  readonly end: () => void;
+}
+
+/** Rounds of one host, and its part in those of others. */
+export class HostRound implements PeerHandler {
+  private readonly open = new Map<number, OpenRound>();
+  private nextRound = 1;
+
+  constructor(private readonly options: HostRoundOptions) {}
+
+  /** The listed hosts without this one. */
+  get others(): readonly HostEntry[] {
+    const { board } = this.options;
+    return [...board.hosts.values()].filter((entry) => entry.host !== board.host);
+  }
+
+  /**
+   * Asks every other host and reports each one's first answer. Nothing but an answer shows that a host
+   * is done: a cut can look like a process that is gone.
+   *
+   * @returns once all have answered or `timeoutMs` is over, the hosts that answered
+   */
+  async askAll(
+    question: RoundQuestion,
+    timeoutMs: number,
+    onAnswer: Take = () => undefined,
+  ): Promise<ReadonlySet<HostId>> {
+    const answered = new Set<HostId>();
+    const take = (answer: RoundAnswer): void => {
+      if (answered.has(answer.host)) return;
+      answered.add(answer.host);
+      onAnswer(answer);
+    };
+    const zones = [...new Set(this.others.map((entry) => entry.az))];
+    await Promise.all(zones.map((az) => this.askZone(az, question, timeoutMs, take)));
+    return answered;
+  }
+
+  onFrame(link: PeerLink, frame: Frame): void {
+    if (frame.kind === FrameKind.RoundAsk) void this.answer(link, frame);
+    if (frame.kind === FrameKind.RoundAnswers) this.takeAnswers(frame);
+  }
+
+  onLost(): void {
+    // Answers that were lost with a link are missed by whoever waits for them.
+  }
+
+  private async askZone(
+    az: AzId,
+    question: RoundQuestion,
+    timeoutMs: number,
+    take: Take,
+  ): Promise<void> {
+    const { board, order } = this.options;
+    const hosts = order.hostsOf(az).filter((entry) => entry.host !== board.host);
+    if (az === board.az || hosts.length <= DIRECT_HOSTS) {
+      await Promise.all(hosts.map((entry) => this.askHost(entry, question, timeoutMs, take)));
+      return;
+    }
+    const asking = this.reachableFirst(hosts).slice(0, ASKING_HOSTS);
+    const direct = asking.map((entry) => this.askHost(entry, question, timeoutMs, take));
+    const passedOn = asking.map((entry) => this.askByWayOf(entry, question, timeoutMs, take));
+    // All of the zone have answered once both is over on one of those that asked.
+    await Promise.all([...direct, Promise.race(passedOn)]);
+  }
+
+  /** The hosts in order, those last that are known not to answer. */
+  private reachableFirst(hosts: readonly HostEntry[]): readonly HostEntry[] {
+    const now = performance.now();
+    const isReachable = (entry: HostEntry): boolean => this.options.calls.isReachable(entry, now);
+    const reachable = hosts.filter(isReachable);
+    return [...reachable, ...hosts.filter((entry) => !reachable.includes(entry))];
+  }
+
+  private async askHost(
+    entry: HostEntry,
+    question: RoundQuestion,
+    timeoutMs: number,
+    take: Take,
+  ): Promise<void> {
+    const result = await this.options.calls.ask(entry, (id) => ({ ...question, id }), timeoutMs);
+    if (result.isErr()) return;
+    const { host, incarnation } = entry;
+    const reply = result.value;
+    if (reply.kind !== FrameKind.RenewReply) take({ host, incarnation, items: [] });
+    else take({ host, incarnation: reply.incarnation, items: reply.items });
+  }
+
+  /** Resolves once the host has asked all of its zone, or `timeoutMs` is over. */
+  private askByWayOf(
+    entry: HostEntry,
+    question: RoundQuestion,
+    timeoutMs: number,
+    take: Take,
+  ): Promise<void> {
+    const round = this.nextRound;
+    this.nextRound += 1;
+    return new Promise((resolve) => {
+      const end = (): void => {
+        clearTimeout(timer);
+        this.open.delete(round);
+        resolve();
+      };
+      const timer = setTimeout(end, timeoutMs);
+      this.open.set(round, { take, end });
+      const ask = { kind: FrameKind.RoundAsk, round, waitMs: timeoutMs, question } as const;
+      void this.options.calls.tell(entry, ask);
+    });
+  }
+
+  private takeAnswers({ round, answers, items, done }: FrameOf<FrameKind.RoundAnswers>): void {
+    const held = this.open.get(round);
+    if (held === undefined) return;
+    for (const { host, incarnation } of answers) {
+      held.take({ host: hostId(host), incarnation, items });
+    }
+    if (done) held.end();
+  }
+
+  /** Asks the other hosts of this host's zone for another host, and passes their answers on. */
+  private async answer(link: PeerLink, ask: FrameOf<FrameKind.RoundAsk>): Promise<void> {
+    const { board, order } = this.options;
+    const { round, question, waitMs } = ask;
+    const hosts = order.hosts.filter((entry) => entry.host !== board.host);
+    let gathered: RoundAnswer[] = [];
+    const passOn = (done: boolean): void => {
+      link.send(answersFrame(round, gathered, done));
+      gathered = [];
+    };
+    const timer = setInterval(() => {
+      if (gathered.length > 0) passOn(false);
+    }, GATHER_MS);
+    const take = (answer: RoundAnswer): void => {
+      gathered.push(answer);
+    };
+    await Promise.all(hosts.map((entry) => this.askHost(entry, question, waitMs, take)));
+    clearInterval(timer);
+    passOn(true);
+  }
+}
+
+function answersFrame(
+  round: number,
+  answers: readonly RoundAnswer[],
+  done: boolean,
+): FrameOf<FrameKind.RoundAnswers> {
+  return {
+    kind: FrameKind.RoundAnswers,
+    round,
+    answers: answers.map(({ host, incarnation }) => ({ host, incarnation })),
+    items: [...newestOf(answers.flatMap(({ items }) => items))],
+    done,
+  };
+}
+
+/** The newest version of each key. */
+function newestOf(items: readonly StoreItem[]): Iterable<StoreItem> {
+  const newest = new Map<string, StoreItem>();
+  for (const item of items) {
+    const held = newest.get(item.key);
+    if (held === undefined || held.revision < item.revision) newest.set(item.key, item);
+  }
+  return newest.values();
+}
--- a/packages/gateway/src/control/passable-proof.ts
+++ b/packages/gateway/src/control/passable-proof.ts
@@ -1,52 +1,24 @@
 /**
- * Proofs that a host may pass on to others. A proof covers only hosts that were listed when the read or
- * the round behind it was made: whoever changes a primary asks just those that are listed.
+ * Proofs that a host may pass on to others, and the list of hosts whose majority can renew them.
  */
-import { hostId } from '@gladespool/coordination';
 import type { HostId } from '@gladespool/coordination';
-import type { StoreView } from './store-view.js';
 
-/** A proof with whom it covers. */
+/** A proof that the records of primaries held are those of the store. */
 export interface PassableProof {
-  /** Local time at which the read or the round behind it was sent. */
+  /** Local time at which the read of the store, or the round of questions, was sent. */
   readonly sentAt: number;
-  /** Revision that the store's answer showed; undefined where the word of a majority is the proof. */
-  readonly revision: number | undefined;
-  /** Whether a process may hold this proof. */
-  covers(host: string, incarnation: number): boolean;
+  /** Revision of the store up to which the gateway's own documents have to be held for it to count. */
+  readonly revision: number;
+  /** Whether it is from an answer of the store; else from the word of more than half of the hosts. */
+  readonly isFromStore: boolean;
 }
 
 /** The hosts that were listed in the store at one time. */
 export interface HostList {
   /** Local time at which these surely were the listed ones. */
   readonly readAt: number;
+  /** Revision of the store up to which the list is complete. */
+  readonly revision: number;
   /** Incarnations by host. */
   readonly hosts: ReadonlyMap<HostId, number>;
 }
-
-/** A proof from an answer of the store, be it by way of other hosts. */
-export class StoreProof implements PassableProof {
-  constructor(
-    readonly sentAt: number,
-    readonly revision: number,
-    private readonly view: StoreView,
-  ) {}
-
-  covers(host: string, incarnation: number): boolean {
-    return this.view.wasListed(host, incarnation, this.revision);
-  }
-}
-
-/** A proof from the word of more than half of the hosts of a list. */
-export class MajorityProof implements PassableProof {
-  readonly revision = undefined;
-
-  constructor(
-    readonly sentAt: number,
-    private readonly list: HostList,
-  ) {}
-
-  covers(host: string, incarnation: number): boolean {
-    return this.list.hosts.get(hostId(host)) === incarnation;
-  }
-}
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -8,7 +8,6 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { StoreItem } from './metadata-store.js';
 import { changeEnd, StorePurpose } from './metadata-store.js';
-import { OtherHosts } from './other-hosts.js';
 import { PromotionAnswer } from './promotion-call.js';
 import { PromotionCause } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
@@ -45,7 +44,6 @@
   notBefore = Number.NEGATIVE_INFINITY;
   private readonly startedAt = performance.now();
   private readonly log: PromotionLog;
-  private readonly others: OtherHosts;
   private readonly search: SuccessorSearch;
 
   constructor(
@@ -54,7 +52,6 @@
     private readonly ctx: PromotionContext,
   ) {
     this.log = new PromotionLog(ctx.log, former, cause);
-    this.others = new OtherHosts(ctx.board, ctx.calls);
     this.search = new SuccessorSearch(ctx, this.log);
   }
 
@@ -118,13 +115,10 @@
   private async holdWrites(): Promise<boolean> {
     const { group, epoch } = this.former;
     const own = this.ctx.holds.hold(group, epoch, HOLD_MS, performance.now());
-    const others = this.others.askAll(
-      (id) => ({ kind: FrameKind.HoldAsk, id, group, epoch, holdMs: HOLD_MS }),
-      HOLD_MS + HOLD_ANSWER_MS,
-    );
-    const [answers] = await Promise.all([others, own]);
-    const answered = 1 + answers.filter((each) => each).length;
-    return isMajority(answered, answers.length + 1);
+    const question = { kind: FrameKind.HoldAsk, id: 0, group, epoch, holdMs: HOLD_MS } as const;
+    const others = this.ctx.round.askAll(question, HOLD_MS + HOLD_ANSWER_MS);
+    const [answered] = await Promise.all([others, own]);
+    return isMajority(1 + answered.size, this.ctx.board.hosts.size);
   }
 
   /** Claims the record and the duty, once this host's claims before it have ended. */
@@ -147,17 +141,15 @@
     if (!(await this.ctx.proofs.read())) return undefined;
     let acked = 1;
     let majorityAt = claim.confirmedAt;
-    const listed = this.ctx.board.hosts.size;
-    const answers = await this.others.askAll(
-      (id) => ({ kind: FrameKind.RevokeAsk, id, item: claim.item }),
-      REVOKE_TIMEOUT_MS,
-      () => {
-        if (isMajority(acked, listed)) return;
-        acked += 1;
-        majorityAt = performance.now();
-      },
-    );
-    const silent = answers.filter((answered) => !answered).length;
+    const { others } = this.ctx.round;
+    const listed = others.length + 1;
+    const question = { kind: FrameKind.RevokeAsk, id: 0, item: claim.item } as const;
+    const answered = await this.ctx.round.askAll(question, REVOKE_TIMEOUT_MS, () => {
+      if (isMajority(acked, listed)) return;
+      acked += 1;
+      majorityAt = performance.now();
+    });
+    const silent = others.filter((entry) => !answered.has(entry.host)).length;
     this.log.info('promotion-revoked', { listed, silent });
     const now = performance.now();
     if (silent === 0) return Math.max(now, this.retiredHostsFreeAt());
@@ -246,7 +238,7 @@
   }
 
   private tellHosts(item: StoreItem): void {
-    for (const host of this.others.entries) {
+    for (const host of this.ctx.round.others) {
       void this.ctx.network.sendTo(host, { kind: FrameKind.StoreNews, items: [item] });
     }
   }
--- a/packages/gateway/src/control/promotion-context.ts
+++ b/packages/gateway/src/control/promotion-context.ts
@@ -8,6 +8,7 @@
 import type { HomeDirectory } from '../forward/home-directory.js';
 import type { UpstreamProbe } from '../home/upstream-probe.js';
 import type { ClaimLock } from './claim-lock.js';
+import type { HostRound } from './host-round.js';
 import type { MetadataStore } from './metadata-store.js';
 import type { PeerCalls } from './peer-calls.js';
 import type { PromotionPort } from './promotion-call.js';
@@ -24,6 +25,7 @@
   readonly view: StoreView;
   readonly proofs: ProofKeeper;
   readonly calls: PeerCalls;
+  readonly round: HostRound;
   readonly network: PeerNetwork;
   readonly probe: UpstreamProbe;
   readonly holds: WriteHolds;
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -9,7 +9,6 @@
 import type { MetadataStore, StoreEntry } from './metadata-store.js';
 import { StorePurpose } from './metadata-store.js';
 import type { HostList, PassableProof } from './passable-proof.js';
-import { MajorityProof, StoreProof } from './passable-proof.js';
 import type { Registrar } from './registrar.js';
 import type { StoreFollower } from './store-follower.js';
 import { hostKey, OWN_PREFIX, readOwnDocument } from './store-documents.js';
@@ -75,24 +74,37 @@
   /** The newest list of hosts that this host knows; undefined before the first. */
   get newestList(): HostList | undefined {
     if (!Number.isFinite(this.listedAt)) return undefined;
-    const entries = [...this.options.board.hosts.values()];
+    const { board, view } = this.options;
+    const entries = [...board.hosts.values()];
     const hosts = new Map(entries.map((entry) => [entry.host, entry.incarnation] as const));
-    return { readAt: this.listedAt, hosts };
+    return { readAt: this.listedAt, revision: view.ownRevision, hosts };
   }
 
   /** Notes that a majority of `list` renewed the proof, by a round that began at `sentAt`. */
-  noteRenewal(sentAt: number, list: HostList): void {
-    this.passable = new MajorityProof(sentAt, list);
-    this.options.board.prove(sentAt);
+  noteRenewal(sentAt: number, { revision }: HostList): void {
+    this.takeProof({ sentAt, revision, isFromStore: false });
   }
 
-  /**
-   * Notes a proof that another host passed on. One from the store, of a `revision` up to which this
-   * host's own documents are complete, may be passed on again.
-   */
-  notePassedOn(sentAt: number, revision: number | undefined): void {
-    if (revision === undefined) this.options.board.prove(sentAt);
-    else this.takeProof(sentAt, revision);
+  /** Takes a proof, be it passed on; this host's own documents are complete up to its revision. */
+  takeProof(proof: PassableProof): void {
+    const { board, self } = this.options;
+    const { sentAt, isFromStore } = proof;
+    if (isFromStore) this.listedAt = Math.max(this.listedAt, sentAt);
+    if (sentAt > (this.passable?.sentAt ?? Number.NEGATIVE_INFINITY)) this.passable = proof;
+    if (this.covers(proof, self.host, self.incarnation)) board.prove(sentAt);
+  }
+
+  /** The newest proof that a process may hold; undefined if it was not listed then. */
+  passableTo(host: string, incarnation: number): PassableProof | undefined {
+    const { passable } = this;
+    return passable !== undefined && this.covers(passable, host, incarnation)
+      ? passable
+      : undefined;
+  }
+
+  /** A proof covers only hosts that were listed then: whoever changes a primary asks just those. */
+  private covers({ revision }: PassableProof, host: string, incarnation: number): boolean {
+    return this.options.view.wasListed(host, incarnation, revision);
   }
 
   private async readOnce(): Promise<boolean> {
@@ -123,7 +135,7 @@
       await view.waitForOwn(revision, rules.watchLagMs);
     }
     if (view.ownRevision < revision) return this.readDocuments();
-    this.takeProof(sentAt, revision);
+    this.takeProof({ sentAt, revision, isFromStore: true });
     if (view.revision >= revision) view.noteCurrent(sentAt);
     else this.checkWatch(revision);
     return true;
@@ -137,20 +149,11 @@
     if (range.isErr()) return this.noteFailure(range.error);
     const { revision } = range.value;
     view.replace(OWN_PREFIX, range.value, performance.now());
-    this.takeProof(sentAt, revision);
+    this.takeProof({ sentAt, revision, isFromStore: true });
     this.checkWatch(revision);
     return true;
   }
 
-  private takeProof(sentAt: number, revision: number): void {
-    const { board, view, self } = this.options;
-    this.listedAt = Math.max(this.listedAt, sentAt);
-    const isNewer = sentAt > (this.passable?.sentAt ?? Number.NEGATIVE_INFINITY);
-    const proof = new StoreProof(sentAt, revision, view);
-    if (isNewer) this.passable = proof;
-    if (proof.covers(self.host, self.incarnation)) board.prove(sentAt);
-  }
-
   private noteFailure({ step, peer, message }: GladespoolError): false {
     const { board, log } = this.options;
     const age = Math.round(performance.now() - board.provenSince);
--- a/packages/gateway/src/control/relay-order.ts
+++ b/packages/gateway/src/control/relay-order.ts
@@ -17,15 +17,30 @@
 export class RelayOrder {
   /** The listed hosts that the order was made of; it is made anew once the board holds others. */
   private orderedFrom: ReadonlyMap<HostId, HostEntry> | undefined;
-  private order: readonly HostEntry[] = [];
-  private reader: HostEntry | undefined;
+  private orders = new Map<AzId, readonly HostEntry[]>();
+  private zones: readonly AzId[] = [];
 
   constructor(private readonly board: GatewayBoard) {}
 
   /** The zone's hosts, those first that pass news on to the others. */
   get hosts(): readonly HostEntry[] {
+    return this.hostsOf(this.board.az);
+  }
+
+  /** The hosts of any zone, those first that pass news on to the others. */
+  hostsOf(az: AzId): readonly HostEntry[] {
+    this.refresh();
+    const held = this.orders.get(az);
+    if (held !== undefined) return held;
+    const order = orderOf(az, this.board.hosts);
+    this.orders.set(az, order);
+    return order;
+  }
+
+  /** Place of this host's zone among the zones; the store is read in that of place 0. */
+  get zonePlace(): number {
     this.refresh();
-    return this.order;
+    return Math.max(0, this.zones.indexOf(this.board.az));
   }
 
   /**
@@ -33,22 +48,22 @@
    * reads the store. Undefined where this host reads it itself, also while it is not listed.
    */
   get parent(): HostEntry | undefined {
-    this.refresh();
     const { host } = this.board;
     if (!this.board.hosts.has(host)) return undefined;
-    const [first] = this.order;
+    const [first] = this.hosts;
     if (first?.host !== host) return first;
-    return this.reader?.host === host ? undefined : this.reader;
+    const [readers] = this.zones;
+    const reader = readers === undefined ? undefined : this.hostsOf(readers)[0];
+    return reader?.host === host ? undefined : reader;
   }
 
   private refresh(): void {
     const { board } = this;
     if (this.orderedFrom === board.hosts) return;
     this.orderedFrom = board.hosts;
-    this.order = orderOf(board.az, board.hosts);
+    this.orders = new Map();
     const zones = [...new Set([...board.hosts.values()].map((entry) => entry.az))];
-    const [readers] = rankCandidates(READER_RANK_KEY, zones);
-    this.reader = readers === undefined ? undefined : orderOf(readers, board.hosts)[0];
+    this.zones = rankCandidates(READER_RANK_KEY, zones);
   }
 
   /** This host's place; 0 also while it is not listed, since nobody reads the store for it then. */
--- a/packages/gateway/src/control/sync-answers.ts
+++ b/packages/gateway/src/control/sync-answers.ts
@@ -105,9 +105,9 @@
 
   /** The proof that may be passed on to the asker; undefined if it was not listed then. */
   private proofFor(ask: SyncAsk, arrivedAt: number): SyncReply['proof'] {
-    const { passable } = this.options.proofs;
-    if (passable?.covers(ask.host, ask.incarnation) !== true) return undefined;
-    const ageMs = arrivedAt - passable.sentAt;
-    return passable.revision === undefined ? { ageMs } : { ageMs, revision: passable.revision };
+    const proof = this.options.proofs.passableTo(ask.host, ask.incarnation);
+    if (proof === undefined) return undefined;
+    const { sentAt, revision, isFromStore } = proof;
+    return { ageMs: arrivedAt - sentAt, revision, isFromStore };
   }
 }
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -212,8 +212,9 @@
     this.heard = Math.max(this.heard, reply.newest);
     if (own !== undefined) view.takeOwn(own, performance.now());
     // The age counts from the arrival of the question, which was not before its sending.
-    if (proof !== undefined && view.ownRevision >= (proof.revision ?? 0)) {
-      proofs.notePassedOn(sentAt - proof.ageMs, proof.revision);
+    if (proof !== undefined && view.ownRevision >= proof.revision) {
+      const { ageMs, revision, isFromStore } = proof;
+      proofs.takeProof({ sentAt: sentAt - ageMs, revision, isFromStore });
     }
     if (own !== undefined && reply.documentsRevision <= view.revision) {
       view.noteNothingElse(reply.revision);
--- a/packages/peers/src/peer-network.ts
+++ b/packages/peers/src/peer-network.ts
@@ -1,6 +1,6 @@
 /**
- * Links of one host: one outgoing link to each peer it talks to, opened on demand and shared, and
- * the incoming ones.
+ * Links of one host: one to each peer it talks to, opened on demand and shared. A link that the peer
+ * has opened serves as well, so that a host which is asked by many does not open as many links itself.
  */
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
@@ -42,6 +42,8 @@
 /** All links of one host. */
 export class PeerNetwork {
   private readonly outgoing = new Map<string, PeerLink>();
+  /** The newest link that each peer has opened, by its name. */
+  private readonly incoming = new Map<string, PeerLink>();
   private readonly opening = new Map<string, Opening>();
   private readonly links = new Set<PeerLink>();
   private readonly handlers: PeerHandler[] = [];
@@ -77,6 +79,8 @@
     const key = keyOf(peer);
     const held = this.outgoing.get(key);
     if (held?.ready === true) return Promise.resolve(ok(held));
+    const opened = this.incoming.get(peer.host);
+    if (opened?.ready === true) return Promise.resolve(ok(opened));
     const opening = this.opening.get(key);
     if (opening !== undefined) return opening;
     const started = this.open(peer, key);
@@ -124,6 +128,7 @@
       onControlBytes: this.options.onControlBytes,
       listener: {
         onReady: (ready) => {
+          if (side === HandshakeSide.Listener) this.incoming.set(ready.host, ready);
           onSettled(ok(ready));
         },
         onFrame: (from, frame) => {
@@ -142,6 +147,7 @@
   private forget(link: PeerLink, error: GladespoolError): void {
     this.links.delete(link);
     for (const [key, held] of this.outgoing) if (held === link) this.outgoing.delete(key);
+    if (this.incoming.get(link.host) === link) this.incoming.delete(link.host);
     const { step, peer } = error;
     this.options.log.trace('link-closed', { step, peer, error: error.message });
     for (const handler of this.handlers) handler.onLost(link);
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -39,6 +39,8 @@
   DocumentsAsk = 'documents-ask',
   DocumentsReply = 'documents-reply',
   StoreNews = 'store-news',
+  RoundAsk = 'round-ask',
+  RoundAnswers = 'round-answers',
   RevokeAsk = 'revoke-ask',
   RevokeReply = 'revoke-reply',
   HoldAsk = 'hold-ask',
@@ -92,8 +94,10 @@
 const passedProofSchema = z.object({
   /** Age when the question arrived, milliseconds; negative if the proof is from later. */
   ageMs: z.number(),
-  /** Revision that the store's answer showed; missing where the word of a majority is the proof. */
-  revision: count.optional(),
+  /** Revision of the store up to which the receiver must hold the system's own documents. */
+  revision: count,
+  /** Whether it is from an answer of the store; else from the word of a majority of the hosts. */
+  isFromStore: z.boolean(),
 });
 const bytes = z.custom<Uint8Array>((value) => value instanceof Uint8Array, 'bytes');
 const positionSchema = z.object({ term: count, offset: count }).readonly();
@@ -182,6 +186,28 @@
 const partSchema = z.object({ hash: z.string(), text: z.string() }).readonly();
 const id = z.int().nonnegative();
 
+const renewAskSchema = z.object({
+  kind: z.literal(FrameKind.RenewAsk),
+  id,
+  host: z.string(),
+  incarnation: count,
+});
+
+const revokeAskSchema = z.object({
+  kind: z.literal(FrameKind.RevokeAsk),
+  id,
+  item: storeItemSchema,
+});
+
+const holdAskSchema = z.object({
+  kind: z.literal(FrameKind.HoldAsk),
+  id,
+  group: z.string(),
+  epoch: count,
+  /** Time for which new writes wait, milliseconds. */
+  holdMs: count,
+});
+
 /** Every frame that may arrive. */
 export const frameSchema = z.discriminatedUnion('kind', [
   z.object({
@@ -310,15 +336,27 @@
     packed: bytes,
   }),
   z.object({ kind: z.literal(FrameKind.StoreNews), items: z.array(storeItemSchema) }),
-  z.object({ kind: z.literal(FrameKind.RevokeAsk), id, item: storeItemSchema }),
+  revokeAskSchema,
   z.object({ kind: z.literal(FrameKind.RevokeReply), id }),
+  holdAskSchema,
+  /** Asks the receiver to ask the other hosts of its zone. */
   z.object({
-    kind: z.literal(FrameKind.HoldAsk),
-    id,
-    group: z.string(),
-    epoch: count,
-    /** Time for which new writes wait, milliseconds. */
-    holdMs: count,
+    kind: z.literal(FrameKind.RoundAsk),
+    /** Number that the asker gave the round. */
+    round: count,
+    /** Time for which answers are passed on, milliseconds. */
+    waitMs: count,
+    question: z.discriminatedUnion('kind', [revokeAskSchema, renewAskSchema, holdAskSchema]),
+  }),
+  /** Answers of hosts of the sender's zone; a round has several such frames. */
+  z.object({
+    kind: z.literal(FrameKind.RoundAnswers),
+    round: count,
+    answers: z.array(z.object({ host: z.string(), incarnation: count })),
+    /** Documents that came with the answers, the newest version of each. */
+    items: z.array(storeItemSchema),
+    /** Whether no more will come. */
+    done: z.boolean(),
   }),
   z.object({ kind: z.literal(FrameKind.HoldReply), id }),
   z.object({ kind: z.literal(FrameKind.ReachAsk), id, group: z.string(), epoch: count }),
@@ -328,7 +366,7 @@
   /** Asks whether the receiver reaches a host that is silent to the sender. */
   z.object({ kind: z.literal(FrameKind.MissedAsk), id, host: z.string() }),
   z.object({ kind: z.literal(FrameKind.MissedReply), id, reached: z.boolean() }),
-  z.object({ kind: z.literal(FrameKind.RenewAsk), id, host: z.string(), incarnation: count }),
+  renewAskSchema,
   z.object({
     kind: z.literal(FrameKind.RenewReply),
     id,
