perf(gateway): a host that starts reads the store once and lists itself; it follows only where it reads for others

Cause: until it was listed, a host read everything and followed the store as if it were the only one. Ruled out: asking other hosts before the store; at a first start nobody has anything to tell. Change: one read of everything, then the registration, whose answer is a proof by itself where no other change lies between; the reader of all zones follows the store, the others ask it. A host that has just started counts as late only from its start, so that not all of them read the store at once.

--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -161,9 +161,20 @@
     return false;
   }
 
-  /** Lists this host and reads again at once: callers of a host that restarts wait for its first proof. */
-  private async register(): Promise<void> {
-    if (await this.options.registrar.ensure()) await this.read();
+  /**
+   * Lists this host unless it is listed. Where nothing else has changed since this host read the store, the
+   * answer is a proof as well: callers of a host that restarts wait for its first one.
+   */
+  async register(): Promise<void> {
+    const { registrar, view } = this.options;
+    const registration = await registrar.ensure();
+    if (registration === undefined) return;
+    const { item, sentAt } = registration;
+    const isAllHeld = view.ownRevision >= item.revision - 1;
+    view.takeItems([item], performance.now());
+    if (!isAllHeld) return;
+    view.noteOwnComplete(item.revision);
+    this.takeProof({ sentAt, revision: item.revision, isFromStore: true });
   }
 
   /** A watch that has not brought a change within an interval has lost it; without one all is read. */
--- a/packages/gateway/src/control/store-follower.ts
+++ b/packages/gateway/src/control/store-follower.ts
@@ -44,6 +44,8 @@
   /** Whether everything is being read; on a slow link that outlasts several proofs. */
   private readingAll = false;
   private reachable = true;
+  /** Local time before which everything is not read once more, after a read that failed. */
+  private catchUpNotBefore = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FollowerOptions) {}
 
@@ -60,10 +62,11 @@
     return this.active;
   }
 
-  /** Reads everything once, without following. */
+  /** Reads everything once, without following; not sooner after a failure than a follower would. */
   async catchUp(): Promise<void> {
-    if (this.active || this.readingAll) return;
-    await this.readAll(this.turn);
+    if (this.active || this.readingAll || performance.now() < this.catchUpNotBefore) return;
+    const read = await this.readAll(this.turn);
+    if (!read) this.catchUpNotBefore = performance.now() + this.options.rules.retryMs;
   }
 
   /** Reads everything again, since the watch has missed a change; once is enough at a time. */
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -151,7 +151,7 @@
     }
     for (const item of range.items) this.write(item, now);
     if (prefix === '') this.noteComplete(range.revision);
-    if (prefix === OWN_PREFIX) this.ownKnown = Math.max(this.ownKnown, range.revision);
+    if (prefix === OWN_PREFIX) this.noteOwnComplete(range.revision);
     this.publish();
   }
 
@@ -211,10 +211,15 @@
   takeOwn(changes: OwnChanges, now: number): void {
     for (const item of changes.items) this.write(item, now);
     for (const removal of changes.removed) this.removeOlder(removal, now);
-    this.ownKnown = Math.max(this.ownKnown, changes.revision);
+    this.noteOwnComplete(changes.revision);
     this.publish();
   }
 
+  /** Notes that the gateway's own documents held are all that there were at `revision`. */
+  noteOwnComplete(revision: number): void {
+    this.ownKnown = Math.max(this.ownKnown, revision);
+  }
+
   /** Notes that nothing but own documents, which are held, has changed up to `revision`. */
   noteNothingElse(revision: number): void {
     this.revision = Math.max(this.revision, Math.min(revision, this.ownKnown));
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -85,23 +85,32 @@
   /** Whether a question waits at this host's parent. */
   private waiting = false;
   private stopped = false;
+  private readonly startedAt = performance.now();
 
   constructor(private readonly options: SyncServiceOptions) {}
 
   /** Does what is due at `now`. */
   tick(now: number): void {
-    const { proofs, follower, order, rules } = this.options;
+    const { proofs, follower, order, rules, view } = this.options;
+    // A host that starts reads the store once; it lists itself with what it has read.
+    if (view.revision === 0) void follower.catchUp();
     const { parent } = order;
-    follower.setActive(parent === undefined);
-    if (parent === undefined) proofs.tick(now);
-    else this.standIn(now);
+    const isReader = parent === undefined && this.isListed;
+    follower.setActive(isReader);
+    if (isReader) proofs.tick(now);
+    else if (this.isListed) this.standIn(now);
     if (parent !== undefined && !this.waiting) void this.askParent(parent);
-    const seeksHelp = this.isStale(now) || (parent === undefined && proofs.failing);
+    const seeksHelp = this.isStale(now) || (isReader && proofs.failing);
     if (!seeksHelp || now - this.lastAskAt < rules.intervalMs) return;
     this.lastAskAt = now;
     for (const peer of this.helpers()) void this.ask(peer, 0);
   }
 
+  private get isListed(): boolean {
+    const { board, self } = this.options;
+    return board.hosts.get(self.host)?.incarnation === self.incarnation;
+  }
+
   /** Asks no more. */
   stop(): void {
     this.stopped = true;
@@ -129,6 +138,11 @@
     return now - Math.min(board.provenSince, view.currentSince + FETCH_MS);
   }
 
+  /** The same, where a host that has just started is not late yet: those before it may still help. */
+  private latenessAt(now: number): number {
+    return Math.min(this.ageAt(now), now - this.startedAt);
+  }
+
   /**
    * Reads the store where those before this host in order don't keep it up to date; the first ones go on
    * for a while once they had to. The later a host in order, the less often it reads: where the store
@@ -137,7 +151,7 @@
   private standIn(now: number): void {
     const { order, proofs, rules } = this.options;
     const { rank } = order;
-    const isLate = this.ageAt(now) > rules.staleMs + rank * rules.rankStepMs;
+    const isLate = this.latenessAt(now) > rules.staleMs + rank * rules.rankStepMs;
     if (isLate && rank <= STAND_INS) this.standInUntil = now + rules.standInMs;
     if (isLate || now < this.standInUntil) proofs.tick(now, Math.max(1, rank - STAND_INS));
   }
--- a/packages/gateway/tests/first-proof.steps.ts
+++ b/packages/gateway/tests/first-proof.steps.ts
@@ -7,6 +7,7 @@
 import { DEFAULT_PROOFS, ProofKeeper } from '../src/control/proof-keeper.js';
 import { Registrar } from '../src/control/registrar.js';
 import { DEFAULT_FOLLOWER, StoreFollower } from '../src/control/store-follower.js';
+import { hostKey } from '../src/control/store-documents.js';
 import { StoreView } from '../src/control/store-view.js';
 import { FakeStore, FakeStoreClient } from './fakes/fake-store.js';
 
@@ -15,20 +16,24 @@
   board: GatewayBoard;
   keeper: ProofKeeper;
   registrar: Registrar;
+  follower: StoreFollower;
+  provenBefore: number;
 }
 
 const POLL_MS = 2;
 const SERVES_ON_MS = 1000;
 
+const SELF = {
+  host: hostId('h1'),
+  az: azId('z1'),
+  address: '127.0.0.1',
+  port: 1,
+  incarnation: 7,
+  linkMbps: 1000,
+};
+
 function createHost(world: ProofWorld): void {
-  const self = {
-    host: hostId('h1'),
-    az: azId('z1'),
-    address: '127.0.0.1',
-    port: 1,
-    incarnation: 7,
-    linkMbps: 1000,
-  };
+  const self = SELF;
   const log = createLogger('test');
   const board = new GatewayBoard(self.host, self.az);
   const store = new FakeStoreClient(world.store);
@@ -40,6 +45,7 @@
   const rules = DEFAULT_PROOFS;
   world.board = board;
   world.registrar = registrar;
+  world.follower = follower;
   world.keeper = new ProofKeeper({ self, board, store, view, follower, registrar, rules, log });
 }
 
@@ -48,30 +54,53 @@
   createHost(this);
 });
 
-When('a host reads its proof once', async function (this: ProofWorld) {
-  assert.equal(await this.keeper.read(), true);
+When('a host reads the store and lists itself', async function (this: ProofWorld) {
+  await this.follower.catchUp();
+  await this.keeper.register();
 });
 
 When(
-  'a host reads its proof once, and the answer to its registration is lost',
+  'a host reads the store and lists itself, another one listing itself in between',
   async function (this: ProofWorld) {
-    this.store.loseAnswers = 1;
-    assert.equal(await this.keeper.read(), true);
-    while (this.store.loseAnswers > 0) await pause(POLL_MS);
+    await this.follower.catchUp();
+    this.store.put(hostKey('h2'), { ...SELF, host: 'h2' });
+    await this.keeper.register();
   },
 );
 
-Then(
-  'it is listed, and holds a proof without another tick',
-  { timeout: 20_000 },
+When(
+  'a host reads the store and lists itself, and the answer to its registration is lost',
   async function (this: ProofWorld) {
-    while (!Number.isFinite(this.board.provenSince)) await pause(POLL_MS);
-    assert.equal(this.registrar.isListed, true);
+    await this.follower.catchUp();
+    this.store.loseAnswers = 1;
+    await this.keeper.register();
+    assert.equal(this.store.loseAnswers, 0);
   },
 );
 
+When('it is taken off the list', function (this: ProofWorld) {
+  this.store.remove(hostKey(SELF.host));
+  this.provenBefore = this.board.provenSince;
+});
+
+Then('it is listed, and holds a proof without reading again', function (this: ProofWorld) {
+  assert.equal(Number.isFinite(this.board.provenSince), true);
+  assert.equal(this.registrar.isListed, true);
+});
+
 Then('it holds no proof before it has read again', async function (this: ProofWorld) {
   assert.equal(Number.isFinite(this.board.provenSince), false);
   assert.equal(await this.keeper.read(), true);
   assert.equal(Number.isFinite(this.board.provenSince), true);
 });
+
+Then(
+  'it lists itself again with its next reads, and holds a proof of then',
+  { timeout: 20_000 },
+  async function (this: ProofWorld) {
+    while (this.board.provenSince <= this.provenBefore || !this.registrar.isListed) {
+      assert.equal(await this.keeper.read(), true);
+      await pause(POLL_MS);
+    }
+  },
+);
