--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proof-keeper.ts
@@ -52,10 +52,16 @@
 
   constructor(private readonly options: ProofKeeperOptions) {}
 
-  /** Starts a read if one is due at `now`, reads being `pace` times farther apart than usual. */
-  tick(now: number, pace = 1): void {
-    if (this.reading || now - this.lastSentAt < this.options.rules.intervalMs * pace) return;
+  /**
+   * Starts a read if one is due at `now`, reads being `pace` times farther apart than usual.
+   *
+   * @returns whether it did
+   */
+  tick(now: number, pace = 1): boolean {
+    const isDue = now - this.lastSentAt >= this.options.rules.intervalMs * pace;
+    if (this.reading || !isDue) return false;
     void this.read();
+    return true;
   }
 
   /**
--- a/packages/gateway/src/control/sync-answers.ts
+++ b/packages/gateway/src/control/sync-answers.ts
@@ -70,10 +70,10 @@
 
   /** Whether the asker has missed the proof that this host holds already. */
   private hasNewerProof({ ask, arrivedAt }: HeldAsk): boolean {
-    const { passable } = this.options.proofs;
-    if (passable === undefined) return false;
+    const proof = this.options.proofs.passableTo(ask.host, ask.incarnation);
+    if (proof === undefined) return false;
     if (ask.proofAgeMs === undefined) return true;
-    return passable.sentAt > arrivedAt - ask.proofAgeMs + MISSED_PROOF_MS;
+    return proof.sentAt > arrivedAt - ask.proofAgeMs + MISSED_PROOF_MS;
   }
 
   private answerWhere(isDue: (held: HeldAsk) => boolean): void {
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -9,6 +9,7 @@
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard, HostEntry } from '../board.js';
+import { BoardSection } from '../board.js';
 import type { DocumentExchange } from './document-exchange.js';
 import type { PeerCalls } from './peer-calls.js';
 import type { ProofKeeper } from './proof-keeper.js';
@@ -51,6 +52,8 @@
 
 /** Hosts after the first that go on reading the store once they had to; later ones read it now and then. */
 const STAND_INS = 2;
+/** Part of the usual time between two reads after which the store is read again for hosts that are new on the list. */
+const HURRIED_PACE = 0.2;
 /** Added to the age that documents may have, milliseconds: they are fetched apart, unlike proofs. */
 const FETCH_MS = 1000;
 /** Hosts of the own zone that a host asks while it is stale, the first ones in order. */
@@ -84,28 +87,50 @@
   private heard = 0;
   /** Whether a question waits at this host's parent. */
   private waiting = false;
+  /** Whether the list of hosts has changed since the latest read of this host began. */
+  private listChanged = false;
   private stopped = false;
   private readonly startedAt = performance.now();
 
-  constructor(private readonly options: SyncServiceOptions) {}
+  constructor(private readonly options: SyncServiceOptions) {
+    // Hosts that are new on the list hold no proof before there is one that covers them.
+    options.board.onChange(BoardSection.Hosts, () => {
+      this.listChanged = true;
+      this.keepUp(performance.now());
+    });
+  }
 
   /** Does what is due at `now`. */
   tick(now: number): void {
-    const { proofs, follower, order, rules, view } = this.options;
+    const { proofs, follower, rules, view } = this.options;
     // A host that starts reads the store once; it lists itself with what it has read.
     if (view.revision === 0) void follower.catchUp();
-    const { parent } = order;
-    const isReader = parent === undefined && this.isListed;
-    follower.setActive(isReader);
-    if (isReader) proofs.tick(now);
-    else if (this.isListed) this.standIn(now);
-    if (parent !== undefined && !this.waiting) void this.askParent(parent);
+    this.keepUp(now);
+    const { isReader } = this;
     const seeksHelp = this.isStale(now) || (isReader && proofs.failing);
     if (!seeksHelp || now - this.lastAskAt < rules.intervalMs) return;
     this.lastAskAt = now;
     for (const peer of this.helpers()) void this.ask(peer, 0);
   }
 
+  /** Reads the store for all others, or asks the parent, whichever is this host's part. */
+  private keepUp(now: number): void {
+    const { proofs, follower, order } = this.options;
+    const { isReader } = this;
+    const { parent } = order;
+    follower.setActive(isReader);
+    if (isReader) {
+      if (proofs.tick(now, this.listChanged ? HURRIED_PACE : 1)) this.listChanged = false;
+      return;
+    }
+    if (this.isListed) this.standIn(now);
+    if (parent !== undefined && !this.waiting) void this.askParent(parent);
+  }
+
+  private get isReader(): boolean {
+    return this.options.order.parent === undefined && this.isListed;
+  }
+
   private get isListed(): boolean {
     const { board, self } = this.options;
     return board.hosts.get(self.host)?.incarnation === self.incarnation;
@@ -180,10 +205,9 @@
     this.waiting = true;
     let next: PeerAddress | undefined = parent;
     while (next !== undefined) {
-      // A first question is answered at once: what the parent has may be news.
-      const waitMs = this.isStale(performance.now()) ? 0 : this.options.rules.waitMs;
-      const renewed = await this.ask(next, waitMs);
-      next = renewed ? this.parentToAsk() : undefined;
+      const heardBefore = this.heard;
+      const renewed = await this.ask(next, this.options.rules.waitMs);
+      next = renewed || this.heard > heardBefore ? this.parentToAsk() : undefined;
     }
     this.waiting = false;
   }
