perf(gateway): a host lists itself as soon as it has read the store, not at the next tick

Change: the registration follows the read at once. Ruled out: registering before the read; its answer is a proof only for what was read.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -138,7 +138,6 @@
   private tick(): void {
     const now = performance.now();
     this.calls.tick(now);
-    if (!this.registrar.isListed && this.view.revision > 0) void this.proofs.register();
     this.sync.tick(now);
     this.answers.tick(now);
     this.renewer.tick(now);
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/sync-service.ts
@@ -102,9 +102,8 @@
 
   /** Does what is due at `now`. */
   tick(now: number): void {
-    const { proofs, follower, rules, view } = this.options;
-    // A host that starts reads the store once; it lists itself with what it has read.
-    if (view.revision === 0) void follower.catchUp();
+    const { proofs, rules } = this.options;
+    if (!this.isListed) void this.enlist();
     this.keepUp(now);
     const { isReader } = this;
     const seeksHelp = this.isStale(now) || (isReader && proofs.failing);
@@ -113,6 +112,13 @@
     for (const peer of this.helpers()) void this.ask(peer, 0);
   }
 
+  /** Reads the store once, and lists this host with what it has read. */
+  private async enlist(): Promise<void> {
+    const { proofs, follower, view } = this.options;
+    if (view.revision === 0) await follower.catchUp();
+    if (view.revision > 0) await proofs.register();
+  }
+
   /** Reads the store for all others, or asks the parent, whichever is this host's part. */
   private keepUp(now: number): void {
     const { proofs, follower, order } = this.options;
