test(gateway): who asks whom, when questions are answered, and rounds over a fleet, in tables

Cause: the order of news, the answers that wait and the rounds by way of zones were covered only by hosts in action, with at most two hosts a zone.

--- a/packages/gateway/src/control/host-round.ts
+++ b/packages/gateway/src/control/host-round.ts
@@ -29,7 +29,7 @@
 export interface HostRoundOptions {
   readonly board: GatewayBoard;
   readonly order: RelayOrder;
-  readonly calls: PeerCalls;
+  readonly calls: Pick<PeerCalls, 'ask' | 'tell' | 'isReachable'>;
 }
 
 /** Hosts of a zone up to which each is asked directly: one link more is cheaper than one way more. */
--- a/packages/gateway/src/control/sync-answers.ts
+++ b/packages/gateway/src/control/sync-answers.ts
@@ -24,7 +24,7 @@
 export interface SyncAnswersOptions {
   readonly board: GatewayBoard;
   readonly view: StoreView;
-  readonly proofs: ProofKeeper;
+  readonly proofs: Pick<ProofKeeper, 'passableTo'>;
 }
 
 /** A question that waits. */
--- /dev/null
+++ b/packages/gateway/tests/host-round.steps.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { HostId } from '@gladespool/coordination';
+import { azId, gladespoolError, hostId, Step } from '@gladespool/coordination';
+import type { PeerAddress, PeerLink } from '@gladespool/peers';
+import type { Frame } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
+import { err, ok } from 'neverthrow';
+import type { HostEntry } from '../src/index.js';
+import { GatewayBoard, RelayOrder } from '../src/index.js';
+import type { HostRoundOptions, RoundAnswer } from '../src/control/host-round.js';
+import { HostRound } from '../src/control/host-round.js';
+
+interface RoundWorld {
+  listed: ReadonlyMap<HostId, HostEntry>;
+  rounds: Map<HostId, HostRound>;
+  silent: Set<HostId>;
+  /** Whether the hosts that don't answer are known for it. */
+  silentIsKnown: boolean;
+  sent: number;
+  answers: RoundAnswer[];
+}
+
+const ASKER = hostId('h0');
+const TIMEOUT_MS = 150;
+const SILENCE = gladespoolError({ step: Step.PeerExchange, peer: 'other' }, 'no answer in time');
+
+function entryOf(index: number, zones: number): HostEntry {
+  const az = azId(`z${index % zones}`);
+  const host = hostId(`h${index}`);
+  return { host, az, address: '127.0.0.1', port: index + 1, incarnation: 1, linkMbps: 20 };
+}
+
+/** A link on which `to` receives. */
+function linkTo(world: RoundWorld, from: HostId, to: HostId): PeerLink {
+  const send = (frame: Frame): boolean => {
+    world.rounds.get(to)?.onFrame(linkTo(world, to, from), frame);
+    return true;
+  };
+  return { host: from, send } as unknown as PeerLink;
+}
+
+function callsOf(world: RoundWorld, self: HostId): HostRoundOptions['calls'] {
+  const count = (): void => {
+    if (self === ASKER) world.sent += 1;
+  };
+  const silent = (peer: PeerAddress): boolean => world.silent.has(hostId(peer.host));
+  return {
+    ask: (peer, build, timeoutMs) => {
+      count();
+      build(1);
+      if (!silent(peer)) return Promise.resolve(ok({ kind: FrameKind.RevokeReply, id: 1 }));
+      return new Promise((resolve) => {
+        setTimeout(() => {
+          resolve(err(SILENCE));
+        }, timeoutMs);
+      });
+    },
+    tell: (peer, frame) => {
+      count();
+      const to = hostId(peer.host);
+      if (!silent(peer)) world.rounds.get(to)?.onFrame(linkTo(world, to, self), frame);
+      return Promise.resolve(true);
+    },
+    isReachable: (peer) => !(world.silentIsKnown && silent(peer)),
+  };
+}
+
+function roundOf(world: RoundWorld, entry: HostEntry): HostRound {
+  const board = new GatewayBoard(entry.host, entry.az);
+  board.putHosts(world.listed);
+  return new HostRound({ board, order: new RelayOrder(board), calls: callsOf(world, entry.host) });
+}
+
+/** The hosts that a table's words stand for. */
+function silentHosts(world: RoundWorld, words: string): readonly HostId[] {
+  const board = new GatewayBoard(ASKER, azId('z0'));
+  board.putHosts(world.listed);
+  const other = new RelayOrder(board).hostsOf(azId('z1')).map((entry) => entry.host);
+  switch (words) {
+    case 'none':
+      return [];
+    case 'one host':
+    case 'the first host of another zone':
+      return other.slice(0, 1);
+    case 'the first two of another zone, known to it':
+      return other.slice(0, 2);
+    case 'another zone':
+      return other;
+    default:
+      throw new Error(`unknown words: ${words}`);
+  }
+}
+
+Given(
+  /^a fleet of (\d+) zones with (\d+) hosts each, of which (.*) do not answer$/,
+  function (this: RoundWorld, zones: string, hosts: string, words: string) {
+    const length = Number(zones) * Number(hosts);
+    const entries = Array.from({ length }, (_, index) => entryOf(index, Number(zones)));
+    this.listed = new Map(entries.map((entry) => [entry.host, entry]));
+    this.silent = new Set(silentHosts(this, words));
+    this.silentIsKnown = words.endsWith('known to it');
+    this.sent = 0;
+    this.answers = [];
+    this.rounds = new Map(entries.map((entry) => [entry.host, roundOf(this, entry)]));
+  },
+);
+
+When('host 0 asks all others', async function (this: RoundWorld) {
+  const question = { kind: FrameKind.HoldAsk, id: 0, group: 'g1', epoch: 1, holdMs: 1 } as const;
+  const answered = await this.rounds.get(ASKER)?.askAll(question, TIMEOUT_MS, (answer) => {
+    this.answers.push(answer);
+  });
+  assert.equal(answered?.size, this.answers.length);
+});
+
+Then('{int} hosts have answered, each once', function (this: RoundWorld, count: number) {
+  assert.equal(this.answers.length, count);
+  assert.equal(new Set(this.answers.map(({ host }) => host)).size, count);
+});
+
+Then('host 0 has sent at most {int} frames', function (this: RoundWorld, count: number) {
+  assert.ok(this.sent <= count, `${this.sent} frames`);
+});
--- /dev/null
+++ b/packages/gateway/tests/sync-answers.feature
@@ -0,0 +1,24 @@
+Feature: When a host answers a question for proofs and news
+
+  A host holds a proof sent at 1000 ms, of revision 10 of the store. Another one, listed at revision 5 unless
+  told otherwise, asks it at 1100 ms.
+
+  Scenario Outline: A question and what follows
+    Given a question by a host <listed>, with a proof of <age> ms and a wait of <wait> ms
+    When <event>
+    Then <answers> answers were sent, <proof>
+
+    Examples:
+      | listed                | age | wait | event                                 | answers | proof                     | why                                |
+      | listed at revision 5  | 100 | 400  | nothing happens                       | 0       | with no proof             | it has this very proof             |
+      | listed at revision 5  | 100 | 0    | nothing happens                       | 1       | with a proof of 100 ms    | it does not want to wait           |
+      | listed at revision 5  | 420 | 400  | nothing happens                       | 1       | with a proof of 100 ms    | it has missed this one             |
+      | listed at revision 5  | 100 | 400  | a proof of 200 ms later is taken       | 1       | with a proof of -200 ms   | sent after the question            |
+      | listed at revision 5  | 100 | 400  | 400 ms pass                           | 1       | with a proof of 100 ms    | it has waited for as long as it may |
+      | listed at revision 5  | 100 | 400  | a host lists itself                   | 0       | with no proof             | many may; they go together         |
+      | listed at revision 5  | 100 | 400  | a host lists itself and a tick passes | 1       | with a proof of 100 ms    |                                    |
+      | listed at revision 5  | 100 | 400  | a record changes                      | 1       | with a proof of 100 ms    | callers wait for it                |
+      | listed at revision 5  | 100 | 400  | the link is lost and 400 ms pass      | 0       | with no proof             |                                    |
+      | listed at revision 12 | none | 400 | nothing happens                       | 0       | with no proof             | no proof covers it yet             |
+      | listed at revision 12 | none | 400 | a proof of 200 ms later is taken       | 1       | with a proof of -200 ms   | that is of revision 12             |
+      | not listed            | none | 400 | 400 ms pass                           | 1       | with no proof             | it must not hold one               |
--- /dev/null
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { azId, hostId, RecordPhase } from '@gladespool/coordination';
+import { createLogger } from '@gladespool/observability';
+import type { PeerLink } from '@gladespool/peers';
+import type { Frame, FrameOf } from '@gladespool/protocol';
+import { FrameKind } from '@gladespool/protocol';
+import { GatewayBoard } from '../src/board.js';
+import type { PassableProof } from '../src/control/passable-proof.js';
+import { hostKey, primaryKey } from '../src/control/store-documents.js';
+import { StoreView } from '../src/control/store-view.js';
+import { SyncAnswers } from '../src/control/sync-answers.js';
+
+interface AnswersWorld {
+  board: GatewayBoard;
+  view: StoreView;
+  answers: SyncAnswers;
+  proof: PassableProof;
+  link: PeerLink;
+  sent: FrameOf<FrameKind.SyncReply>[];
+  /** Local time at which the question arrived. */
+  askedAt: number;
+  revision: number;
+}
+
+const PROVED_MS_BEFORE = 100;
+const ASKER = 'asker';
+const LAPSE = { leavingAfterMs: 1000, goneAfterMs: 2000 };
+
+function hostItem(name: string, revision: number) {
+  const address = '127.0.0.1';
+  const entry = { host: name, az: 'z', address, port: 1, incarnation: 1, linkMbps: 20 };
+  return { key: hostKey(name), value: JSON.stringify(entry), revision };
+}
+
+function create(world: AnswersWorld, listedAt: number | undefined): void {
+  world.askedAt = performance.now();
+  world.board = new GatewayBoard(hostId('self'), azId('z'));
+  const documents = { read: () => undefined };
+  world.view = new StoreView(world.board, documents, createLogger('test'), 0, LAPSE);
+  const items = [hostItem('self', 4)];
+  if (listedAt !== undefined) items.push(hostItem(ASKER, listedAt));
+  world.revision = 12;
+  world.view.replace('', { items, revision: world.revision }, 0);
+  const sentAt = world.askedAt - PROVED_MS_BEFORE;
+  world.proof = { sentAt, revision: 10, isFromStore: true };
+  const passableTo = (host: string, incarnation: number): PassableProof | undefined =>
+    world.view.wasListed(host, incarnation, world.proof.revision) ? world.proof : undefined;
+  world.answers = new SyncAnswers({
+    board: world.board,
+    view: world.view,
+    proofs: { passableTo },
+  });
+  world.sent = [];
+  const send = (frame: Frame): boolean => {
+    if (frame.kind === FrameKind.SyncReply) world.sent.push(frame);
+    return true;
+  };
+  world.link = { host: ASKER, send } as unknown as PeerLink;
+}
+
+Given(
+  /^a question by a host (not listed|listed at revision \d+), with a proof of (none|\d+) ms and a wait of (\d+) ms$/,
+  function (this: AnswersWorld, listed: string, age: string, wait: string) {
+    const at = /\d+/.exec(listed)?.[0];
+    create(this, at === undefined ? undefined : Number(at));
+    this.answers.onFrame(this.link, {
+      kind: FrameKind.SyncAsk,
+      id: 1,
+      host: ASKER,
+      incarnation: 1,
+      ownRevision: this.revision,
+      heard: this.view.newest,
+      waitMs: Number(wait),
+      ...(age !== 'none' && { proofAgeMs: Number(age) }),
+    });
+  },
+);
+
+function listOne(world: AnswersWorld): void {
+  world.revision += 1;
+  const item = hostItem('other', world.revision);
+  world.view.apply([{ kind: 'written', item }], world.revision, performance.now());
+}
+
+When('nothing happens', function (this: AnswersWorld) {
+  this.answers.tick(this.askedAt);
+});
+
+When('a proof of 200 ms later is taken', function (this: AnswersWorld) {
+  const sentAt = this.askedAt + 200;
+  this.proof = { sentAt, revision: this.revision, isFromStore: true };
+  this.board.prove(sentAt);
+});
+
+When('400 ms pass', function (this: AnswersWorld) {
+  this.answers.tick(this.askedAt + 410);
+});
+
+When('a host lists itself', function (this: AnswersWorld) {
+  listOne(this);
+});
+
+When('a host lists itself and a tick passes', function (this: AnswersWorld) {
+  listOne(this);
+  this.answers.tick(this.askedAt + 100);
+});
+
+When('a record changes', function (this: AnswersWorld) {
+  this.revision += 1;
+  const record = {
+    group: 'g1',
+    epoch: 2,
+    phase: RecordPhase.Serving,
+    primary: 'u1',
+    holder: 'self',
+  };
+  const item = { key: primaryKey('g1'), value: JSON.stringify(record), revision: this.revision };
+  this.view.apply([{ kind: 'written', item }], this.revision, performance.now());
+});
+
+When('the link is lost and 400 ms pass', function (this: AnswersWorld) {
+  this.answers.onLost(this.link);
+  this.answers.tick(this.askedAt + 410);
+});
+
+Then(
+  /^(\d+) answers were sent, with (?:no proof|a proof of (-?\d+) ms)$/,
+  function (this: AnswersWorld, count: string, age: string | null) {
+    assert.equal(this.sent.length, Number(count));
+    const told = this.sent[0]?.proof?.ageMs;
+    if (age === null) assert.equal(told, undefined);
+    // Between setting up and asking a few milliseconds pass.
+    else assert.ok(told !== undefined && Math.abs(told - Number(age)) < 50, `${told} ms`);
+  },
+);
