perf(gateway): a new primary is told to the first hosts of large zones, not to every host

Cause: whoever changed a primary sent the new record to all listed hosts, over a link to each; with 195 hosts that is some 150 links to open on a host with a third of a core, at the moment at which callers wait for the record. Ruled out: leaving it to the store's watch, which costs a round trip more. Change: `HostRound.tellAll` tells each host of zones of up to twelve, two of larger ones; the questions of the others wait there, and a changed record answers them at once. Figures: frames for a changed record over 195 hosts 194 -> 10 (`host-round.feature`); small deployments as before.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -233,7 +233,6 @@
         proofs: this.proofs,
         calls: this.calls,
         round: this.round,
-        network: this.network,
         probe: this.probe,
         holds,
         claims: new ClaimLock(),
--- a/packages/gateway/src/control/host-round.ts
+++ b/packages/gateway/src/control/host-round.ts
@@ -82,6 +82,17 @@
     return answered;
   }
 
+  /**
+   * Tells the other hosts of news: each one of a small zone, the first ones of a larger zone, on which the
+   * questions of the others wait for it.
+   */
+  tellAll(frame: FrameOf<FrameKind.StoreNews>): void {
+    const zones = [...new Set(this.others.map((entry) => entry.az))];
+    for (const entry of zones.flatMap((az) => this.toldFirst(az))) {
+      void this.options.calls.tell(entry, frame);
+    }
+  }
+
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind === FrameKind.RoundAsk) void this.answer(link, frame);
     if (frame.kind === FrameKind.RoundAnswers) this.takeAnswers(frame);
@@ -97,9 +108,8 @@
     timeoutMs: number,
     take: Take,
   ): Promise<void> {
-    const { board, order } = this.options;
-    const hosts = order.hostsOf(az).filter((entry) => entry.host !== board.host);
-    if (az === board.az || hosts.length <= DIRECT_HOSTS) {
+    const hosts = this.othersOf(az);
+    if (az === this.options.board.az || hosts.length <= DIRECT_HOSTS) {
       await Promise.all(hosts.map((entry) => this.askHost(entry, question, timeoutMs, take)));
       return;
     }
@@ -110,6 +120,17 @@
     await Promise.all([...direct, Promise.race(passedOn)]);
   }
 
+  private othersOf(az: AzId): readonly HostEntry[] {
+    const { board, order } = this.options;
+    return order.hostsOf(az).filter((entry) => entry.host !== board.host);
+  }
+
+  private toldFirst(az: AzId): readonly HostEntry[] {
+    const hosts = this.othersOf(az);
+    if (hosts.length <= DIRECT_HOSTS) return hosts;
+    return this.reachableFirst(hosts).slice(0, ASKING_HOSTS);
+  }
+
   /** The hosts in order, those last that are known not to answer. */
   private reachableFirst(hosts: readonly HostEntry[]): readonly HostEntry[] {
     const now = performance.now();
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion-attempt.ts
@@ -6,7 +6,6 @@
 import type { PrimaryRecord, SuccessorReport, UpstreamId } from '@gladespool/coordination';
 import { isMajority, RecordPhase, silentHostFreeAt } from '@gladespool/coordination';
 import { FrameKind } from '@gladespool/protocol';
-import type { StoreItem } from './metadata-store.js';
 import { changeEnd, StorePurpose } from './metadata-store.js';
 import { PromotionAnswer } from './promotion-call.js';
 import { PromotionCause } from './promotion-cause.js';
@@ -233,16 +232,10 @@
     }
     const item = { key, value, revision: result.value.revision };
     view.takeItems([item], performance.now());
-    this.tellHosts(item);
+    this.ctx.round.tellAll({ kind: FrameKind.StoreNews, items: [item] });
     return true;
   }
 
-  private tellHosts(item: StoreItem): void {
-    for (const host of this.ctx.round.others) {
-      void this.ctx.network.sendTo(host, { kind: FrameKind.StoreNews, items: [item] });
-    }
-  }
-
   private giveUp(reason: string): false {
     this.log.info('promotion-given-up', { reason });
     return false;
--- a/packages/gateway/src/control/promotion-context.ts
+++ b/packages/gateway/src/control/promotion-context.ts
@@ -3,7 +3,6 @@
  */
 import type { AuthorityRules, FailoverRules } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
-import type { PeerNetwork } from '@gladespool/peers';
 import type { GatewayBoard, HostEntry } from '../board.js';
 import type { HomeDirectory } from '../forward/home-directory.js';
 import type { UpstreamProbe } from '../home/upstream-probe.js';
@@ -26,7 +25,6 @@
   readonly proofs: ProofKeeper;
   readonly calls: PeerCalls;
   readonly round: HostRound;
-  readonly network: PeerNetwork;
   readonly probe: UpstreamProbe;
   readonly holds: WriteHolds;
   readonly claims: ClaimLock;
--- a/packages/gateway/tests/host-round.feature
+++ b/packages/gateway/tests/host-round.feature
@@ -14,3 +14,14 @@
       | 5     | 39    | the first host of another zone             | 193      | 54   | the second one asks the zone as well     |
       | 5     | 39    | the first two of another zone, known to it | 192      | 54   | the next ones ask the zone               |
       | 5     | 39    | another zone                               | 155      | 54   | its hosts count as silent                |
+
+  Scenario Outline: Whom a host tells of a new primary
+    Given a fleet of <zones> zones with <hosts> hosts each, of which <silent> do not answer
+    When host 0 tells the others of a changed record
+    Then <told> hosts were told, at least one of each zone
+
+    Examples:
+      | zones | hosts | silent                                     | told | why                                            |
+      | 3     | 3     | none                                       | 8    | everybody                                      |
+      | 5     | 39    | none                                       | 10   | the others' questions wait at the first of each |
+      | 5     | 39    | the first two of another zone, known to it | 10   | the next ones of that zone                     |
--- a/packages/gateway/tests/host-round.steps.ts
+++ b/packages/gateway/tests/host-round.steps.ts
@@ -19,6 +19,7 @@
   silentIsKnown: boolean;
   sent: number;
   answers: RoundAnswer[];
+  told: HostId[];
 }
 
 const ASKER = hostId('h0');
@@ -59,6 +60,7 @@
     tell: (peer, frame) => {
       count();
       const to = hostId(peer.host);
+      if (frame.kind === FrameKind.StoreNews) world.told.push(to);
       if (!silent(peer)) world.rounds.get(to)?.onFrame(linkTo(world, to, self), frame);
       return Promise.resolve(true);
     },
@@ -102,6 +104,7 @@
     this.silentIsKnown = words.endsWith('known to it');
     this.sent = 0;
     this.answers = [];
+    this.told = [];
     this.rounds = new Map(entries.map((entry) => [entry.host, roundOf(this, entry)]));
   },
 );
@@ -122,3 +125,17 @@
 Then('host 0 has sent at most {int} frames', function (this: RoundWorld, count: number) {
   assert.ok(this.sent <= count, `${this.sent} frames`);
 });
+
+When('host 0 tells the others of a changed record', function (this: RoundWorld) {
+  this.rounds.get(ASKER)?.tellAll({ kind: FrameKind.StoreNews, items: [] });
+});
+
+Then(
+  '{int} hosts were told, at least one of each zone',
+  function (this: RoundWorld, count: number) {
+    assert.equal(new Set(this.told).size, count);
+    const zonesOf = (hosts: Iterable<HostId>): ReadonlySet<string | undefined> =>
+      new Set([...hosts].map((host) => this.listed.get(host)?.az));
+    assert.equal(zonesOf(this.told).size, zonesOf(this.listed.keys()).size);
+  },
+);
