--- a/packages/coordination/src/authority.ts
+++ b/packages/coordination/src/authority.ts
@@ -25,9 +25,8 @@
 }
 
 /**
- * 1 s: a host that is cut off delays a promotion by this much. Renewed every 280 ms at the source
- * and every 180 ms by the others (`DEFAULT_PROOFS` and `DEFAULT_SYNC` of the gateway), so that one
- * failed renewal does no harm. docs/PLATFORM.md compares it with 1.5 s, and that with 3 s.
+ * 1 s: a host that is cut off delays a promotion by this much. Renewed every 300 ms and passed on at
+ * once (`DEFAULT_PROOFS` and `DEFAULT_SYNC` of the gateway), so that one failed renewal does no harm. docs/PLATFORM.md compares it with 1.5 s, and that with 3 s.
  */
 export const DEFAULT_AUTHORITY: AuthorityRules = {
   proofLifeMs: 1000,
--- a/packages/coordination/src/primary-gap.ts
+++ b/packages/coordination/src/primary-gap.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * 500 ms: 250 ms of suspicion, the question to the other hosts, and the claim. 250 ms: a host asks its
- * relay every 180 ms.
+ * 500 ms: 250 ms of suspicion, the question to the other hosts, and the claim. 250 ms: proofs come
+ * every 300 ms, and a host without one asks others every 180 ms.
  */
 export const DEFAULT_GAP: Omit<GapPace, 'promotionMs'> = { suspicionMs: 500, renewalMs: 250 };
 
