fix(gateway): a round counts only hosts that the asking one has listed

Cause: a zone's first hosts ask the hosts of their own list and pass the answers on; one that the asker had not listed counted towards the majority of a revocation, so the wait for silent hosts could begin too early. Ruled out: checking it in each caller, as the renewals do; the round itself is where the list is known. Change: answers of unlisted hosts are dropped in `HostRound.askAll`.

--- a/packages/gateway/src/control/host-round.ts
+++ b/packages/gateway/src/control/host-round.ts
@@ -72,8 +72,10 @@
     onAnswer: Take = () => undefined,
   ): Promise<ReadonlySet<HostId>> {
     const answered = new Set<HostId>();
+    // A zone's first hosts may know of hosts that are not on this list; those are part of no majority of it.
+    const listed = new Set(this.others.map((entry) => entry.host));
     const take = (answer: RoundAnswer): void => {
-      if (answered.has(answer.host)) return;
+      if (!listed.has(answer.host) || answered.has(answer.host)) return;
       answered.add(answer.host);
       onAnswer(answer);
     };
--- a/packages/gateway/tests/host-round.feature
+++ b/packages/gateway/tests/host-round.feature
@@ -15,6 +15,12 @@
       | 5     | 39    | the first two of another zone, known to it | 192      | 54   | the next ones ask the zone               |
       | 5     | 39    | another zone                               | 155      | 54   | its hosts count as silent                |
 
+  Scenario: Hosts that the asking host has not listed don't count
+    Given a fleet of 5 zones with 39 hosts each, of which none do not answer
+    And host 0 has not heard of the last 10 hosts yet
+    When host 0 asks all others
+    Then 184 hosts have answered, each once
+
   Scenario Outline: Whom a host tells of a new primary
     Given a fleet of <zones> zones with <hosts> hosts each, of which <silent> do not answer
     When host 0 tells the others of a changed record
--- a/packages/gateway/tests/host-round.steps.ts
+++ b/packages/gateway/tests/host-round.steps.ts
@@ -139,3 +139,16 @@
     assert.equal(zonesOf(this.told).size, zonesOf(this.listed.keys()).size);
   },
 );
+
+Given(
+  'host 0 has not heard of the last {int} hosts yet',
+  function (this: RoundWorld, count: number) {
+    const known = [...this.listed.values()].slice(0, -count);
+    const self = known[0];
+    assert.ok(self);
+    const asker: RoundWorld = Object.create(this, {
+      listed: { value: new Map(known.map((entry) => [entry.host, entry])) },
+    }) as RoundWorld;
+    this.rounds.set(ASKER, roundOf(asker, self));
+  },
+);
