feat(gateway): keys tell workspaces apart, and upstream connections serve one workspace each

Cause: the product knew neither workspaces nor keys. Upstreams were told the host's name where the workspace's is owed, keys that no configuration held were served, and keys that were taken away went on. Ruled out: a home and pool for each workspace (78 times the connections); telling the workspace with each statement (the protocol has no place for it). Where a configuration has no workspaces all is as before.

--- a/packages/coordination/src/ids.ts
+++ b/packages/coordination/src/ids.ts
@@ -14,6 +14,8 @@
 export type GroupId = Branded<'GroupId'>;
 /** Name of an upstream, unique in its group. */
 export type UpstreamId = Branded<'UpstreamId'>;
+/** Name of a workspace; callers belong to one by their key. */
+export type WorkspaceId = Branded<'WorkspaceId'>;
 /** Caller-chosen id of a request that must run at most once. */
 export type RequestId = Branded<'RequestId'>;
 
@@ -37,6 +39,11 @@
   return text as UpstreamId;
 }
 
+/** Marks a checked string as a workspace name. */
+export function workspaceId(text: string): WorkspaceId {
+  return text as WorkspaceId;
+}
+
 /** Marks a checked string as a request id. */
 export function requestId(text: string): RequestId {
   return text as RequestId;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -33,3 +33,4 @@
 export * from './statement-terms.js';
 export * from './host-retirement.js';
 export * from './upstream-lapse.js';
+export * from './workspace.js';
--- a/packages/coordination/src/refusal.ts
+++ b/packages/coordination/src/refusal.ts
@@ -50,6 +50,7 @@
   UnknownStatement = 'unknown-statement',
   TransactionIdle = 'transaction-idle',
   StatementTimeout = 'statement-timeout',
+  UnknownKey = 'unknown-key',
 }
 
 /** What a refusal tells the caller. */
@@ -206,6 +207,12 @@
     'upstream did not answer within the time of the statement',
     SOON_MS,
   ),
+  [RefusalReason.UnknownKey]: rule(
+    Ran.No,
+    '28000',
+    'key belongs to no workspace of the configuration in force',
+    0,
+  ),
   [RefusalReason.AlreadyRan]: rule(Ran.Yes, '23505', 'request id has run before', 0),
 };
 
--- a/packages/gateway/src/entry/caller-codec.ts
+++ b/packages/gateway/src/entry/caller-codec.ts
@@ -7,7 +7,12 @@
 
 /** One message of a caller. */
 export type CallerMessage =
-  | { readonly kind: 'start'; readonly database: string; readonly who: string }
+  | {
+      readonly kind: 'start';
+      readonly database: string;
+      /** Who the caller is: its key, where keys are asked for. */
+      readonly who: string;
+    }
   | { readonly kind: 'statement'; readonly id: string; readonly statement: Statement }
   /** A statement that the protocol allows but that makes no sense; the session goes on. */
   | { readonly kind: 'nonsense'; readonly id: string; readonly detail: string }
--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -105,7 +105,7 @@
   private async take(message: CallerMessage): Promise<void> {
     switch (message.kind) {
       case 'start':
-        this.start(message.database);
+        this.start(message.database, message.who);
         return;
       case 'end':
         this.hangUp();
@@ -137,7 +137,7 @@
     this.write(this.options.codec.encodeAnswer(answer));
   }
 
-  private start(database: string): void {
+  private start(database: string, who: string): void {
     clearTimeout(this.startTimer);
     const { board } = this.options.session;
     if (this.session !== undefined) {
@@ -148,11 +148,12 @@
       this.refuse(RefusalReason.NoBundle, database);
       return;
     }
-    if (board.route(database) === undefined) {
-      this.refuse(RefusalReason.UnknownGroup, database);
+    const session = new Session(database, who, this.options.session);
+    if (session.refusal !== undefined) {
+      this.refuse(session.refusal, database);
       return;
     }
-    this.session = new Session(database, this.options.session);
+    this.session = session;
     this.write(this.options.codec.encodeWelcome());
   }
 
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -2,8 +2,10 @@
  * One caller's session: its values, prepared names, transaction, and what it has seen of its own
  * commits. Statements are handled one after the other; the protocol around it is a codec's matter.
  */
-import type { GroupId, SessionPosition } from '@gladespool/coordination';
-import { RefusalReason } from '@gladespool/coordination';
+import type { GroupId, KeyHash, SessionPosition, WorkspaceId } from '@gladespool/coordination';
+import { admit, hashKey, RefusalReason } from '@gladespool/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { GatewayBoard } from '../board.js';
 import type { Executor, OpenTransaction } from '../home/job.js';
 import type { Route } from '../model/catalog.js';
@@ -34,11 +36,17 @@
   readonly journal: RequestJournal;
 }
 
+/** Where an operation runs and for whom, by the configuration in force when it began. */
+interface Place {
+  readonly route: Route;
+  readonly workspace: WorkspaceId | undefined;
+}
+
 /** A transaction from the caller's BEGIN on; it is opened at an upstream with its first statement. */
 interface OpenState {
   readonly readOnly: boolean;
   readonly beganAt: number;
-  readonly route: Route;
+  readonly place: Place;
   pinned: OpenTransaction | undefined;
   failed: boolean;
 }
@@ -57,10 +65,22 @@
   private idleTimer: NodeJS.Timeout | undefined;
   private closed = false;
 
+  private readonly key: KeyHash;
+
+  /** @param key what the caller gave at the start to tell who it is */
   constructor(
     private readonly database: string,
+    key: string,
     private readonly context: SessionContext,
-  ) {}
+  ) {
+    this.key = hashKey(key);
+  }
+
+  /** Why an operation of this session would be refused now; undefined when it would not. */
+  get refusal(): RefusalReason | undefined {
+    const place = this.place();
+    return place.isErr() ? place.error : undefined;
+  }
 
   /** Transaction state as the caller sees it. */
   get state(): SessionState {
@@ -114,12 +134,14 @@
     const work = this.workOf(statement);
     if (work === undefined) return this.fail(refused(RefusalReason.UnknownStatement));
     if (this.open !== undefined) return this.runInside(id, work, now);
-    const route = this.context.board.route(this.database);
-    if (route === undefined) return refused(RefusalReason.UnknownGroup, this.database);
-    const own = this.own.get(route.group);
-    const job = { route, id, work, values: this.values, own, beganAt: now, arrivedAt: now };
+    const place = this.place();
+    if (place.isErr()) return refused(place.error, this.database);
+    const { group } = place.value.route;
+    const times = { beganAt: now, arrivedAt: now };
+    const own = this.own.get(group);
+    const job = { ...place.value, id, work, values: this.values, own, ...times };
     const outcome = await this.context.executor.run(job);
-    this.noteCommit(route.group, outcome);
+    this.noteCommit(group, outcome);
     return outcome;
   }
 
@@ -138,7 +160,7 @@
     this.open = undefined;
     if (opened.kind === 'failed') return opened.outcome;
     const outcome = await opened.pinned.commit(id, now);
-    this.noteCommit(open.route.group, outcome);
+    this.noteCommit(open.place.route.group, outcome);
     return outcome;
   }
 
@@ -147,9 +169,9 @@
     const { open } = this;
     if (open === undefined) return notPinned(refused(RefusalReason.TransactionLost));
     if (open.pinned !== undefined) return { kind: 'pinned', pinned: open.pinned };
-    const { route, readOnly, beganAt } = open;
-    const own = this.own.get(route.group);
-    const job = { route, id, readOnly, values: this.values, own, beganAt, arrivedAt: now };
+    const { place, readOnly, beganAt } = open;
+    const own = this.own.get(place.route.group);
+    const job = { ...place, id, readOnly, values: this.values, own, beganAt, arrivedAt: now };
     const opened = await this.context.executor.begin(job);
     if (opened.isErr()) return notPinned(opened.error);
     if (this.closed) {
@@ -164,12 +186,29 @@
     if (this.open !== undefined) {
       return this.fail(refused(RefusalReason.SessionMisuse, 'a transaction is open already'));
     }
-    const route = this.context.board.route(this.database);
-    if (route === undefined) return refused(RefusalReason.UnknownGroup, this.database);
-    this.open = { readOnly, beganAt: now, route, pinned: undefined, failed: false };
+    const place = this.place();
+    if (place.isErr()) return refused(place.error, this.database);
+    const state = { readOnly, beganAt: now, pinned: undefined, failed: false };
+    this.open = { ...state, place: place.value };
     return DONE;
   }
 
+  /** Where an operation that begins now runs, or why it is refused. */
+  private place(): Result<Place, RefusalReason> {
+    const { board } = this.context;
+    const route = board.route(this.database);
+    if (route === undefined) return err(RefusalReason.UnknownGroup);
+    const admission = admit(route.isPublic, board.catalog?.keys, this.key);
+    switch (admission.kind) {
+      case 'unknown-key':
+        return err(RefusalReason.UnknownKey);
+      case 'open':
+        return ok({ route, workspace: undefined });
+      case 'workspace':
+        return ok({ route, workspace: admission.workspace.id });
+    }
+  }
+
   private rollback(): Outcome {
     if (this.open === undefined) {
       return refused(RefusalReason.SessionMisuse, 'no transaction is open');
--- a/packages/gateway/src/forward/remote-executor.ts
+++ b/packages/gateway/src/forward/remote-executor.ts
@@ -143,7 +143,8 @@
     readOnly: false,
     ...encodeTimes(job, now),
   };
-  return job.own === undefined ? fields : { ...fields, own: job.own };
+  const { own, workspace } = job;
+  return { ...fields, ...(own && { own }), ...(workspace && { workspace }) };
 }
 
 function timeLeft(job: Job): number {
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -50,7 +50,8 @@
   const leftMs = job.arrivedAt + job.route.timeoutMs - now;
   const waitMs = Math.min(leftMs, job.route.targetLatencyMs * WAIT_SHARE);
   if (waitMs < LEAST_EXCHANGE_MS) return err(RefusalReason.DeadlineBeforeRun);
-  const leased = await slot.acquire(poolPriority(job.route.priority), now, waitMs);
+  const priority = poolPriority(job.route.priority);
+  const leased = await slot.acquire(priority, now, waitMs, job.workspace);
   if (leased.isErr()) return err(leased.error);
   const lease = leased.value;
   const failed = await lease.connection.setUp(
--- a/packages/gateway/src/home/job.ts
+++ b/packages/gateway/src/home/job.ts
@@ -1,7 +1,7 @@
 /**
  * What a session hands to a home, and what it gets back.
  */
-import type { SessionPosition } from '@gladespool/coordination';
+import type { SessionPosition, WorkspaceId } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import type { Route } from '../model/catalog.js';
 import type { Outcome } from '../model/outcome.js';
@@ -11,6 +11,8 @@
 /** One single statement, or the begin of a transaction. */
 export interface Job {
   readonly route: Route;
+  /** Workspace that the caller acts for; undefined where none is asked for. */
+  readonly workspace: WorkspaceId | undefined;
   /** Id that the caller gave the statement. */
   readonly id: string;
   readonly values: SessionValues;
--- a/packages/gateway/src/home/upstream-probe.ts
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -36,7 +36,7 @@
     const held = this.takeChannel(entry.id);
     if (held !== undefined) return this.askOn(held, entry, timeoutMs);
     const startedAt = performance.now();
-    const wire = await this.driver.connect(entry, group, timeoutMs);
+    const wire = await this.driver.connect(entry, group, timeoutMs, undefined);
     if (wire.isErr())
       return { kind: wire.error.message.includes('OVERLOADED') ? 'alive' : 'silent' };
     this.onConnected();
--- a/packages/gateway/src/home/upstream-slot.ts
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -1,7 +1,13 @@
 /**
  * One upstream of a home: its pool of connections and what was seen of it.
  */
-import type { GladespoolError, GroupId, Priority, RefusalReason } from '@gladespool/coordination';
+import type {
+  GladespoolError,
+  GroupId,
+  Priority,
+  RefusalReason,
+  WorkspaceId,
+} from '@gladespool/coordination';
 import type { Lease, PoolLimits } from '@gladespool/pool';
 import { ConnectionPool } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
@@ -30,7 +36,7 @@
     private readonly options: SlotOptions,
   ) {
     this.pool = new ConnectionPool(
-      () => this.connect(),
+      (workspace) => this.connect(workspace),
       options.limits,
       (error) => {
         this.health.noteFailure(performance.now());
@@ -49,13 +55,14 @@
     return this.pool.connections;
   }
 
-  /** Lends a connection, waiting at most `timeoutMs`. */
+  /** Lends a connection of a workspace, waiting at most `timeoutMs`. */
   acquire(
     priority: Priority,
     now: number,
     timeoutMs: number,
+    workspace: WorkspaceId | undefined,
   ): Promise<Result<Lease<PreparedConnection>, RefusalReason>> {
-    return this.pool.acquire(priority, now, timeoutMs);
+    return this.pool.acquire(priority, now, timeoutMs, workspace);
   }
 
   /** Changes the bounds of the pool. */
@@ -73,9 +80,11 @@
     this.pool.stop();
   }
 
-  private async connect(): Promise<Result<PreparedConnection, GladespoolError>> {
+  private async connect(
+    workspace: WorkspaceId | undefined,
+  ): Promise<Result<PreparedConnection, GladespoolError>> {
     const { driver, group, connectTimeoutMs, onConnected } = this.options;
-    const wire = await driver.connect(this.entry, group, connectTimeoutMs);
+    const wire = await driver.connect(this.entry, group, connectTimeoutMs, workspace);
     if (wire.isOk()) {
       this.health.noteAlive(performance.now());
       onConnected();
--- a/packages/gateway/src/model/catalog.ts
+++ b/packages/gateway/src/model/catalog.ts
@@ -1,7 +1,13 @@
 /**
  * What the operators configure, as the gateway uses it.
  */
-import type { AzId, Consistency, GroupId, UpstreamId } from '@gladespool/coordination';
+import type {
+  AzId,
+  Consistency,
+  GroupId,
+  UpstreamId,
+  WorkspaceKeys,
+} from '@gladespool/coordination';
 
 /** How statements for one database are served. */
 export interface Route {
@@ -16,6 +22,8 @@
   readonly targetLatencyMs: number;
   /** 0 is the highest. */
   readonly priority: number;
+  /** Whether callers need no key; such a route belongs to no workspace. */
+  readonly isPublic: boolean;
 }
 
 /** A group's bounds. */
@@ -31,6 +39,7 @@
   readonly version: number;
   readonly routes: ReadonlyMap<string, Route>;
   readonly groups: ReadonlyMap<GroupId, GroupBounds>;
+  readonly keys: WorkspaceKeys;
   /** A transaction idle for longer is rolled back, milliseconds. */
   readonly transactionIdleMs: number;
 }
--- a/packages/gateway/src/model/upstream-wire.ts
+++ b/packages/gateway/src/model/upstream-wire.ts
@@ -1,7 +1,13 @@
 /**
  * What the gateway asks of a connection to an upstream; a codec for each protocol implements it.
  */
-import type { GladespoolError, GroupId, Position, UpstreamFault } from '@gladespool/coordination';
+import type {
+  GladespoolError,
+  GroupId,
+  Position,
+  UpstreamFault,
+  WorkspaceId,
+} from '@gladespool/coordination';
 import type { PoolConnection } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
 import type { UpstreamEntry } from './catalog.js';
@@ -73,10 +79,12 @@
 
 /** Opens connections to upstreams and reads their status rows. */
 export interface UpstreamDriver {
+  /** Opens a connection in the name of a workspace, for good; or in that of the host itself. */
   connect(
     upstream: UpstreamEntry,
     group: GroupId,
     timeoutMs: number,
+    workspace: WorkspaceId | undefined,
   ): Promise<Result<UpstreamWire, GladespoolError>>;
   /** Reads the row that answers a status command. */
   readStatus(row: string): UpstreamStatus | undefined;
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -31,6 +31,9 @@
 export const DATABASE = 'db1';
 export const GROUP = groupId('g1');
 
+/** Key of the callers; the tests' configuration asks for none. */
+const KEY = 'k1';
+
 const LOOPBACK = '127.0.0.1';
 const POLL_MS = 5;
 const RULES: GatewayRules = {
@@ -84,7 +87,7 @@
   async run(host: FakeHost, text: string): Promise<Outcome> {
     const { board } = host.gateway;
     const journal = new RequestJournal(board, host.metrics, createLogger('test'));
-    const session = new Session(DATABASE, { board, executor: host.gateway.routing, journal });
+    const session = new Session(DATABASE, KEY, { board, executor: host.gateway.routing, journal });
     const access = text.startsWith('READ') ? Access.Read : Access.Write;
     const statement = { kind: StatementKind.Run, access, text } as const;
     const { outcome } = await session.handle(text, statement, performance.now());
@@ -181,6 +184,7 @@
     timeoutMs: 3000,
     targetLatencyMs: 500,
     priority: 1,
+    isPublic: false,
   };
   const bounds = { group: GROUP, connectionsPerUpstream: 20, syncReplicas: 0 };
   return {
@@ -189,6 +193,7 @@
       version: (JSON.parse(text) as { readonly version: number }).version,
       routes: new Map([[DATABASE, route]]),
       groups: new Map([[GROUP, bounds]]),
+      keys: undefined,
       transactionIdleMs: 1000,
     },
   };
--- a/packages/gateway/tests/session.feature
+++ b/packages/gateway/tests/session.feature
@@ -55,3 +55,32 @@
   Scenario: Values and prepared shapes travel with the work
     When a caller sends "SET zone a,PREPARE s WRITE q,EXECUTE s 1 data" in turn
     Then the work was prepared as "write q" with "1 data" under "zone=a"
+
+  Scenario Outline: Whose work it is follows from the key
+    Given a session with key "<key>", workspaces "<workspaces>" and a "<route>" route
+    Then it would be refused as "<reason>", and a read runs for workspace "<runs for>"
+
+    Examples:
+      | key | workspaces     | route   | reason      | runs for |
+      | k1  | k1=a k2=b      | private |             | a        |
+      | k2  | k1=a k2=b      | private |             | b        |
+      | k3  | k1=a k2=b      | private | unknown-key |          |
+      |     | k1=a           | private | unknown-key |          |
+      | k1  |                | private | unknown-key |          |
+      | k3  | none           | private |             |          |
+      | k3  | k1=a           | public  |             |          |
+      | k1  | k1=a           | public  |             |          |
+
+  Scenario Outline: Keys count when an operation begins
+    Given a session with key "k1", workspaces "k1=a k2=a" and a "private" route
+    When its caller sends "<before>", the workspaces become "<then>", and it sends "<after>"
+    Then the last answers are "<answers>"
+
+    Examples:
+      | before         | then      | after                       | answers                           | why                              |
+      | READ x         | k2=a      | READ x                      | unknown-key                       | taken away between operations    |
+      | READ x         |           | READ x                      | unknown-key                       | the last key of its workspace    |
+      | READ x         | k2=a      | BEGIN,READ x                | unknown-key,unknown-key           | no transaction begins            |
+      | BEGIN,READ x   | k2=a      | WRITE x 1,COMMIT,READ x     | rows,rows,unknown-key             | what is open goes on to its end  |
+      | READ x         | k1=b      | READ x                      | rows                              | moved to another workspace       |
+      | READ x         | k1=a k3=c | READ x                      | rows                              | other keys come and go           |
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -1,13 +1,16 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { WorkspaceKeys } from '@gladespool/coordination';
 import {
   Access,
   azId,
   Consistency,
   groupId,
+  hashKey,
   hostId,
   UpstreamFault,
+  workspaceId,
 } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
 import type { Result } from 'neverthrow';
@@ -26,6 +29,7 @@
 const GROUP = groupId('g1');
 const COMMITTED = { epoch: 1, position: { term: 1, offset: 9 } };
 const IDLE_MS = 20;
+const KEY = 'k1';
 
 /** Executor that answers everything with one row, and refuses works that begin with "!". */
 class FakeExecutor implements Executor, OpenTransaction {
@@ -69,6 +73,8 @@
   board: GatewayBoard;
   executor: FakeExecutor;
   session: Session;
+  /** Workspaces by key; undefined where the configuration asks for no keys. */
+  keys: WorkspaceKeys;
   answers: readonly string[];
 }
 
@@ -105,7 +111,24 @@
   return outcome.kind === 'faulted' ? outcome.fault : outcome.refusal.reason;
 }
 
-function putRoutes(world: SessionWorld, version: number, databases: readonly string[]): void {
+/** Keys from a list such as `k1=a k2=a`; `none` where none are asked for. */
+function parseKeys(text: string): WorkspaceKeys {
+  if (text === 'none') return undefined;
+  const pairs = text.split(' ').filter((pair) => pair !== '');
+  return new Map(
+    pairs.map((pair) => {
+      const [key = '', name = ''] = pair.split('=');
+      return [hashKey(key), { id: workspaceId(name), limit: undefined }];
+    }),
+  );
+}
+
+function putRoutes(
+  world: SessionWorld,
+  version: number,
+  databases: readonly string[],
+  isPublic = false,
+): void {
   const route = {
     group: GROUP,
     consistency: Consistency.ReadYourWrites,
@@ -113,11 +136,13 @@
     timeoutMs: 1000,
     targetLatencyMs: 200,
     priority: 1,
+    isPublic,
   };
   world.board.putCatalog({
     version,
     routes: new Map(databases.map((database) => [database, { ...route, database }])),
     groups: new Map(),
+    keys: world.keys,
     transactionIdleMs: IDLE_MS,
   });
 }
@@ -128,7 +153,7 @@
   world.executor = new FakeExecutor();
   const journal = new RequestJournal(world.board, new HostMetrics(), createLogger('test'));
   const { board, executor } = world;
-  world.session = new Session(DATABASE, { board, executor, journal });
+  world.session = new Session(DATABASE, KEY, { board, executor, journal });
 }
 
 async function send(world: SessionWorld, statements: readonly string[]): Promise<void> {
@@ -235,3 +260,44 @@
     );
   },
 );
+
+Given(
+  'a session with key {string}, workspaces {string} and a {string} route',
+  function (this: SessionWorld, key: string, keys: string, access: string) {
+    this.keys = parseKeys(keys);
+    this.board = new GatewayBoard(hostId('h1'), azId('z1'));
+    putRoutes(this, 1, [DATABASE], access === 'public');
+    this.executor = new FakeExecutor();
+    const journal = new RequestJournal(this.board, new HostMetrics(), createLogger('test'));
+    this.session = new Session(DATABASE, key, {
+      board: this.board,
+      executor: this.executor,
+      journal,
+    });
+  },
+);
+
+When(
+  'its caller sends {string}, the workspaces become {string}, and it sends {string}',
+  async function (this: SessionWorld, before: string, keys: string, after: string) {
+    await send(this, before.split(','));
+    this.keys = parseKeys(keys);
+    putRoutes(this, 2, [DATABASE]);
+    await send(this, after.split(','));
+  },
+);
+
+Then(
+  'it would be refused as {string}, and a read runs for workspace {string}',
+  async function (this: SessionWorld, reason: string, workspace: string) {
+    assert.equal(this.session.refusal ?? '', reason);
+    await send(this, ['READ x']);
+    assert.equal(this.executor.jobs.at(-1)?.workspace ?? '', workspace);
+    this.session.close();
+  },
+);
+
+Then('the last answers are {string}', function (this: SessionWorld, answers: string) {
+  assert.equal(this.answers.join(','), answers);
+  this.session.close();
+});
--- a/packages/gateway/tests/silent-link.steps.ts
+++ b/packages/gateway/tests/silent-link.steps.ts
@@ -74,9 +74,12 @@
     timeoutMs: STATEMENT_MS,
     targetLatencyMs: STATEMENT_MS,
     priority: 1,
+    isPublic: false,
   };
   const work = { kind: 'text', access, text: 'x' } as const;
-  return { route, id: 'r', work, values: new Map(), own: undefined, beganAt: now, arrivedAt: now };
+  const times = { beganAt: now, arrivedAt: now };
+  const session = { values: new Map<string, string>(), own: undefined, workspace: undefined };
+  return { route, id: 'r', work, ...session, ...times };
 }
 
 function endOf(outcome: Outcome): string {
@@ -90,6 +93,7 @@
     version: 1,
     routes: new Map(),
     groups: new Map(),
+    keys: undefined,
     transactionIdleMs: IDLE_MS,
   });
   world.home = new CountingExecutor();
--- a/packages/pool/src/connection-pool.ts
+++ b/packages/pool/src/connection-pool.ts
@@ -1,11 +1,16 @@
 /**
- * Connections of one home to one upstream, within the home's part of the upstream's budget.
- * Waiters are served by priority class, first come first served inside a class.
+ * Connections of one home to one upstream, within the home's part of the upstream's budget. A
+ * connection serves one workspace for as long as it is open; where the budget is used up, the one
+ * that nobody has used for longest is closed for another workspace. Who gets a connection is decided
+ * in `waiting-order.ts`.
  */
-import type { GladespoolError } from '@gladespool/coordination';
-import { Priority, RefusalReason } from '@gladespool/coordination';
+import type { GladespoolError, WorkspaceId } from '@gladespool/coordination';
+import type { Priority } from '@gladespool/coordination';
+import { RefusalReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import type { Owner, Waiting } from './waiting-order.js';
+import { WaitingOrder } from './waiting-order.js';
 
 /** What the pool needs of a connection. */
 export interface PoolConnection {
@@ -30,26 +35,23 @@
   release(): void;
 }
 
-interface Idle<C extends PoolConnection> {
+/** A connection with the workspace that it serves. */
+interface Bound<C extends PoolConnection> {
   readonly connection: C;
+  readonly owner: Owner;
+}
+
+interface Idle<C extends PoolConnection> extends Bound<C> {
   /** Local time since which nobody has used it. */
   readonly since: number;
 }
 
-interface Waiter<C extends PoolConnection> {
-  readonly priority: Priority;
+interface Waiter<C extends PoolConnection> extends Waiting {
   /** When its caller stops waiting, local milliseconds. */
   readonly deadlineAt: number;
   readonly settle: (result: Result<Lease<C>, RefusalReason>) => void;
 }
 
-const PRIORITY_ORDER: readonly Priority[] = [
-  Priority.Outcome,
-  Priority.Interactive,
-  Priority.Background,
-];
-/** Every n-th lease goes to the longest waiter of any class, so that none starves. */
-const FAIR_TURN = 8;
 /**
  * Share of a request's time that it may be expected to wait. A queue as long as the deadline would
  * accept requests that can only just be late.
@@ -67,26 +69,27 @@
 
 /** Pool of connections to one upstream. */
 export class ConnectionPool<C extends PoolConnection> {
+  /** Connections that nobody uses, the one that was used latest last. */
   private readonly idle: Idle<C>[] = [];
-  private readonly waiting: Waiter<C>[] = [];
+  private readonly waiting = new WaitingOrder<Waiter<C>>();
+  /** Workspaces for which connections are being opened, one entry a connection. */
+  private readonly dialing: Owner[] = [];
   private open = 0;
-  private connecting = 0;
   private lent = 0;
-  private turns = 0;
   private holdMs = 1;
   private stopped = false;
   /** Local time before which no connection is opened, after one was refused. */
   private dialNotBefore = Number.NEGATIVE_INFINITY;
 
   constructor(
-    private readonly dial: () => Promise<Result<C, GladespoolError>>,
+    private readonly dial: (owner: Owner) => Promise<Result<C, GladespoolError>>,
     private limits: PoolLimits,
     private readonly onConnectFailure: (error: GladespoolError) => void,
   ) {}
 
   /** Connections open or being opened. */
   get connections(): number {
-    return this.open + this.connecting;
+    return this.open + this.dialing.length;
   }
 
   /** Connections in use. */
@@ -96,20 +99,20 @@
 
   /** Requests waiting. */
   get queued(): number {
-    return this.waiting.length;
+    return this.waiting.size;
   }
 
   /** Expected wait of a new request, milliseconds, from the mean hold time of a connection. */
   expectedWaitMs(): number {
     if (this.idle.length > 0 || this.connections < this.limits.maxConnections) return 0;
-    return ((this.waiting.length + 1) * this.holdMs) / Math.max(1, this.limits.maxConnections);
+    return ((this.waiting.size + 1) * this.holdMs) / Math.max(1, this.limits.maxConnections);
   }
 
   /** Changes the bounds; surplus connections close as they come back. */
   resize(limits: PoolLimits): void {
     this.limits = limits;
     while (this.connections > limits.maxConnections) {
-      const surplus = this.idle.pop();
+      const surplus = this.idle.shift();
       if (surplus === undefined) return;
       this.discard(surplus.connection);
     }
@@ -125,24 +128,25 @@
     }
   }
 
-  /** Lends a connection, waiting at most `timeoutMs`. */
+  /** Lends a connection that serves `owner`, waiting at most `timeoutMs`. */
   acquire(
     priority: Priority,
     now: number,
     timeoutMs: number,
+    owner?: WorkspaceId,
   ): Promise<Result<Lease<C>, RefusalReason>> {
-    const ready = this.stopped ? undefined : this.takeIdle();
+    const ready = this.stopped ? undefined : this.takeIdle(owner);
     if (ready !== undefined) return Promise.resolve(ok(this.lend(ready, now)));
     const refusal = this.refusalAtDoor(now, timeoutMs);
     if (refusal !== undefined) return Promise.resolve(err(refusal));
-    return this.enqueue(priority, now, timeoutMs);
+    return this.enqueue({ priority, owner, since: now }, timeoutMs);
   }
 
   /** Closes idle connections and refuses new work; leases in use end as they are given back. */
   stop(): void {
     this.stopped = true;
     for (const { connection } of this.idle.splice(0)) this.discard(connection);
-    for (const waiter of this.waiting.splice(0)) waiter.settle(err(RefusalReason.Draining));
+    for (const waiter of this.waiting.takeAll()) waiter.settle(err(RefusalReason.Draining));
   }
 
   private refusalAtDoor(now: number, timeoutMs: number): RefusalReason | undefined {
@@ -150,45 +154,51 @@
     if (this.connections === 0 && now < this.dialNotBefore) {
       return RefusalReason.UpstreamUnreachable;
     }
-    if (this.waiting.length >= this.limits.maxWaiting) return RefusalReason.QueueFull;
+    if (this.waiting.size >= this.limits.maxWaiting) return RefusalReason.QueueFull;
     if (this.expectedWaitMs() > timeoutMs * WAIT_SHARE) return RefusalReason.ExpectedWait;
     return undefined;
   }
 
-  private enqueue(
-    priority: Priority,
-    now: number,
-    timeoutMs: number,
-  ): Promise<Result<Lease<C>, RefusalReason>> {
+  private enqueue(waiting: Waiting, timeoutMs: number): Promise<Result<Lease<C>, RefusalReason>> {
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
-        this.waiting.splice(this.waiting.indexOf(waiter), 1);
+        this.waiting.remove(waiter);
         resolve(err(RefusalReason.DeadlineBeforeRun));
       }, timeoutMs);
       const waiter: Waiter<C> = {
-        priority,
-        deadlineAt: now + timeoutMs,
+        ...waiting,
+        deadlineAt: waiting.since + timeoutMs,
         settle: (result) => {
           clearTimeout(timer);
           resolve(result);
         },
       };
-      this.waiting.push(waiter);
+      this.waiting.add(waiter);
       this.grow();
     });
   }
 
   private grow(): void {
-    if (this.stopped || this.connecting >= MAX_CONNECTING) return;
-    if (this.connecting >= this.waiting.length) return;
-    if (this.connections >= this.limits.maxConnections) return;
-    void this.connect();
+    if (this.stopped || this.dialing.length >= MAX_CONNECTING) return;
+    const missing = this.waiting.firstWithout(this.dialing);
+    if (missing === undefined || !this.hasRoom()) return;
+    void this.connect(missing.owner);
+  }
+
+  /** Whether another connection may be opened; one that nobody uses makes room for it. */
+  private hasRoom(): boolean {
+    if (this.connections < this.limits.maxConnections) return true;
+    if (this.connections > this.limits.maxConnections) return false;
+    const unused = this.idle.shift();
+    if (unused === undefined) return false;
+    this.discard(unused.connection);
+    return true;
   }
 
-  private async connect(): Promise<void> {
-    this.connecting += 1;
-    const result = await this.dial();
-    this.connecting -= 1;
+  private async connect(owner: Owner): Promise<void> {
+    this.dialing.push(owner);
+    const result = await this.dial(owner);
+    this.dialing.splice(this.dialing.indexOf(owner), 1);
     if (result.isErr()) {
       this.dialNotBefore = performance.now() + RECONNECT_PAUSE_MS;
       this.onConnectFailure(result.error);
@@ -201,70 +211,61 @@
       return;
     }
     this.open += 1;
-    this.offer(result.value);
+    this.offer({ connection: result.value, owner });
     this.grow();
   }
 
   /** With no connection at all a request is better refused at once than held to its deadline. */
   private refuseWaiting(): void {
-    for (const waiter of this.waiting.splice(0)) {
+    for (const waiter of this.waiting.takeAll()) {
       waiter.settle(err(RefusalReason.UpstreamUnreachable));
     }
   }
 
-  private offer(connection: C): void {
+  private offer(bound: Bound<C>): void {
     if (this.stopped || this.connections > this.limits.maxConnections) {
-      this.discard(connection);
+      this.discard(bound.connection);
       return;
     }
     const now = performance.now();
-    const waiter = this.nextWaiterInTime(now);
+    const waiter = this.nextWaiterInTime(bound.owner, now);
     if (waiter === undefined) {
-      this.idle.push({ connection, since: now });
+      this.idle.push({ ...bound, since: now });
       return;
     }
-    waiter.settle(ok(this.lend(connection, now)));
+    waiter.settle(ok(this.lend(bound, now)));
   }
 
   /** The next waiter that has time left to run; the others are refused while that is certain. */
-  private nextWaiterInTime(now: number): Waiter<C> | undefined {
+  private nextWaiterInTime(owner: Owner, now: number): Waiter<C> | undefined {
     for (;;) {
-      const waiter = this.nextWaiter();
+      const waiter = this.waiting.takeNext(owner, now);
       if (waiter === undefined || waiter.deadlineAt - now >= this.holdMs) return waiter;
       waiter.settle(err(RefusalReason.DeadlineBeforeRun));
     }
   }
 
-  private nextWaiter(): Waiter<C> | undefined {
-    this.turns += 1;
-    if (this.turns % FAIR_TURN === 0) return this.waiting.shift();
-    for (const priority of PRIORITY_ORDER) {
-      const index = this.waiting.findIndex((waiter) => waiter.priority === priority);
-      if (index >= 0) return this.waiting.splice(index, 1)[0];
-    }
-    return undefined;
-  }
-
-  private takeIdle(): C | undefined {
+  private takeIdle(owner: Owner): Bound<C> | undefined {
     for (;;) {
-      const connection = this.idle.pop()?.connection;
-      if (connection === undefined) return undefined;
-      if (connection.usable) return connection;
-      this.discard(connection);
+      const index = this.idle.findLastIndex((idle) => idle.owner === owner);
+      const [found] = index < 0 ? [] : this.idle.splice(index, 1);
+      if (found === undefined) return undefined;
+      if (found.connection.usable) return found;
+      this.discard(found.connection);
     }
   }
 
-  private lend(connection: C, since: number): Lease<C> {
+  private lend(bound: Bound<C>, since: number): Lease<C> {
     this.lent += 1;
     let given = false;
     return {
-      connection,
+      connection: bound.connection,
       release: () => {
         if (given) return;
         given = true;
         this.lent -= 1;
         this.noteHold(performance.now() - since);
-        this.takeBack(connection);
+        this.takeBack(bound);
       },
     };
   }
@@ -274,13 +275,11 @@
   }
 
   /** A connection with an answer outstanding or a transaction open is closed, never reused. */
-  private takeBack(connection: C): void {
-    if (!connection.usable || !connection.reusable) {
-      this.discard(connection);
-      this.grow();
-      return;
-    }
-    this.offer(connection);
+  private takeBack(bound: Bound<C>): void {
+    const { connection } = bound;
+    if (connection.usable && connection.reusable) this.offer(bound);
+    else this.discard(connection);
+    this.grow();
   }
 
   private discard(connection: C): void {
--- a/packages/pool/tests/connection-pool.feature
+++ b/packages/pool/tests/connection-pool.feature
@@ -22,3 +22,19 @@
     Given a pool of 1 connections
     When this happens to it: "full,ask:a,ask:b,ask:c"
     Then the upstream was dialed 1 times
+
+  Scenario Outline: A connection serves one workspace
+    Given a pool of <connections> connections
+    When this happens to it: "<events>"
+    Then those served are "<served>" and connections were opened for "<opened>"
+
+    # ask:W.NAME asks for workspace W
+    Examples:
+      | connections | events                                               | served          | opened  | why                                          |
+      | 2           | ask:a.1,back:a.1,ask:a.2                             | a.1,a.2         | a       | the same workspace has it again              |
+      | 2           | ask:a.1,back:a.1,ask:b.1                             | a.1,b.1         | a,b     | another one has its own                      |
+      | 1           | ask:a.1,back:a.1,ask:b.1                             | a.1,b.1         | a,b     | the unused one is closed for it              |
+      | 2           | ask:a.1,ask:b.1,back:a.1,back:b.1,ask:c.1,ask:b.2    | a.1,b.1,c.1,b.2 | a,b,c   | the one unused for longest is closed         |
+      | 1           | ask:a.1,ask:b.1,back:a.1                             | a.1,b.1         | a,b     | a waiter of another workspace has it anew    |
+      | 1           | ask:a.1,ask:b.1,ask:a.2,back:a.1                     | a.1,a.2         | a       | one of the same workspace goes first         |
+      | 1           | ask:a.1,ask:b.1,ask:a.2,back:a.1,back:a.2            | a.1,a.2,b.1     | a,b     | the other one is served next                 |
--- a/packages/pool/tests/connection-pool.steps.ts
+++ b/packages/pool/tests/connection-pool.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { setImmediate as turn } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { gladespoolError, Priority, Step } from '@gladespool/coordination';
+import type { WorkspaceId } from '@gladespool/coordination';
+import { gladespoolError, Priority, Step, workspaceId } from '@gladespool/coordination';
 import type { Lease, PoolConnection } from '../src/index.js';
 import { ConnectionPool } from '../src/index.js';
 import { err, ok } from 'neverthrow';
@@ -12,6 +13,8 @@
   served: string[];
   refused: string[];
   dials: number;
+  /** Workspaces for which connections were opened, in turn. */
+  dialed: (WorkspaceId | undefined)[];
   isFull: boolean;
 }
 
@@ -30,11 +33,13 @@
   this.served = [];
   this.refused = [];
   this.dials = 0;
+  this.dialed = [];
   this.isFull = false;
   const failure = gladespoolError({ step: Step.UpstreamConnect, peer: 'u' }, 'full');
   this.pool = new ConnectionPool(
-    () => {
+    (owner) => {
       this.dials += 1;
+      this.dialed.push(owner);
       return Promise.resolve(this.isFull ? err(failure) : ok(connectionOf()));
     },
     { maxConnections, maxWaiting: 10 },
@@ -42,8 +47,10 @@
   );
 });
 
+/** `w.NAME` asks for workspace w, a name without a dot for none. */
 async function acquire(world: PoolWorld, name: string): Promise<void> {
-  const lease = await world.pool.acquire(Priority.Outcome, performance.now(), WAIT_MS);
+  const owner = name.includes('.') ? workspaceId(name.split('.')[0] ?? '') : undefined;
+  const lease = await world.pool.acquire(Priority.Outcome, performance.now(), WAIT_MS, owner);
   if (lease.isErr()) {
     world.refused.push(name);
     return;
@@ -95,3 +102,12 @@
 Then('the upstream was dialed {int} times', function (this: PoolWorld, dials: number) {
   assert.equal(this.dials, dials);
 });
+
+Then(
+  'those served are {string} and connections were opened for {string}',
+  function (this: PoolWorld, served: string, dialed: string) {
+    assert.equal(this.served.join(','), served);
+    assert.equal(this.dialed.join(','), dialed);
+    this.pool.stop();
+  },
+);
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -15,7 +15,7 @@
 import { removedKeySchema, storeItemSchema } from './store-documents.js';
 
 /** Version of this protocol; links between unlike versions are refused in the handshake. */
-export const PEER_PROTOCOL_VERSION = 2;
+export const PEER_PROTOCOL_VERSION = 3;
 
 /** Kinds of frames. */
 export enum FrameKind {
@@ -149,6 +149,7 @@
     timeoutMs: z.number(),
     targetLatencyMs: z.number(),
     priority: z.number(),
+    isPublic: z.boolean(),
   })
   .readonly();
 
@@ -384,6 +385,8 @@
     /** Handle of the open transaction; 0 when there is none. */
     transaction: count,
     route: forwardRouteSchema.optional(),
+    /** Workspace of the caller; missing where none is asked for. */
+    workspace: z.string().optional(),
     readOnly: z.boolean(),
     work: forwardWorkSchema.optional(),
     values: z.array(z.tuple([z.string(), z.string()])),
