feat(gateway): operations of a workspace are admitted within its limit, counted by one host for all

Ruled out: an even share for each host (a workspace has a session or two on a host, so a share would be a fraction of an operation); counting where connections are held (six groups, three zones: eighteen places that would have to agree). Change: each workspace has a keeper among the hosts, by rendezvous; an operation asks it before it begins, those that begin meanwhile share the next question. Operations of which nothing ran are given back.

--- /dev/null
+++ b/packages/coordination/src/demand-share.ts
@@ -0,0 +1,36 @@
+/**
+ * What a host admits of a workspace's operations on its own, while it can't reach the host that keeps
+ * the allowance: as many in each window as it admitted in the one before, evenly over the window but for
+ * the first. All hosts together then admit about what they did, which was within the limit.
+ */
+
+/** Counts of one workspace on one host, by windows of fixed length. */
+export class DemandShare {
+  /** Number of the window that `current` counts. */
+  private window = Number.NEGATIVE_INFINITY;
+  private current = 0;
+  private former = 0;
+
+  constructor(private readonly windowMs: number) {}
+
+  /** Notes an operation that was admitted at `now`. */
+  note(now: number): void {
+    this.turnTo(now);
+    this.current += 1;
+  }
+
+  /** Whether one more may be admitted at `now` on this host's own account. */
+  hasRoom(now: number): boolean {
+    this.turnTo(now);
+    const elapsed = now / this.windowMs - this.window;
+    return this.current < Math.max(Math.min(1, this.former), this.former * elapsed);
+  }
+
+  private turnTo(now: number): void {
+    const window = Math.floor(now / this.windowMs);
+    if (window === this.window) return;
+    this.former = window === this.window + 1 ? this.current : 0;
+    this.current = 0;
+    this.window = window;
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -34,3 +34,5 @@
 export * from './host-retirement.js';
 export * from './upstream-lapse.js';
 export * from './workspace.js';
+export * from './operation-allowance.js';
+export * from './demand-share.js';
--- a/packages/coordination/src/refusal.ts
+++ b/packages/coordination/src/refusal.ts
@@ -51,6 +51,7 @@
   TransactionIdle = 'transaction-idle',
   StatementTimeout = 'statement-timeout',
   UnknownKey = 'unknown-key',
+  OverLimit = 'over-limit',
 }
 
 /** What a refusal tells the caller. */
@@ -213,6 +214,12 @@
     'key belongs to no workspace of the configuration in force',
     0,
   ),
+  [RefusalReason.OverLimit]: rule(
+    Ran.No,
+    '53400',
+    'workspace has used up its limit of operations',
+    LATER_MS,
+  ),
   [RefusalReason.AlreadyRan]: rule(Ran.Yes, '23505', 'request id has run before', 0),
 };
 
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -2,15 +2,16 @@
  * One caller's session: its values, prepared names, transaction, and what it has seen of its own
  * commits. Statements are handled one after the other; the protocol around it is a codec's matter.
  */
-import type { GroupId, KeyHash, SessionPosition, WorkspaceId } from '@gladespool/coordination';
-import { admit, hashKey, RefusalReason } from '@gladespool/coordination';
+import type { GroupId, KeyHash, SessionPosition, Workspace } from '@gladespool/coordination';
+import { admit, hashKey, Ran, ranOf, RefusalReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { GatewayBoard } from '../board.js';
-import type { Executor, OpenTransaction } from '../home/job.js';
+import type { Executor, Job, OpenTransaction } from '../home/job.js';
+import type { OperationLimits } from '../limits/operation-limits.js';
 import type { Route } from '../model/catalog.js';
 import type { Outcome } from '../model/outcome.js';
-import { DONE, refused } from '../model/outcome.js';
+import { DONE, NOT_RUN, refused } from '../model/outcome.js';
 import type { PreparedShape, Statement, Work } from '../model/statement.js';
 import { StatementKind } from '../model/statement.js';
 import type { RequestJournal } from './request-journal.js';
@@ -33,13 +34,14 @@
 export interface SessionContext {
   readonly board: GatewayBoard;
   readonly executor: Executor;
+  readonly limits: OperationLimits;
   readonly journal: RequestJournal;
 }
 
 /** Where an operation runs and for whom, by the configuration in force when it began. */
 interface Place {
   readonly route: Route;
-  readonly workspace: WorkspaceId | undefined;
+  readonly workspace: Workspace | undefined;
 }
 
 /** A transaction from the caller's BEGIN on; it is opened at an upstream with its first statement. */
@@ -134,14 +136,14 @@
     const work = this.workOf(statement);
     if (work === undefined) return this.fail(refused(RefusalReason.UnknownStatement));
     if (this.open !== undefined) return this.runInside(id, work, now);
-    const place = this.place();
-    if (place.isErr()) return refused(place.error, this.database);
-    const { group } = place.value.route;
+    const admitted = await this.admitted(now);
+    if (admitted.isErr()) return admitted.error;
+    const place = admitted.value;
     const times = { beganAt: now, arrivedAt: now };
-    const own = this.own.get(group);
-    const job = { ...place.value, id, work, values: this.values, own, ...times };
+    const job = { ...this.jobAt(place), id, work, ...times };
     const outcome = await this.context.executor.run(job);
-    this.noteCommit(group, outcome);
+    if (!hasRun(outcome)) this.giveBack(place);
+    this.noteCommit(place.route.group, outcome);
     return outcome;
   }
 
@@ -170,10 +172,12 @@
     if (open === undefined) return notPinned(refused(RefusalReason.TransactionLost));
     if (open.pinned !== undefined) return { kind: 'pinned', pinned: open.pinned };
     const { place, readOnly, beganAt } = open;
-    const own = this.own.get(place.route.group);
-    const job = { ...place, id, readOnly, values: this.values, own, beganAt, arrivedAt: now };
+    const job = { ...this.jobAt(place), id, readOnly, beganAt, arrivedAt: now };
     const opened = await this.context.executor.begin(job);
-    if (opened.isErr()) return notPinned(opened.error);
+    if (opened.isErr()) {
+      this.giveBack(place);
+      return notPinned(opened.error);
+    }
     if (this.closed) {
       opened.value.rollback();
       return notPinned(refused(RefusalReason.TransactionLost, 'caller left'));
@@ -182,14 +186,14 @@
     return { kind: 'pinned', pinned: opened.value };
   }
 
-  private begin(readOnly: boolean, now: number): Outcome {
+  private async begin(readOnly: boolean, now: number): Promise<Outcome> {
     if (this.open !== undefined) {
       return this.fail(refused(RefusalReason.SessionMisuse, 'a transaction is open already'));
     }
-    const place = this.place();
-    if (place.isErr()) return refused(place.error, this.database);
+    const admitted = await this.admitted(now);
+    if (admitted.isErr()) return admitted.error;
     const state = { readOnly, beganAt: now, pinned: undefined, failed: false };
-    this.open = { ...state, place: place.value };
+    this.open = { ...state, place: admitted.value };
     return DONE;
   }
 
@@ -205,15 +209,37 @@
       case 'open':
         return ok({ route, workspace: undefined });
       case 'workspace':
-        return ok({ route, workspace: admission.workspace.id });
+        return ok({ route, workspace: admission.workspace });
     }
   }
 
+  /** Admits an operation that begins at `now`: where it runs, or why it is refused. */
+  private async admitted(now: number): Promise<Result<Place, Outcome>> {
+    const place = this.place();
+    if (place.isErr()) return err(refused(place.error, this.database));
+    const { workspace } = place.value;
+    const refusal = workspace && (await this.context.limits.admit(workspace, now));
+    return refusal === undefined ? ok(place.value) : err({ kind: 'refused', refusal });
+  }
+
+  /** Gives back an operation of which nothing ran. */
+  private giveBack({ workspace }: Place): void {
+    if (workspace !== undefined) this.context.limits.giveBack(workspace, performance.now());
+  }
+
+  /** What every job at a place has in common. */
+  private jobAt({ route, workspace }: Place): Pick<Job, 'route' | 'workspace' | 'values' | 'own'> {
+    const own = this.own.get(route.group);
+    return { route, workspace: workspace?.id, values: this.values, own };
+  }
+
   private rollback(): Outcome {
     if (this.open === undefined) {
       return refused(RefusalReason.SessionMisuse, 'no transaction is open');
     }
-    this.open.pinned?.rollback();
+    const { place, pinned } = this.open;
+    if (pinned === undefined) this.giveBack(place);
+    pinned?.rollback();
     this.open = undefined;
     return DONE;
   }
@@ -284,6 +310,18 @@
   | { readonly kind: 'pinned'; readonly pinned: OpenTransaction }
   | { readonly kind: 'failed'; readonly outcome: Outcome };
 
+/** Whether a single statement may have run at an upstream. */
+function hasRun(outcome: Outcome): boolean {
+  switch (outcome.kind) {
+    case 'completed':
+      return true;
+    case 'faulted':
+      return !NOT_RUN.has(outcome.fault);
+    case 'refused':
+      return ranOf(outcome.refusal) !== Ran.No;
+  }
+}
+
 function notPinned(outcome: Outcome): Pinning {
   return { kind: 'failed', outcome };
 }
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -22,6 +22,10 @@
 import { ReachNotes } from './forward/reach-notes.js';
 import { RoutedExecutor } from './forward/routed-executor.js';
 import type { GatewayRules } from './gateway-rules.js';
+import { AllowanceKeeper } from './limits/allowance-keeper.js';
+import { KeeperDirectory } from './limits/keeper-directory.js';
+import type { OperationLimits } from './limits/operation-limits.js';
+import { FleetLimits } from './limits/operation-limits.js';
 import { LocalExecutor } from './home/local-executor.js';
 import { PromotionPace } from './home/promotion-pace.js';
 import type { UpstreamDriver } from './model/upstream-wire.js';
@@ -62,6 +66,8 @@
   private timer: NodeJS.Timeout | undefined;
   /** Runs the work of sessions, here or on another host. */
   readonly routing: RoutedExecutor;
+  /** Admits operations of workspaces. */
+  readonly limits: OperationLimits;
 
   constructor(private readonly options: GatewayOptions) {
     const { self, metrics } = options;
@@ -80,6 +86,7 @@
     });
     this.control.network.addHandler(new ForwardService(this.executor, this.board));
     this.routing = this.createRouting();
+    this.limits = this.createLimits();
     this.callers = this.createCallers();
     this.isolation = this.createIsolationGuard();
     this.board.onChange(BoardSection.Hosts, () => {
@@ -151,6 +158,23 @@
     });
   }
 
+  private createLimits(): FleetLimits {
+    const { rules, self, metrics } = this.options;
+    const { tolerance } = rules;
+    const { board } = this;
+    const directory = new KeeperDirectory(board, performance.now());
+    const keeper = new AllowanceKeeper({
+      board,
+      directory,
+      tolerance,
+      authority: rules.home.authority,
+      log: createLogger('limits', { host: self.host }),
+    });
+    const { calls, network } = this.control;
+    network.addHandler(keeper);
+    return new FleetLimits({ board, directory, keeper, calls, tolerance, metrics });
+  }
+
   private createIsolationGuard(): IsolationGuard {
     const { rules, self } = this.options;
     return new IsolationGuard({
@@ -169,7 +193,7 @@
     const log = createLogger('caller', { host: self.host });
     const journal = new RequestJournal(this.board, metrics, log);
     return new CallerServer({
-      session: { board: this.board, executor: this.routing, journal },
+      session: { board: this.board, executor: this.routing, limits: this.limits, journal },
       createCodec,
       maxCallers: rules.maxCallers,
       startTimeoutMs: rules.startTimeoutMs,
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -1,7 +1,12 @@
 /**
  * Times and bounds of a gateway host.
  */
-import type { FailoverRules, LapseRules, RetirementRules } from '@gladespool/coordination';
+import type {
+  FailoverRules,
+  LapseRules,
+  LimitTolerance,
+  RetirementRules,
+} from '@gladespool/coordination';
 import type { SyncRules } from './control/sync-service.js';
 import type { DrainTimes } from './entry/caller-server.js';
 import type { HomeRules } from './home/group-home.js';
@@ -13,6 +18,8 @@
   readonly failover: FailoverRules;
   readonly retirement: RetirementRules;
   readonly lapse: LapseRules;
+  /** By how much workspaces may overrun their limits. */
+  readonly tolerance: LimitTolerance;
   readonly drain: DrainTimes;
   /** Callers' connections at most. */
   readonly maxCallers: number;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,6 +19,7 @@
 export * from './home/job.js';
 export * from './home/local-executor.js';
 export * from './home/prepared-connection.js';
+export * from './limits/operation-limits.js';
 export * from './model/catalog.js';
 export * from './model/outcome.js';
 export * from './model/statement.js';
--- /dev/null
+++ b/packages/gateway/src/limits/keeper-directory.ts
@@ -0,0 +1,53 @@
+/**
+ * Which host keeps the allowance of which workspace, from the hosts listed now. Every host works out
+ * the same without a message; a host that is killed gets its workspaces back when it returns.
+ */
+import type { HostId, WorkspaceId } from '@gladespool/coordination';
+import { rankCandidates, topCandidates } from '@gladespool/coordination';
+import type { GatewayBoard } from '../board.js';
+import { BoardSection } from '../board.js';
+
+/**
+ * Hosts for each keeper. Every operation asks once, so a keeper answers for eight hosts' operations: some
+ * 2 % of a core at the ten operations a second of a small host, and a host holds few links to keepers.
+ */
+const HOSTS_PER_KEEPER = 8;
+/** Keepers at least, so that the loss of one concerns a part of the workspaces only. */
+const LEAST_KEEPERS = 3;
+
+/** Keepers as this host sees them. */
+export class KeeperDirectory {
+  private keepers: readonly HostId[] = [];
+  private readonly byWorkspace = new Map<WorkspaceId, HostId>();
+  /** Local time since which the keepers are the present ones. */
+  since: number;
+
+  constructor(
+    private readonly board: GatewayBoard,
+    startedAt: number,
+  ) {
+    this.since = startedAt;
+    board.onChange(BoardSection.Hosts, () => {
+      this.review(performance.now());
+    });
+  }
+
+  /** The host that keeps the allowance of a workspace; undefined while no host is listed. */
+  keeperOf(workspace: WorkspaceId): HostId | undefined {
+    const held = this.byWorkspace.get(workspace);
+    if (held !== undefined) return held;
+    const [keeper] = rankCandidates(`allowance|${workspace}`, this.keepers);
+    if (keeper !== undefined) this.byWorkspace.set(workspace, keeper);
+    return keeper;
+  }
+
+  private review(now: number): void {
+    const hosts = [...this.board.hosts.keys()];
+    const count = Math.max(LEAST_KEEPERS, Math.ceil(hosts.length / HOSTS_PER_KEEPER));
+    const keepers = topCandidates('allowances', hosts, count);
+    if (keepers.join() === this.keepers.join()) return;
+    this.keepers = keepers;
+    this.byWorkspace.clear();
+    this.since = now;
+  }
+}
--- a/packages/gateway/src/model/catalog.ts
+++ b/packages/gateway/src/model/catalog.ts
@@ -6,6 +6,8 @@
   Consistency,
   GroupId,
   UpstreamId,
+  Workspace,
+  WorkspaceId,
   WorkspaceKeys,
 } from '@gladespool/coordination';
 
@@ -40,6 +42,8 @@
   readonly routes: ReadonlyMap<string, Route>;
   readonly groups: ReadonlyMap<GroupId, GroupBounds>;
   readonly keys: WorkspaceKeys;
+  /** The workspaces by name; none where no keys are asked for. */
+  readonly workspaces: ReadonlyMap<WorkspaceId, Workspace>;
   /** A transaction idle for longer is rolled back, milliseconds. */
   readonly transactionIdleMs: number;
 }
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -12,6 +12,7 @@
   DEFAULT_GAP,
   groupId,
   hostId,
+  NO_TOLERANCE,
   upstreamId,
 } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
@@ -47,6 +48,7 @@
     maxWaiting: 16,
     gap: DEFAULT_GAP,
   },
+  tolerance: NO_TOLERANCE,
   drain: { acceptMs: 0, transactionsMs: 10, endMs: 20 },
   maxCallers: 10,
   startTimeoutMs: 1000,
@@ -87,7 +89,8 @@
   async run(host: FakeHost, text: string): Promise<Outcome> {
     const { board } = host.gateway;
     const journal = new RequestJournal(board, host.metrics, createLogger('test'));
-    const session = new Session(DATABASE, KEY, { board, executor: host.gateway.routing, journal });
+    const { routing: executor, limits } = host.gateway;
+    const session = new Session(DATABASE, KEY, { board, executor, limits, journal });
     const access = text.startsWith('READ') ? Access.Read : Access.Write;
     const statement = { kind: StatementKind.Run, access, text } as const;
     const { outcome } = await session.handle(text, statement, performance.now());
@@ -194,6 +197,7 @@
       routes: new Map([[DATABASE, route]]),
       groups: new Map([[GROUP, bounds]]),
       keys: undefined,
+      workspaces: new Map(),
       transactionIdleMs: 1000,
     },
   };
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -23,7 +23,14 @@
   StatementJob,
   Work,
 } from '../src/index.js';
-import { DONE, GatewayBoard, RequestJournal, Session, StatementKind } from '../src/index.js';
+import {
+  DONE,
+  GatewayBoard,
+  RequestJournal,
+  Session,
+  StatementKind,
+  UNLIMITED,
+} from '../src/index.js';
 
 const DATABASE = 'db1';
 const GROUP = groupId('g1');
@@ -143,6 +150,7 @@
     routes: new Map(databases.map((database) => [database, { ...route, database }])),
     groups: new Map(),
     keys: world.keys,
+    workspaces: new Map(),
     transactionIdleMs: IDLE_MS,
   });
 }
@@ -153,7 +161,7 @@
   world.executor = new FakeExecutor();
   const journal = new RequestJournal(world.board, new HostMetrics(), createLogger('test'));
   const { board, executor } = world;
-  world.session = new Session(DATABASE, KEY, { board, executor, journal });
+  world.session = new Session(DATABASE, KEY, { board, executor, limits: UNLIMITED, journal });
 }
 
 async function send(world: SessionWorld, statements: readonly string[]): Promise<void> {
@@ -272,6 +280,7 @@
     this.session = new Session(DATABASE, key, {
       board: this.board,
       executor: this.executor,
+      limits: UNLIMITED,
       journal,
     });
   },
--- a/packages/gateway/tests/silent-link.steps.ts
+++ b/packages/gateway/tests/silent-link.steps.ts
@@ -94,6 +94,7 @@
     routes: new Map(),
     groups: new Map(),
     keys: undefined,
+    workspaces: new Map(),
     transactionIdleMs: IDLE_MS,
   });
   world.home = new CountingExecutor();
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -51,6 +51,12 @@
     registers: [this.registry],
   });
 
+  readonly limitsAlone = new Counter({
+    name: 'gladespool_limits_alone_total',
+    help: "Operations judged without the host that keeps their workspace's allowance",
+    registers: [this.registry],
+  });
+
   readonly statements = new Counter({
     name: 'gladespool_statements_total',
     help: 'Requests answered, by who served them',
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -53,6 +53,8 @@
   MissedReply = 'missed-reply',
   RenewAsk = 'renew-ask',
   RenewReply = 'renew-reply',
+  AllowanceAsk = 'allowance-ask',
+  AllowanceReply = 'allowance-reply',
   ForwardAsk = 'forward-ask',
   ForwardReply = 'forward-reply',
   ForwardRollback = 'forward-rollback',
@@ -376,6 +378,22 @@
     /** Every record of a primary that the sender knows, claims that it has acknowledged included. */
     items: z.array(storeItemSchema),
   }),
+  /** Asks the host that keeps a workspace's allowance for operations that may begin. */
+  z.object({
+    kind: z.literal(FrameKind.AllowanceAsk),
+    id,
+    workspace: z.string(),
+    wanted: count,
+  }),
+  z.object({
+    kind: z.literal(FrameKind.AllowanceReply),
+    id,
+    /** Whether the sender keeps this allowance; if not, the rest tells nothing. */
+    kept: z.boolean(),
+    granted: count,
+    /** When the next operation will be granted, milliseconds from now. */
+    retryAfterMs: count,
+  }),
   z.object({
     kind: z.literal(FrameKind.ForwardAsk),
     id,
