test(gateway): floods on several hosts at once, and questions to a keeper, in tables

Cause: the limits were tested as pure decisions only. Change: the fake deployment may have a workspace with a limit; its connections tell whose they are.

--- a/packages/gateway/src/limits/operation-limits.ts
+++ b/packages/gateway/src/limits/operation-limits.ts
@@ -28,9 +28,9 @@
 /** What the limits of a host work with. */
 export interface FleetLimitsOptions {
   readonly board: GatewayBoard;
-  readonly directory: KeeperDirectory;
-  readonly keeper: AllowanceKeeper;
-  readonly calls: PeerCalls;
+  readonly directory: Pick<KeeperDirectory, 'keeperOf'>;
+  readonly keeper: Pick<AllowanceKeeper, 'ask'>;
+  readonly calls: Pick<PeerCalls, 'ask' | 'isReachable'>;
   readonly tolerance: LimitTolerance;
   readonly metrics: HostMetrics;
 }
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -2,7 +2,7 @@
  * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { UpstreamId } from '@gladespool/coordination';
+import type { UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -11,9 +11,11 @@
   DEFAULT_FAILOVER,
   DEFAULT_GAP,
   groupId,
+  hashKey,
   hostId,
   NO_TOLERANCE,
   upstreamId,
+  workspaceId,
 } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
 import { freePort } from '@gladespool/standins';
@@ -34,6 +36,8 @@
 
 /** Key of the callers; the tests' configuration asks for none. */
 const KEY = 'k1';
+/** Workspace of that key, where there are any. */
+export const WORKSPACE = workspaceId('w1');
 
 const LOOPBACK = '127.0.0.1';
 const POLL_MS = 5;
@@ -68,6 +72,9 @@
   readonly group = new FakeGroup();
   readonly hosts: FakeHost[] = [];
 
+  /** Limit of the workspace of the callers' key; undefined while no keys are asked for. */
+  limit: WorkspaceLimit | undefined;
+
   /** Oldest data that reads may show, milliseconds; 0 for reads of the primary. */
   maxStalenessMs = 0;
 
@@ -148,7 +155,7 @@
       },
       callers: { address: LOOPBACK, port: 0 },
       store,
-      documents: { read: (key, text) => readDocument(key, text, this.maxStalenessMs) },
+      documents: { read: (key, text) => readDocument(key, text, this) },
       driver,
       promotions: this.group,
       createCodec: () => {
@@ -173,7 +180,7 @@
 function readDocument(
   key: string,
   text: string,
-  maxStalenessMs: number,
+  { maxStalenessMs, limit }: Pick<FakeDeployment, 'maxStalenessMs' | 'limit'>,
 ): ForeignDocument | undefined {
   if (key.startsWith('upstream/')) {
     return { kind: 'upstream', entry: JSON.parse(text) as UpstreamEntry };
@@ -196,8 +203,8 @@
       version: (JSON.parse(text) as { readonly version: number }).version,
       routes: new Map([[DATABASE, route]]),
       groups: new Map([[GROUP, bounds]]),
-      keys: undefined,
-      workspaces: new Map(),
+      keys: limit && new Map([[hashKey(KEY), { id: WORKSPACE, limit }]]),
+      workspaces: new Map(limit && [[WORKSPACE, { id: WORKSPACE, limit }]]),
       transactionIdleMs: 1000,
     },
   };
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -3,7 +3,13 @@
  * lost, promotions with growing terms.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { GladespoolError, GroupId, Position, UpstreamId } from '@gladespool/coordination';
+import type {
+  GladespoolError,
+  GroupId,
+  Position,
+  UpstreamId,
+  WorkspaceId,
+} from '@gladespool/coordination';
 import { gladespoolError, Step, UpstreamFault } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -37,8 +43,12 @@
   /** Calls for promotions that arrived, with the time at which they did. */
   readonly promotions: { readonly req: PromotionRequest; readonly at: number }[] = [];
   /** Statements that ran, by upstream. */
-  readonly ran: { readonly upstream: UpstreamId; readonly text: string; readonly at: number }[] =
-    [];
+  readonly ran: {
+    readonly upstream: UpstreamId;
+    readonly workspace: WorkspaceId | undefined;
+    readonly text: string;
+    readonly at: number;
+  }[] = [];
 
   promote(req: PromotionRequest): Promise<Result<PromotionAnswer, GladespoolError>> {
     const chosen = this.upstreams.get(req.upstream);
@@ -67,10 +77,11 @@
     entry: UpstreamEntry,
     _group: GroupId,
     timeoutMs: number,
+    workspace: WorkspaceId | undefined,
   ): Promise<Result<UpstreamWire, GladespoolError>> {
     const upstream = this.group.upstreams.get(entry.id);
     if (upstream !== undefined && !this.misses(upstream)) {
-      return ok(new FakeWire(this.group, upstream, () => this.misses(upstream)));
+      return ok(new FakeWire(this.group, upstream, workspace, () => this.misses(upstream)));
     }
     await pause(Math.min(timeoutMs, SILENCE_MS));
     return err(gladespoolError({ step: Step.UpstreamConnect, peer: entry.id }, 'silent'));
@@ -93,6 +104,7 @@
   constructor(
     private readonly group: FakeGroup,
     private readonly upstream: FakeUpstream,
+    private readonly workspace: WorkspaceId | undefined,
     private readonly isMissed: () => boolean,
   ) {}
 
@@ -133,7 +145,8 @@
       return { kind: 'faulted', fault, code: 'READONLY', text: upstream.id, position };
     }
     if (writes) group.commit(upstream);
-    group.ran.push({ upstream: upstream.id, text, at: performance.now() });
+    const { workspace } = this;
+    group.ran.push({ upstream: upstream.id, workspace, text, at: performance.now() });
     const rows = [upstream.id];
     return { kind: 'completed', rows, signature: 's', position: this.status().received };
   }
--- /dev/null
+++ b/packages/gateway/tests/workspace-limits-in-action.steps.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { Refusal, Workspace } from '@gladespool/coordination';
+import {
+  azId,
+  gladespoolError,
+  hostId,
+  retryAfterMsOf,
+  Step,
+  workspaceId,
+} from '@gladespool/coordination';
+import { HostMetrics } from '@gladespool/observability';
+import { FrameKind } from '@gladespool/protocol';
+import { err, ok } from 'neverthrow';
+import type { KeeperAnswer, Outcome } from '../src/index.js';
+import { FleetLimits, GatewayBoard } from '../src/index.js';
+import { FakeDeployment, WORKSPACE } from './fakes/fake-deployment.js';
+
+const MS_PER_SECOND = 1000;
+const KEEPER = hostId('keeper');
+const HOST = hostId('h1');
+const AZ = azId('z1');
+const LIMITED: Workspace = { id: workspaceId('w'), limit: { ratePerS: 10, burst: 10 } };
+const NOT_KEPT: KeeperAnswer = { kept: false, granted: 0, retryAfterMs: 0 };
+
+interface LimitsWorld {
+  deployment: FakeDeployment | undefined;
+  startedAt: number;
+  outcomes: readonly Outcome[];
+  limits: FleetLimits;
+  asked: number[];
+  ends: (Refusal | undefined)[];
+}
+
+Given(
+  '{int} hosts and a workspace that may run {int} operations a second and {int} at once',
+  async function (this: LimitsWorld, hosts: number, ratePerS: number, burst: number) {
+    this.startedAt = performance.now();
+    this.deployment = new FakeDeployment();
+    this.deployment.limit = { ratePerS, burst };
+    await this.deployment.start(hosts);
+  },
+);
+
+After(async function (this: Partial<LimitsWorld>) {
+  await this.deployment?.stop();
+});
+
+When(
+  'its callers ask for {int} operations on each host at once',
+  async function (this: LimitsWorld, count: number) {
+    const { deployment } = this;
+    assert.ok(deployment);
+    const running = deployment.hosts.flatMap((host) =>
+      Array.from({ length: count }, (_, index) => deployment.run(host, `READ ${index}`)),
+    );
+    this.outcomes = await Promise.all(running);
+  },
+);
+
+Then(
+  'no more ran than its limit allows, each on a connection of the workspace',
+  function (this: LimitsWorld) {
+    assert.ok(this.deployment?.limit);
+    const { limit, group } = this.deployment;
+    const elapsedS = (performance.now() - this.startedAt) / MS_PER_SECOND;
+    const completed = this.outcomes.filter(({ kind }) => kind === 'completed');
+    assert.ok(completed.length > 0);
+    assert.ok(completed.length <= limit.burst + limit.ratePerS * elapsedS);
+    assert.equal(group.ran.length, completed.length);
+    for (const { workspace } of group.ran) assert.equal(workspace, WORKSPACE);
+  },
+);
+
+Then(
+  'the others were refused as {string} and told when to come back',
+  function (this: LimitsWorld, reason: string) {
+    const refusals = this.outcomes.flatMap((outcome) =>
+      outcome.kind === 'refused' ? [outcome.refusal] : [],
+    );
+    assert.ok(refusals.length > 0);
+    for (const refusal of refusals) {
+      assert.equal(refusal.reason, reason);
+      assert.ok(retryAfterMsOf(refusal) > 0);
+    }
+  },
+);
+
+function parseAnswer(text: string): KeeperAnswer | undefined {
+  if (text === 'lost') return undefined;
+  if (text === 'none') return NOT_KEPT;
+  const [granted = 0, retryAfterMs = 0] = text.split('/').map(Number);
+  return { kept: true, granted, retryAfterMs };
+}
+
+Given('a keeper elsewhere that answers {string}', function (this: LimitsWorld, answers: string) {
+  const left = answers.split(',').map(parseAnswer);
+  const board = new GatewayBoard(HOST, AZ);
+  const entry = { az: AZ, address: '127.0.0.1', port: 1, incarnation: 1, linkMbps: 1 };
+  board.putHosts(new Map([[KEEPER, { ...entry, host: KEEPER }]]));
+  this.asked = [];
+  this.ends = [];
+  this.limits = new FleetLimits({
+    board,
+    directory: { keeperOf: () => KEEPER },
+    keeper: { ask: () => NOT_KEPT },
+    calls: {
+      isReachable: () => true,
+      ask: (_peer, build) => {
+        const frame = build(1);
+        assert.equal(frame.kind, FrameKind.AllowanceAsk);
+        this.asked.push(frame.wanted);
+        const answer = left.shift();
+        const place = { step: Step.PeerExchange, peer: KEEPER };
+        if (answer === undefined) return Promise.resolve(err(gladespoolError(place, 'silent')));
+        return Promise.resolve(ok({ kind: FrameKind.AllowanceReply, id: 1, ...answer }));
+      },
+    },
+    tolerance: { windowS: 5, overrun: 0, slack: 0 },
+    metrics: new HostMetrics(),
+  });
+});
+
+async function play(world: LimitsWorld, event: string): Promise<void> {
+  const [what, count = '1'] = event.split(':');
+  const now = performance.now();
+  if (what === 'give-back') {
+    world.limits.giveBack(LIMITED, now);
+    return;
+  }
+  const asking = Array.from({ length: Number(count) }, () => world.limits.admit(LIMITED, now));
+  world.ends.push(...(await Promise.all(asking)));
+}
+
+When('this happens on a host: {string}', async function (this: LimitsWorld, events: string) {
+  for (const event of events.split(',')) await play(this, event);
+});
+
+Then(
+  'the operations end as {string} after questions for {string}',
+  function (this: LimitsWorld, ends: string, asked: string) {
+    assert.equal(this.ends.map((end) => end?.reason ?? 'in').join(','), ends);
+    assert.equal(this.asked.join(','), asked);
+  },
+);
