feat(coordination): each workspace has homes of its own where connections are bound to workspaces

Ruled out: more connections for the same homes (the budget is 29 for an upstream). Change: where there are more workspaces than a home has connections, one host of each zone is a home, with 0.8 of the budget in all, and a workspace's work goes to the homes in an order of its own; reads go to an upstream with a free connection of their workspace, then to one with room.

--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -1,9 +1,12 @@
 /**
  * How many hosts of each zone hold connections to the upstreams of a group, and how many each.
  * With few hosts every host holds its own; with many, a few of each zone hold them for the others.
+ * Where connections serve one workspace each and there are more workspaces than a home has
+ * connections, one host of each zone is a home, and each workspace has homes of its own.
  */
 import { homesOf } from './homes.js';
-import type { AzId, GroupId, HostId } from './ids.js';
+import type { AzId, GroupId, HostId, WorkspaceId } from './ids.js';
+import { rankCandidates } from './rendezvous.js';
 
 /** A host as far as homes are concerned. */
 export interface HomeCandidate {
@@ -19,15 +22,24 @@
   readonly perSlot: number;
   /** Least number of connections for which it is worth being a home. */
   readonly leastPerHome: number;
+  /** Part of an upstream's connections that is used where each serves one workspace. */
+  readonly boundShare: number;
 }
 
 /**
  * 0.6: an upstream counts the connections of dark hosts for 3 s more; the rest lets most of them in again
  * at once after a power loss of all hosts. With 0.5 transactions wait for connections
  * (docs/DECISIONS.md). Six a slot: one running, one queued, the others in transactions or hosts with
- * nothing to do. Two a home: one transaction and one read.
+ * nothing to do. Two a home: one transaction and one read. 0.8 where connections serve one workspace
+ * each: mostly they rest, and each more saves opening others; a home that goes dark leaves a third of them
+ * dark, and the rest covers the hosts that stand in.
  */
-export const DEFAULT_SHARES: ShareRules = { usableShare: 0.6, perSlot: 6, leastPerHome: 2 };
+export const DEFAULT_SHARES: ShareRules = {
+  usableShare: 0.6,
+  perSlot: 6,
+  leastPerHome: 2,
+  boundShare: 0.8,
+};
 
 /** What upstreams of a group allow. */
 export interface UpstreamRoom {
@@ -35,12 +47,16 @@
   readonly connections: number;
   /** Statements that one upstream runs at once. */
   readonly slots: number;
+  /** Workspaces, each of which needs connections of its own; 0 where connections serve everybody. */
+  readonly workspaces: number;
 }
 
 /** The homes of a group in all zones, and the connections to each upstream that each may hold. */
 export interface HomePlan {
   readonly homes: ReadonlyMap<AzId, readonly HostId[]>;
   readonly connectionsPerHome: number;
+  /** Whether each workspace has homes of its own, of whatever zone. */
+  readonly byWorkspace: boolean;
 }
 
 /** Plans the homes of a group from the hosts that live, by zone; every host computes the same plan. */
@@ -49,14 +65,62 @@
   zones: ReadonlyMap<AzId, readonly HostId[]>,
   room: UpstreamRoom,
   rules: ShareRules = DEFAULT_SHARES,
+): HomePlan {
+  const shared = planShared(group, zones, room, rules);
+  if (room.workspaces <= shared.connectionsPerHome) return shared;
+  return planByWorkspace(group, zones, room, rules);
+}
+
+/** Homes of every zone for the callers of that zone. */
+function planShared(
+  group: GroupId,
+  zones: ReadonlyMap<AzId, readonly HostId[]>,
+  room: UpstreamRoom,
+  rules: ShareRules,
 ): HomePlan {
   const allowed = Math.floor(room.connections * rules.usableShare);
   const usable = Math.min(allowed, room.slots * rules.perSlot);
   const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
-  const homes = new Map<AzId, readonly HostId[]>();
-  for (const [az, ids] of zones) homes.set(az, homesOf(group, ids, perZone));
-  const count = [...homes.values()].reduce((sum, ids) => sum + ids.length, 0);
-  return { homes, connectionsPerHome: Math.max(1, Math.floor(usable / Math.max(1, count))) };
+  const homes = homesOfZones(group, zones, perZone);
+  return { homes, connectionsPerHome: partOf(usable, homes), byWorkspace: false };
+}
+
+/**
+ * One home in each zone. A workspace's work then goes to one of them, which has a connection of it far
+ * more often than each of many homes would, and another zone's home takes over when it is lost.
+ */
+function planByWorkspace(
+  group: GroupId,
+  zones: ReadonlyMap<AzId, readonly HostId[]>,
+  room: UpstreamRoom,
+  rules: ShareRules,
+): HomePlan {
+  const homes = homesOfZones(group, zones, 1);
+  const usable = Math.floor(room.connections * rules.boundShare);
+  return { homes, connectionsPerHome: partOf(usable, homes), byWorkspace: true };
+}
+
+/** Homes of a group in the order in which a workspace's work goes to them, over all zones. */
+export function homesOfWorkspace(
+  plan: HomePlan,
+  group: GroupId,
+  workspace: WorkspaceId,
+): readonly HostId[] {
+  return rankCandidates(`home|${group}|${workspace}`, [...plan.homes.values()].flat());
+}
+
+function homesOfZones(
+  group: GroupId,
+  zones: ReadonlyMap<AzId, readonly HostId[]>,
+  perZone: number,
+): ReadonlyMap<AzId, readonly HostId[]> {
+  return new Map([...zones].map(([az, ids]) => [az, homesOf(group, ids, perZone)]));
+}
+
+/** Connections of each home. */
+function partOf(usable: number, homes: ReadonlyMap<AzId, readonly HostId[]>): number {
+  const count = [...homes.values()].flat().length;
+  return Math.max(1, Math.floor(usable / Math.max(1, count)));
 }
 
 /** The hosts of each zone; made once for the plans of all groups. */
--- a/packages/coordination/src/operation-allowance.ts
+++ b/packages/coordination/src/operation-allowance.ts
@@ -1,10 +1,10 @@
 /**
  * The allowance of a workspace: how many operations may begin now, over all hosts together. One host
- * at a time keeps it, a token bucket that is filled at the workspace's rate up to its burst.
+ * at a time keeps it: a token bucket that holds the workspace's burst and is filled at its rate.
  *
  * Load pattern: one workspace sends many times its usual for seconds, from all zones at once, while
- * hosts come and go. What it sends beyond its limit is refused at once; what lies below is never
- * refused for want of exact knowledge, so the bucket holds a part of the tolerance on top of the burst.
+ * hosts come and go. What it sends beyond its limit is refused at once; what lies below is not refused
+ * for want of exact knowledge, so the bucket is filled and holds more, by parts of the tolerance.
  */
 import type { WorkspaceLimit } from './workspace.js';
 
@@ -21,13 +21,15 @@
 /** Assumed where the settings tell nothing: the limit is exact. */
 export const NO_TOLERANCE: LimitTolerance = { windowS: 5, overrun: 0, slack: 0 };
 
+/** Part of a window's tolerance by which the bucket is filled faster. */
+const RATE_SHARE = 0.5;
 /** Part of the tolerance that the bucket holds on top of the burst. */
-const BUCKET_SHARE = 0.4;
+const BUCKET_SHARE = 0.15;
 /**
  * Part of the tolerance with which another keeper begins, so that two changes of the keeper in one window
  * stay within it. The rest is for operations that hosts admit on their own while they reach no keeper.
  */
-const BEGIN_SHARE = 0.2;
+const BEGIN_SHARE = 0.15;
 const MS_PER_SECOND = 1000;
 
 /** A bucket at some time. */
@@ -53,6 +55,11 @@
   return (limit.ratePerS * windowS + limit.burst) * overrun + slack;
 }
 
+/** Operations a second by which the bucket is filled. */
+function rateOf(limit: WorkspaceLimit, tolerance: LimitTolerance): number {
+  return limit.ratePerS + (sparePerWindow(limit, tolerance) * RATE_SHARE) / tolerance.windowS;
+}
+
 function capacityOf(limit: WorkspaceLimit, tolerance: LimitTolerance): number {
   return limit.burst + sparePerWindow(limit, tolerance) * BUCKET_SHARE;
 }
@@ -77,19 +84,20 @@
   wanted: number,
   now: number,
 ): AllowanceGrant {
-  const gained = ((now - allowance.at) / MS_PER_SECOND) * limit.ratePerS;
+  const ratePerS = rateOf(limit, tolerance);
+  const gained = ((now - allowance.at) / MS_PER_SECOND) * ratePerS;
   const level = Math.min(allowance.level + Math.max(0, gained), capacityOf(limit, tolerance));
   const granted = Math.min(wanted, Math.max(0, Math.floor(level)));
   const left = level - granted;
-  const retryAfterMs = left >= 1 ? 0 : waitForOne(left, limit);
+  const retryAfterMs = left >= 1 ? 0 : waitForOne(left, ratePerS);
   return { allowance: { level: left, at: now }, granted, retryAfterMs };
 }
 
 /** Longest wait that is told to callers, milliseconds; a rate of nothing never grants anything. */
 const MAX_WAIT_MS = 10_000;
 
-function waitForOne(level: number, limit: WorkspaceLimit): number {
-  if (limit.ratePerS <= 0) return MAX_WAIT_MS;
-  const waitMs = ((1 - level) / limit.ratePerS) * MS_PER_SECOND;
+function waitForOne(level: number, ratePerS: number): number {
+  if (ratePerS <= 0) return MAX_WAIT_MS;
+  const waitMs = ((1 - level) / ratePerS) * MS_PER_SECOND;
   return Math.max(1, Math.round(Math.min(waitMs, MAX_WAIT_MS)));
 }
--- a/packages/coordination/src/upstream-choice.ts
+++ b/packages/coordination/src/upstream-choice.ts
@@ -1,10 +1,21 @@
 /**
  * Which upstream serves a read: one of the own zone that serves it in comfort, else the one with the
- * least expected time; the primary at a surcharge.
+ * least expected time; the primary at a surcharge. Where connections serve one workspace each, one goes
+ * first that has a free connection of the read's workspace, and next one that has room for another.
  */
 import type { UpstreamId } from './ids.js';
 import type { RandomSource } from './random.js';
 
+/** What a home has for a workspace at an upstream. */
+export enum Reuse {
+  /** A free connection. */
+  Ready = 'ready',
+  /** Room to open one. */
+  Room = 'room',
+  /** Neither; a connection of another workspace would have to be closed. */
+  Full = 'full',
+}
+
 /** What a home knows of an upstream when it chooses. */
 export interface UpstreamLoad {
   readonly id: UpstreamId;
@@ -15,6 +26,8 @@
   readonly inFlight: number;
   /** Moving average of the time of an answer, milliseconds. */
   readonly meanMs: number;
+  /** What is there for the read's workspace; ready where connections serve everybody. */
+  readonly reuse: Reuse;
   /** Until when the upstream is to be avoided (lagging, busy, failing), local milliseconds. */
   readonly avoidUntil: number;
 }
@@ -44,11 +57,24 @@
   const open = loads.filter((load) => load.avoidUntil <= now);
   if (open.length === 0) return leastBy(loads, (load) => load.avoidUntil);
   const comfortMs = targetLatencyMs * COMFORT_SHARE;
-  const comfortable = open.filter((load) => load.isNear && expectedMs(load) <= comfortMs);
-  const candidates = comfortable.length > 0 ? comfortable : open;
+  const comfortable = open.filter((load) => expectedMs(load) <= comfortMs);
+  const near = reusable(comfortable).filter((load) => load.isNear);
+  const candidates = [near, reusable(comfortable), open].find((loads) => loads.length > 0) ?? [];
   return leastBy(candidates, (load) => expectedMs(load) * (1 + SPREAD * random.unit()));
 }
 
+/**
+ * Those with the best reuse. Opening a connection takes the time of a short statement at the upstream, and
+ * another workspace needs the one that is closed for it soon again.
+ */
+function reusable(loads: readonly UpstreamLoad[]): readonly UpstreamLoad[] {
+  for (const reuse of [Reuse.Ready, Reuse.Room]) {
+    const found = loads.filter((load) => load.reuse === reuse);
+    if (found.length > 0) return found;
+  }
+  return loads;
+}
+
 function expectedMs(load: UpstreamLoad): number {
   const surcharge = load.isPrimary ? PRIMARY_SURCHARGE : 1;
   return load.meanMs * (1 + load.inFlight) * surcharge;
--- a/packages/coordination/tests/reads-and-room.feature
+++ b/packages/coordination/tests/reads-and-room.feature
@@ -47,3 +47,32 @@
       | 3     | 3     | 4           | 3     | 1     | 1    | a tiny budget                        |
       | 1     | 1     | 23          | 3     | 1     | 13   | a single host                        |
       | 3     | 3     | 16          | 2     | 1     | 3    | Riga: few connections                |
+
+  Scenario Outline: With more workspaces than a home has connections, each workspace has its own homes
+    Given <workspaces> workspaces, 3 zones of 24 hosts and upstreams of <connections> connections
+    Then each zone has <homes> homes of <each> connections
+
+    Examples:
+      | workspaces | connections | homes | each | why                                    |
+      | 0          | 29          | 2     | 2    | connections serve everybody            |
+      | 2          | 29          | 2     | 2    | a home has one for each                |
+      | 3          | 29          | 1     | 7    | 0.8 of the budget, one home a zone     |
+      | 78         | 29          | 1     | 7    | Ramdin, shifted                        |
+      | 78         | 4           | 1     | 1    | a tiny budget                          |
+
+  Scenario: Workspaces spread over the homes of all zones
+    Given 78 workspaces, 3 zones of 24 hosts and upstreams of 29 connections
+    Then the first homes of 78 workspaces lie in 3 zones, and the next ones elsewhere
+
+  Scenario Outline: A read goes where its workspace has a free connection
+    Given upstreams loaded "<loads>"
+    Then a read at 1000 ms goes to "<chosen>"
+
+    Examples:
+      | loads                                                             | chosen | why                                      |
+      | b:replica:0:20:0:near:room,c:replica:0:20:0:far:ready             | c      | a free connection, though far            |
+      | b:replica:0:20:0:near:ready,c:replica:0:20:0:far:ready            | b      | the near one of two                      |
+      | b:replica:0:20:0:near:full,c:replica:0:20:0:far:room              | c      | room for another                         |
+      | b:replica:0:20:0:near:room,c:replica:4:20:0:far:ready             | b      | one whose queue is long is left          |
+      | b:replica:0:20:2000:near:ready,c:replica:0:20:0:far:full          | c      | one that lags is left                    |
+      | b:replica:0:20:0:near:full,c:replica:0:20:0:far:full              | b      | nowhere: the near one                    |
--- a/packages/gateway/src/forward/home-directory.ts
+++ b/packages/gateway/src/forward/home-directory.ts
@@ -1,8 +1,15 @@
 /**
  * Which hosts are homes of a group, from the hosts listed now.
  */
-import type { AzId, GroupId, HomePlan, HostId, UpstreamRoom } from '@gladespool/coordination';
-import { hostsByZone, planHomes, rankCandidates } from '@gladespool/coordination';
+import type {
+  AzId,
+  GroupId,
+  HomePlan,
+  HostId,
+  UpstreamRoom,
+  WorkspaceId,
+} from '@gladespool/coordination';
+import { homesOfWorkspace, hostsByZone, planHomes, rankCandidates } from '@gladespool/coordination';
 import type { GatewayBoard } from '../board.js';
 import { BoardSection } from '../board.js';
 
@@ -36,7 +43,8 @@
   private room(group: GroupId): UpstreamRoom {
     const connections = this.board.catalog?.groups.get(group)?.connectionsPerUpstream ?? 1;
     const slots = this.board.upstreamsOf(group).map((entry) => entry.slots);
-    return { connections, slots: Math.max(1, ...slots) };
+    const workspaces = this.board.catalog?.workspaces.size ?? 0;
+    return { connections, slots: Math.max(1, ...slots), workspaces };
   }
 
   /** Whether this host holds connections of the group; a host that is not listed yet does. */
@@ -46,6 +54,21 @@
     return this.plan(group).homes.get(board.az)?.includes(board.host) ?? true;
   }
 
+  /**
+   * Homes to ask for a workspace's work before this host does it itself, in order; none when it is the
+   * first of them.
+   */
+  homesBefore(group: GroupId, workspace: WorkspaceId | undefined): readonly HostId[] {
+    const { host } = this.board;
+    const plan = this.plan(group);
+    if (workspace === undefined || !plan.byWorkspace) {
+      return this.isHome(group) ? [] : this.homesFor(group, host);
+    }
+    const homes = homesOfWorkspace(plan, group, workspace);
+    const place = homes.indexOf(host);
+    return place < 0 ? homes : homes.slice(0, place);
+  }
+
   /** Homes of the own zone in the order in which `host` asks them, so that hosts spread over them. */
   homesFor(group: GroupId, host: HostId): readonly HostId[] {
     const homes = this.plan(group).homes.get(this.board.az) ?? [];
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -75,7 +75,7 @@
     const { job, needsPrimary } = attempt;
     const { group } = job.route;
     const now = performance.now();
-    const detours = this.reachable(this.detours(group, needsPrimary, now), now);
+    const detours = this.reachable(this.detours(job, needsPrimary, now), now);
     const first = await this.runElsewhere(attempt, detours);
     if (first !== undefined) return first;
     const own = await attempt.on(this.options.local);
@@ -142,12 +142,11 @@
   }
 
   /** Other hosts to ask first, the best one first; none when this host does it itself. */
-  private detours(group: GroupId, needsPrimary: boolean, now: number): readonly PeerAddress[] {
-    const { board, directory } = this.options;
+  private detours(job: Job, needsPrimary: boolean, now: number): readonly PeerAddress[] {
+    const { group } = job.route;
     const reaching = needsPrimary ? this.reachingPrimary(group, now) : [];
     if (reaching.length > 0) return this.addresses(reaching);
-    if (directory.isHome(group)) return [];
-    return this.addresses(directory.homesFor(group, board.host));
+    return this.addresses(this.options.directory.homesBefore(group, job.workspace));
   }
 
   /** Hosts that are known to reach the primary while this one misses it. */
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -22,6 +22,7 @@
   Priority,
   refuse,
   RetryReason,
+  Reuse,
 } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../board.js';
@@ -30,6 +31,7 @@
 import type { ReachNotes } from '../forward/reach-notes.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
+import type { Job } from './job.js';
 import type { PromotionPace } from './promotion-pace.js';
 import { UpstreamSlot } from './upstream-slot.js';
 
@@ -157,7 +159,7 @@
   /** The upstream that serves a read best, of those that pass `isAllowed`. */
   choose(
     isAllowed: (entry: UpstreamEntry) => boolean,
-    targetLatencyMs: number,
+    job: Pick<Job, 'route' | 'workspace'>,
     now: number,
   ): UpstreamEntry | undefined {
     const { board, random } = this.context;
@@ -171,10 +173,11 @@
         isNear: entry.az === board.az,
         inFlight: slot?.load ?? 0,
         meanMs: slot?.health.meanMs ?? 0,
+        reuse: slot?.reuseFor(job.workspace) ?? Reuse.Room,
         avoidUntil: slot?.health.avoidUntil ?? now,
       };
     });
-    const chosen = chooseUpstream(loads, targetLatencyMs, now, random);
+    const chosen = chooseUpstream(loads, job.route.targetLatencyMs, now, random);
     return entries.find((entry) => entry.id === chosen);
   }
 
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -38,7 +38,7 @@
   // A primary that is leaving still has every commit, and leads until it is replaced.
   const isPrimary = (entry: UpstreamEntry): boolean => entry.id === primary && authority;
   const choose = (passes: (entry: UpstreamEntry) => boolean): UpstreamEntry | undefined =>
-    home.choose(passes, job.route.targetLatencyMs, now);
+    home.choose(passes, job, now);
   const entry =
     choose((any) => isAllowed(any) && isFresh(any)) ??
     choose((any) => isPrimary(any) && isFresh(any)) ??
--- a/packages/gateway/src/home/upstream-slot.ts
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -8,6 +8,7 @@
   RefusalReason,
   WorkspaceId,
 } from '@gladespool/coordination';
+import { Reuse } from '@gladespool/coordination';
 import type { Lease, PoolLimits } from '@gladespool/pool';
 import { ConnectionPool } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
@@ -55,6 +56,11 @@
     return this.pool.connections;
   }
 
+  /** What is there for a statement of a workspace; all is where connections serve everybody. */
+  reuseFor(workspace: WorkspaceId | undefined): Reuse {
+    return workspace === undefined ? Reuse.Ready : this.pool.reuseFor(workspace);
+  }
+
   /** Lends a connection of a workspace, waiting at most `timeoutMs`. */
   acquire(
     priority: Priority,
