fix(gateway): a host that changed a primary acts on the same group again

Cause: the controller made a new state for a group whenever its record changed, and copied into it that an attempt was under way; the attempt ended in the state that it began with. So a host that had changed a group's primary once never acted on that group again, and as holder of the duty kept the others waiting for its window of 6 s. Change: one state for a group, whose times begin anew with each version of the record.

--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion-controller.ts
@@ -59,9 +59,12 @@
   readonly hosts: readonly HostId[];
 }
 
-/** What is known of one group. */
+/**
+ * What is known of one group. It is kept while the record changes, also by an attempt of this host, which
+ * ends in the state that it began with.
+ */
 interface GroupState {
-  /** Version of the record that `seenAt` belongs to. */
+  /** Version of the record that the times below belong to, but for `busy` and `notBefore`. */
   rank: number;
   /** Local time at which that version was first seen. */
   seenAt: number;
@@ -260,15 +263,15 @@
     const rank = recordRank(record);
     const held = this.groups.get(record.group);
     if (held?.rank === rank) return held;
-    const state: GroupState = {
+    const seen = {
       rank,
       seenAt: now,
-      busy: held?.busy ?? false,
-      notBefore: held?.notBefore ?? now,
       unlistedSince: undefined,
       drainingSince: undefined,
       leftToOtherUntil: Number.NEGATIVE_INFINITY,
     };
+    if (held !== undefined) return Object.assign(held, seen);
+    const state: GroupState = { ...seen, busy: false, notBefore: now };
     this.groups.set(record.group, state);
     return state;
   }
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -22,3 +22,10 @@
     Given 3 hosts that serve a group
     When the primary dies and the answer to the next change of the store is lost
     Then another upstream becomes the primary under one fence
+
+  Scenario: The primary is lost a second time soon after
+    Given 3 hosts that serve a group
+    When the primary dies
+    Then another upstream becomes the primary under one fence
+    When that one dies as well
+    Then the third upstream becomes the primary, called for by the same host
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { UpstreamId } from '@gladespool/coordination';
 import { RecordPhase, retryAfterMsOf } from '@gladespool/coordination';
 import type { ActionWorld } from './fakes/action-world.js';
 import { FORMER, host, killPrimary } from './fakes/action-world.js';
@@ -133,3 +134,31 @@
     killPrimary(this);
   },
 );
+
+When('that one dies as well', function (this: ActionWorld) {
+  const { deployment } = this;
+  const primary = deployment.primary();
+  const upstream = primary && deployment.group.upstreams.get(primary);
+  assert.ok(upstream);
+  upstream.dead = true;
+});
+
+Then(
+  'the third upstream becomes the primary, called for by the same host',
+  { timeout: 20_000 },
+  async function (this: ActionWorld) {
+    const { deployment } = this;
+    const { upstreams, promotions } = deployment.group;
+    await deployment.until(() => {
+      const primary = deployment.primary();
+      const phase = deployment.hosts[0]?.gateway.board.record(GROUP)?.phase;
+      return primary !== undefined && phase === RecordPhase.Serving && !isDead(primary);
+    });
+    const holders = new Set(promotions.map(({ req }) => req.holder));
+    assert.equal(holders.size, 1, 'the duty did not have to move');
+
+    function isDead(primary: UpstreamId): boolean {
+      return upstreams.get(primary)?.dead !== false;
+    }
+  },
+);
