feat(gateway): a host of another zone stands in for a keeper that is gone

Ruled out: a longer memory of what a host admitted (a host sees an operation of a workspace in seconds).

--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -30,7 +30,7 @@
  * 0.6: an upstream counts the connections of dark hosts for 3 s more; the rest lets most of them in again
  * at once after a power loss of all hosts. With 0.5 transactions wait for connections
  * (docs/DECISIONS.md). Six a slot: one running, one queued, the others in transactions or hosts with
- * nothing to do. Two a home: one transaction and one read. 0.8 where connections serve one workspace
+ * nothing to do. Two a home: one transaction and one read. 0.9 where connections serve one workspace
  * each: mostly they rest, and each more saves opening others; a home that goes dark leaves a third of them
  * dark, and the rest covers the hosts that stand in.
  */
@@ -38,7 +38,7 @@
   usableShare: 0.6,
   perSlot: 6,
   leastPerHome: 2,
-  boundShare: 0.8,
+  boundShare: 0.9,
 };
 
 /** What upstreams of a group allow. */
--- a/packages/coordination/src/operation-allowance.ts
+++ b/packages/coordination/src/operation-allowance.ts
@@ -65,8 +65,8 @@
 }
 
 /**
- * Allowance with which a host begins that has kept it since `since`. What was granted before is not
- * known, so the burst is not granted once more.
+ * Allowance with which a host begins whose rate counts from `since`, which may lie ahead. What was granted
+ * before is not known, so the burst is not granted once more.
  */
 export function begunAllowance(
   limit: WorkspaceLimit,
@@ -90,7 +90,7 @@
   const granted = Math.min(wanted, Math.max(0, Math.floor(level)));
   const left = level - granted;
   const retryAfterMs = left >= 1 ? 0 : waitForOne(left, ratePerS);
-  return { allowance: { level: left, at: now }, granted, retryAfterMs };
+  return { allowance: { level: left, at: Math.max(now, allowance.at) }, granted, retryAfterMs };
 }
 
 /** Longest wait that is told to callers, milliseconds; a rate of nothing never grants anything. */
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -163,14 +163,18 @@
     const { tolerance } = rules;
     const { board } = this;
     const directory = new KeeperDirectory(board, performance.now());
+    const { calls, network } = this.control;
     const keeper = new AllowanceKeeper({
       board,
       directory,
+      isReachable: (host, now) => {
+        const peer = board.hosts.get(host);
+        return peer !== undefined && calls.isReachable(peer, now);
+      },
       tolerance,
       authority: rules.home.authority,
       log: createLogger('limits', { host: self.host }),
     });
-    const { calls, network } = this.control;
     network.addHandler(keeper);
     return new FleetLimits({ board, directory, keeper, calls, tolerance, metrics });
   }
--- a/packages/gateway/src/limits/allowance-keeper.ts
+++ b/packages/gateway/src/limits/allowance-keeper.ts
@@ -1,11 +1,15 @@
 /**
- * Keeps the allowances of the workspaces that fall to this host, for all hosts.
+ * Keeps the allowances of the workspaces that fall to this host, for all hosts, and stands in for keepers
+ * of other zones that it does not reach. A stand-in begins with a part of the tolerance, and grants the
+ * rate once the keeper, if it is cut off, has surely stopped: a host without a proof keeps nothing.
  */
 import type {
   Allowance,
   AuthorityRules,
+  HostId,
   LimitTolerance,
   WorkspaceId,
+  WorkspaceLimit,
 } from '@gladespool/coordination';
 import { begunAllowance, grantOperations, workspaceId } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
@@ -13,12 +17,15 @@
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard } from '../board.js';
+import { BoardSection } from '../board.js';
 import type { KeeperDirectory } from './keeper-directory.js';
 
 /** What a keeper works on. */
 export interface AllowanceKeeperOptions {
   readonly board: GatewayBoard;
-  readonly directory: KeeperDirectory;
+  readonly directory: Pick<KeeperDirectory, 'keepersOf' | 'since'>;
+  /** Whether another host answers this one, as far as is known at `now`. */
+  readonly isReachable: (host: HostId, now: number) => boolean;
   readonly tolerance: LimitTolerance;
   readonly authority: AuthorityRules;
   readonly log: Logger;
@@ -35,31 +42,49 @@
 
 interface Kept {
   allowance: Allowance;
-  /** Local time since which it has been kept here. */
+  /** Local time from which the rate is granted here. */
   readonly since: number;
+  lastAskedAt: number;
   /** Whether the latest question was granted in full. */
   isOpen: boolean;
 }
 
+/** What a host is for an allowance. */
+enum Role {
+  Keeper = 'keeper',
+  StandIn = 'stand-in',
+  None = 'none',
+}
+
+/** Time without a question after which a stand-in begins anew, milliseconds: longer than any window. */
+const STAND_IN_REST_MS = 10_000;
+
 const NOT_KEPT: KeeperAnswer = { kept: false, granted: 0, retryAfterMs: 0 };
 
 /** Keeper of one host. */
 export class AllowanceKeeper implements PeerHandler {
   private readonly kept = new Map<WorkspaceId, Kept>();
+  private readonly stoodIn = new Map<WorkspaceId, Kept>();
+  /** Local time of the latest proof. */
+  private provedAt = Number.NEGATIVE_INFINITY;
+  /** Local time since which this host has had proofs without a gap. */
+  private provenSince = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly options: AllowanceKeeperOptions) {}
+  constructor(private readonly options: AllowanceKeeperOptions) {
+    options.board.onChange(BoardSection.Proof, () => {
+      this.noteProof(performance.now());
+    });
+  }
 
   /** Grants up to `wanted` operations of a workspace at `now`. */
   ask(workspace: WorkspaceId, wanted: number, now: number): KeeperAnswer {
-    const { board, tolerance, directory } = this.options;
+    const { board, tolerance } = this.options;
     const limit = board.catalog?.workspaces.get(workspace)?.limit;
-    if (limit === undefined || !this.mayKeep(workspace, now)) return NOT_KEPT;
-    const held = this.kept.get(workspace);
-    const begun = { allowance: begunAllowance(limit, tolerance, directory.since) };
-    const kept = held ?? { ...begun, since: directory.since, isOpen: true };
+    const kept = limit && this.allowanceOf(workspace, limit, now);
+    if (limit === undefined || kept === undefined) return NOT_KEPT;
     const grant = grantOperations(kept.allowance, limit, tolerance, wanted, now);
     kept.allowance = grant.allowance;
-    this.kept.set(workspace, kept);
+    kept.lastAskedAt = now;
     this.noteChange(workspace, kept, grant.granted === wanted);
     return { kept: true, granted: grant.granted, retryAfterMs: grant.retryAfterMs };
   }
@@ -75,13 +100,59 @@
     // What was granted over a lost link counts as used.
   }
 
+  /** The allowance to grant from at `now`; undefined when others have to. */
+  private allowanceOf(
+    workspace: WorkspaceId,
+    limit: WorkspaceLimit,
+    now: number,
+  ): Kept | undefined {
+    switch (this.roleFor(workspace, now)) {
+      case Role.Keeper: {
+        const since = Math.max(this.options.directory.since, this.provenSince);
+        return this.held(this.kept, workspace, () => this.begin(limit, since, now));
+      }
+      case Role.StandIn: {
+        const { proofLifeMs, marginMs } = this.options.authority;
+        const held = this.stoodIn.get(workspace);
+        const isOver = held !== undefined && now - held.lastAskedAt > STAND_IN_REST_MS;
+        if (isOver) this.stoodIn.delete(workspace);
+        const from = now + proofLifeMs + marginMs;
+        return this.held(this.stoodIn, workspace, () => this.begin(limit, from, now));
+      }
+      case Role.None:
+        return undefined;
+    }
+  }
+
+  private held(all: Map<WorkspaceId, Kept>, workspace: WorkspaceId, begin: () => Kept): Kept {
+    const kept = all.get(workspace) ?? begin();
+    all.set(workspace, kept);
+    return kept;
+  }
+
+  private begin(limit: WorkspaceLimit, since: number, now: number): Kept {
+    const allowance = begunAllowance(limit, this.options.tolerance, since);
+    return { allowance, since, lastAskedAt: now, isOpen: true };
+  }
+
   /** A host that is cut off keeps nothing: the others may have taken its place. */
-  private mayKeep(workspace: WorkspaceId, now: number): boolean {
-    const { board, directory, authority } = this.options;
-    const mayKeep =
-      directory.keeperOf(workspace) === board.host && !board.isIsolated(now, authority);
-    if (!mayKeep) this.kept.delete(workspace);
-    return mayKeep;
+  private roleFor(workspace: WorkspaceId, now: number): Role {
+    const { board, directory, authority, isReachable } = this.options;
+    if (board.isIsolated(now, authority)) return Role.None;
+    const [keeper, standIn] = directory.keepersOf(workspace);
+    if (keeper === board.host) return Role.Keeper;
+    if (standIn !== board.host || keeper === undefined) return Role.None;
+    return isReachable(keeper, now) ? Role.None : Role.StandIn;
+  }
+
+  /** After a gap another host may have stood in, and what was kept before is forgotten. */
+  private noteProof(now: number): void {
+    const { proofLifeMs } = this.options.authority;
+    if (now - this.provedAt >= proofLifeMs) {
+      this.kept.clear();
+      this.provenSince = now;
+    }
+    this.provedAt = now;
   }
 
   /** One line when a workspace reaches its limit and one when it is below it again. */
@@ -92,7 +163,7 @@
     log.info(isOpen ? 'limit-left' : 'limit-reached', {
       workspace,
       catalog_version: board.catalog?.version,
-      kept_ms: Math.round(performance.now() - kept.since),
+      kept_ms: Math.round(kept.lastAskedAt - kept.since),
     });
   }
 }
--- a/packages/gateway/src/limits/keeper-directory.ts
+++ b/packages/gateway/src/limits/keeper-directory.ts
@@ -1,6 +1,7 @@
 /**
- * Which host keeps the allowance of which workspace, from the hosts listed now. Every host works out
- * the same without a message; a host that is killed gets its workspaces back when it returns.
+ * Which host keeps the allowance of which workspace, and which stands in for it, from the hosts listed
+ * now. Every host works out the same without a message; a host that is killed gets its workspaces back
+ * when it returns.
  */
 import type { HostId, WorkspaceId } from '@gladespool/coordination';
 import { rankCandidates, topCandidates } from '@gladespool/coordination';
@@ -18,7 +19,7 @@
 /** Keepers as this host sees them. */
 export class KeeperDirectory {
   private keepers: readonly HostId[] = [];
-  private readonly byWorkspace = new Map<WorkspaceId, HostId>();
+  private readonly byWorkspace = new Map<WorkspaceId, readonly HostId[]>();
   /** Local time since which the keepers are the present ones. */
   since: number;
 
@@ -32,13 +33,21 @@
     });
   }
 
-  /** The host that keeps the allowance of a workspace; undefined while no host is listed. */
-  keeperOf(workspace: WorkspaceId): HostId | undefined {
+  /**
+   * The host that keeps the allowance of a workspace, and one of another zone that stands in for it; none
+   * while no host is listed.
+   */
+  keepersOf(workspace: WorkspaceId): readonly HostId[] {
     const held = this.byWorkspace.get(workspace);
     if (held !== undefined) return held;
-    const [keeper] = rankCandidates(`allowance|${workspace}`, this.keepers);
-    if (keeper !== undefined) this.byWorkspace.set(workspace, keeper);
-    return keeper;
+    const [keeper, ...others] = rankCandidates(`allowance|${workspace}`, this.keepers);
+    if (keeper === undefined) return [];
+    const { hosts } = this.board;
+    const zone = hosts.get(keeper)?.az;
+    const standIn = others.find((host) => hosts.get(host)?.az !== zone) ?? others[0];
+    const keepers = standIn === undefined ? [keeper] : [keeper, standIn];
+    this.byWorkspace.set(workspace, keepers);
+    return keepers;
   }
 
   private review(now: number): void {
--- a/packages/gateway/src/limits/operation-limits.ts
+++ b/packages/gateway/src/limits/operation-limits.ts
@@ -2,7 +2,13 @@
  * Admits operations of workspaces within their limits. Each asks the keeper of its workspace's
  * allowance first; operations that begin meanwhile share the next question.
  */
-import type { LimitTolerance, Refusal, Workspace, WorkspaceId } from '@gladespool/coordination';
+import type {
+  HostId,
+  LimitTolerance,
+  Refusal,
+  Workspace,
+  WorkspaceId,
+} from '@gladespool/coordination';
 import { DemandShare, refuse, RefusalReason } from '@gladespool/coordination';
 import type { HostMetrics } from '@gladespool/observability';
 import { FrameKind } from '@gladespool/protocol';
@@ -28,7 +34,7 @@
 /** What the limits of a host work with. */
 export interface FleetLimitsOptions {
   readonly board: GatewayBoard;
-  readonly directory: Pick<KeeperDirectory, 'keeperOf'>;
+  readonly directory: Pick<KeeperDirectory, 'keepersOf'>;
   readonly keeper: Pick<AllowanceKeeper, 'ask'>;
   readonly calls: Pick<PeerCalls, 'ask' | 'isReachable'>;
   readonly tolerance: LimitTolerance;
@@ -40,8 +46,11 @@
  * tenth of a second, and what an operation waits is missing from its target latency.
  */
 const ASK_TIMEOUT_MS = 120;
-/** Time for which a keeper that gave no answer is not asked again, milliseconds. */
-const LOST_PAUSE_MS = 300;
+/**
+ * Time for which nobody is asked after no keeper gave an answer, milliseconds. A keeper that is gone is
+ * known to be silent after 200 ms, and its stand-in knows the same by then.
+ */
+const LOST_PAUSE_MS = 100;
 /** Time for which an operation that was given back may be used for another one, milliseconds. */
 const GIVEN_BACK_MS = 1000;
 const MS_PER_SECOND = 1000;
@@ -110,23 +119,32 @@
       account.waiting = [];
       const answer = await this.ask(workspace, asking.length);
       const now = performance.now();
-      if (answer?.kept === true) settleBy(workspace, account, asking, answer, now);
+      if (answer !== undefined) settleBy(workspace, account, asking, answer, now);
       else this.settleAlone(workspace, account, asking, now);
     }
     account.asking = false;
   }
 
-  private ask(workspace: WorkspaceId, wanted: number): Promise<KeeperAnswer | undefined> {
+  /** Asks the keeper, and its stand-in if the keeper gives no answer. */
+  private async ask(workspace: WorkspaceId, wanted: number): Promise<KeeperAnswer | undefined> {
     const { board, directory, keeper } = this.options;
-    const host = directory.keeperOf(workspace);
-    if (host !== board.host) return this.askPeer(workspace, wanted);
-    return Promise.resolve(keeper.ask(workspace, wanted, performance.now()));
+    for (const host of directory.keepersOf(workspace)) {
+      const isOwn = host === board.host;
+      const answer = isOwn
+        ? keeper.ask(workspace, wanted, performance.now())
+        : await this.askPeer(host, workspace, wanted);
+      if (answer?.kept === true) return answer;
+    }
+    return undefined;
   }
 
-  private async askPeer(workspace: WorkspaceId, wanted: number): Promise<KeeperAnswer | undefined> {
-    const { board, directory, calls } = this.options;
-    const host = directory.keeperOf(workspace);
-    const peer = host && board.hosts.get(host);
+  private async askPeer(
+    host: HostId,
+    workspace: WorkspaceId,
+    wanted: number,
+  ): Promise<KeeperAnswer | undefined> {
+    const { board, calls } = this.options;
+    const peer = board.hosts.get(host);
     if (peer === undefined || !calls.isReachable(peer, performance.now())) return undefined;
     const answer = await calls.ask(
       peer,
@@ -150,7 +168,7 @@
   /** Decides without the keeper. */
   private admitAlone(workspace: WorkspaceId, account: Account, now: number): Refusal | undefined {
     const { metrics, board } = this.options;
-    const host = this.options.directory.keeperOf(workspace);
+    const [host] = this.options.directory.keepersOf(workspace);
     metrics.limitsAlone.inc();
     if (account.share.hasRoom(now)) {
       account.share.note(now);
