perf(protocol): fields of frames that carry statements are written as numbers

Ruled out: leaving the route out (the home's configuration may be another version); the codec's records (they need state on each link). Change: the codec's key map for the fields of statements and allowances.

--- a/packages/protocol/src/peer/frame-codec.ts
+++ b/packages/protocol/src/peer/frame-codec.ts
@@ -14,7 +14,21 @@
 /** Largest frame, bytes; a whole answer must fit. */
 export const MAX_FRAME_BYTES = 20 * 1024 * 1024;
 
-const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+/**
+ * Fields that frames of statements carry, written as their place in this list: a forwarded read takes 172
+ * bytes in place of 364 and its answer 38 fewer (encoded by hand, 500 bytes of rows). A change of the order
+ * is another version of the protocol.
+ */
+const SHORT_FIELDS: readonly string[] = [
+  ...['kind', 'id', 'operation', 'request', 'transaction', 'route', 'readOnly', 'work', 'values'],
+  ...['own', 'beganMs', 'arrivedMs', 'workspace', 'database', 'group', 'consistency'],
+  ...['maxStalenessMs', 'timeoutMs', 'targetLatencyMs', 'priority', 'isPublic', 'access', 'text'],
+  ...['shape', 'args', 'epoch', 'position', 'term', 'offset', 'outcome', 'rows', 'signature'],
+  ...['committed', 'reason', 'detail', 'retryAfterMs', 'wanted', 'kept', 'granted'],
+];
+/** Places count from 1: the codec takes 0 for none. */
+const keyMap = Object.fromEntries(SHORT_FIELDS.map((field, index) => [field, index + 1]));
+const encoder = new Encoder({ useRecords: false, tagUint8Array: false, keyMap });
 
 /** Encodes one frame with its length. */
 export function encodeFrame(frame: Frame): Buffer {
--- a/packages/protocol/tests/decoders.feature
+++ b/packages/protocol/tests/decoders.feature
@@ -29,3 +29,6 @@
 
   Scenario: A frame larger than allowed is refused by its length alone
     Then a frame header of 1000000 bytes is refused by a decoder that allows 1000
+
+  Scenario: A forwarded read is short and comes out as it went in
+    Then a forwarded read of 16 bytes of id takes fewer than 200 bytes and its answer fewer than 80 beside its rows
--- a/packages/protocol/tests/decoders.steps.ts
+++ b/packages/protocol/tests/decoders.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { Then } from '@cucumber/cucumber';
 import type { SessionFloor } from '@gladespool/coordination';
-import { groupId } from '@gladespool/coordination';
+import { Access, Consistency, groupId } from '@gladespool/coordination';
 import fc from 'fast-check';
 import type { Frame, TokenKey } from '../src/index.js';
 import {
@@ -9,6 +9,7 @@
   decodeFrontend,
   decodeHead,
   encodeFrame,
+  ForwardOperation,
   FrameDecoder,
   FrameKind,
   isStartupBody,
@@ -148,3 +149,43 @@
 function plain(frame: Frame): unknown {
   return frame.kind === FrameKind.Proof ? { ...frame, mac: [...frame.mac] } : { ...frame };
 }
+
+Then(
+  'a forwarded read of {int} bytes of id takes fewer than {int} bytes and its answer fewer than {int} beside its rows',
+  (idBytes: number, askBytes: number, answerBytes: number) => {
+    const ask: Frame = {
+      kind: FrameKind.ForwardAsk,
+      id: 12_345,
+      operation: ForwardOperation.Run,
+      request: 'a'.repeat(idBytes),
+      transaction: 0,
+      route: {
+        database: 'ledgers',
+        group: 'ledger1',
+        consistency: Consistency.ReadYourWrites,
+        maxStalenessMs: 2500,
+        timeoutMs: 800,
+        targetLatencyMs: 201,
+        priority: 2,
+        isPublic: false,
+      },
+      workspace: 'notary1',
+      readOnly: false,
+      work: { access: Access.Read, text: 'READ 1a4' },
+      values: [],
+      own: { epoch: 3, position: { term: 3, offset: 1207 } },
+      beganMs: 0.3127,
+      arrivedMs: 0.3127,
+    };
+    const rows = ['x'.repeat(500)];
+    const signature = '7.1f3.c.2b.90e1c4d2a7b3f655';
+    const outcome = { kind: 'completed', rows, signature } as const;
+    const answer: Frame = { kind: FrameKind.ForwardReply, id: 12_345, transaction: 0, outcome };
+    for (const frame of [ask, answer]) {
+      const read = new FrameDecoder('test').push(encodeFrame(frame))._unsafeUnwrap();
+      assert.deepEqual(read, [frame]);
+    }
+    assert.ok(encodeFrame(ask).length < askBytes);
+    assert.ok(encodeFrame(answer).length - (rows[0]?.length ?? 0) < answerBytes + signature.length);
+  },
+);
