test(gateway): who grants operations while keepers are cut off, in a table

Cause: the roles of keeper and stand-in had no test of their own. Change: the time of a proof is an argument; 8 cases: keeper, stand-in before and after the keeper's proof has run out, a host without a proof, one whose proofs come again.

--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -176,6 +176,9 @@
       log: createLogger('limits', { host: self.host }),
     });
     network.addHandler(keeper);
+    board.onChange(BoardSection.Proof, () => {
+      keeper.noteProof(performance.now());
+    });
     return new FleetLimits({ board, directory, keeper, calls, tolerance, metrics });
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,7 +20,7 @@
 export * from './home/local-executor.js';
 export * from './home/prepared-connection.js';
 export * from './limits/operation-limits.js';
-export type { KeeperAnswer } from './limits/allowance-keeper.js';
+export * from './limits/allowance-keeper.js';
 export * from './model/catalog.js';
 export * from './model/outcome.js';
 export * from './model/statement.js';
--- a/packages/gateway/src/limits/allowance-keeper.ts
+++ b/packages/gateway/src/limits/allowance-keeper.ts
@@ -17,7 +17,6 @@
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard } from '../board.js';
-import { BoardSection } from '../board.js';
 import type { KeeperDirectory } from './keeper-directory.js';
 
 /** What a keeper works on. */
@@ -70,11 +69,7 @@
   /** Local time since which this host has had proofs without a gap. */
   private provenSince = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly options: AllowanceKeeperOptions) {
-    options.board.onChange(BoardSection.Proof, () => {
-      this.noteProof(performance.now());
-    });
-  }
+  constructor(private readonly options: AllowanceKeeperOptions) {}
 
   /** Grants up to `wanted` operations of a workspace at `now`. */
   ask(workspace: WorkspaceId, wanted: number, now: number): KeeperAnswer {
@@ -89,6 +84,19 @@
     return { kept: true, granted: grant.granted, retryAfterMs: grant.retryAfterMs };
   }
 
+  /**
+   * Notes a proof that came at `now`. After a gap another host may have stood in, and what was kept before
+   * is forgotten.
+   */
+  noteProof(now: number): void {
+    const { proofLifeMs } = this.options.authority;
+    if (now - this.provedAt >= proofLifeMs) {
+      this.kept.clear();
+      this.provenSince = now;
+    }
+    this.provedAt = now;
+  }
+
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind !== FrameKind.AllowanceAsk) return;
     const { id, workspace, wanted } = frame;
@@ -145,16 +153,6 @@
     return isReachable(keeper, now) ? Role.None : Role.StandIn;
   }
 
-  /** After a gap another host may have stood in, and what was kept before is forgotten. */
-  private noteProof(now: number): void {
-    const { proofLifeMs } = this.options.authority;
-    if (now - this.provedAt >= proofLifeMs) {
-      this.kept.clear();
-      this.provenSince = now;
-    }
-    this.provedAt = now;
-  }
-
   /** One line when a workspace reaches its limit and one when it is below it again. */
   private noteChange(workspace: WorkspaceId, kept: Kept, isOpen: boolean): void {
     if (kept.isOpen === isOpen) return;
--- a/packages/gateway/tests/workspace-limits-in-action.feature
+++ b/packages/gateway/tests/workspace-limits-in-action.feature
@@ -22,3 +22,20 @@
       | none,1/0      | ask:1                     | in                            | 1,1   | or keeps nothing                            |
       | lost,lost,1/0 | ask:1,ask:1               | over-limit,over-limit         | 1,1   | where both are lost, both are left for a moment |
       | lost,none,1/0 | ask:1,ask:1               | over-limit,over-limit         | 1,1   | the stand-in reaches the keeper             |
+
+  Scenario Outline: Who grants operations of a workspace
+    Given the host "<host>" where "k" keeps an allowance of 10 a second and "s" stands in
+    When it is asked for operations at "<asked>" while "<known>"
+    Then it grants "<granted>"
+
+    # asked = ms after its first proof:operations; no tolerance but 100 operations; the keeper began at 0
+    Examples:
+      | host | asked                     | known                  | granted | why                                             |
+      | k    | 500:100                   | all is well            | 25      | the begin, 15, and what came since, 20 a second |
+      | x    | 500:100                   | all is well            | none    | neither                                         |
+      | s    | 500:100                   | all is well            | none    | it reaches the keeper                           |
+      | s    | 500:100                   | it misses the keeper   | 15      | a part of the tolerance                         |
+      | s    | 500:100,1500:100          | it misses the keeper   | 15,0    | nothing until the keeper has surely stopped     |
+      | s    | 500:100,2600:100          | it misses the keeper   | 15,20   | from then on the rate                           |
+      | k    | 500:100,1600:100          | no proof comes         | 25,none | a host that is cut off grants nothing           |
+      | k    | 500:100,2500:100          | proofs come again at 2000 | 25,25 | and begins anew, without what it had        |
--- a/packages/gateway/tests/workspace-limits-in-action.steps.ts
+++ b/packages/gateway/tests/workspace-limits-in-action.steps.ts
@@ -3,17 +3,18 @@
 import type { Refusal, Workspace } from '@gladespool/coordination';
 import {
   azId,
+  DEFAULT_AUTHORITY,
   gladespoolError,
   hostId,
   retryAfterMsOf,
   Step,
   workspaceId,
 } from '@gladespool/coordination';
-import { HostMetrics } from '@gladespool/observability';
+import { createLogger, HostMetrics } from '@gladespool/observability';
 import { FrameKind } from '@gladespool/protocol';
 import { err, ok } from 'neverthrow';
 import type { KeeperAnswer, Outcome } from '../src/index.js';
-import { FleetLimits, GatewayBoard } from '../src/index.js';
+import { AllowanceKeeper, FleetLimits, GatewayBoard } from '../src/index.js';
 import { FakeDeployment, WORKSPACE } from './fakes/fake-deployment.js';
 
 const MS_PER_SECOND = 1000;
@@ -31,6 +32,8 @@
   limits: FleetLimits;
   asked: number[];
   ends: (Refusal | undefined)[];
+  keeperBoard: GatewayBoard;
+  granted: string;
 }
 
 Given(
@@ -144,3 +147,57 @@
     assert.equal(this.asked.join(','), asked);
   },
 );
+
+Given(
+  'the host {string} where "k" keeps an allowance of {int} a second and "s" stands in',
+  function (this: LimitsWorld, host: string, ratePerS: number) {
+    this.keeperBoard = new GatewayBoard(hostId(host), AZ);
+    const workspace = { ...LIMITED, limit: { ratePerS, burst: 10 } };
+    this.keeperBoard.putCatalog({
+      version: 1,
+      routes: new Map(),
+      groups: new Map(),
+      keys: new Map(),
+      workspaces: new Map([[LIMITED.id, workspace]]),
+      transactionIdleMs: 1000,
+    });
+  },
+);
+
+/** Times at which proofs come, by what is known; each second of them holds for one more. */
+const PROOFS: ReadonlyMap<string, readonly number[]> = new Map([
+  ['no proof comes', [0]],
+  ['proofs come again at 2000', [0, 2000]],
+]);
+const STEADY_PROOFS = [0, 500, 1000, 1500, 2000, 2500];
+
+When(
+  'it is asked for operations at {string} while {string}',
+  function (this: LimitsWorld, asked: string, known: string) {
+    const board = this.keeperBoard;
+    const keeper = new AllowanceKeeper({
+      board,
+      directory: { keepersOf: () => [hostId('k'), hostId('s')], since: 0 },
+      isReachable: () => known !== 'it misses the keeper',
+      tolerance: { windowS: 5, overrun: 0, slack: 100 },
+      authority: DEFAULT_AUTHORITY,
+      log: createLogger('test'),
+    });
+    const proofs = [...(PROOFS.get(known) ?? STEADY_PROOFS)];
+    const answers = asked.split(',').map((question) => {
+      const [at = 0, wanted = 0] = question.split(':').map(Number);
+      while (proofs[0] !== undefined && proofs[0] <= at) {
+        const provedAt = proofs.shift() ?? 0;
+        board.prove(provedAt);
+        keeper.noteProof(provedAt);
+      }
+      const answer = keeper.ask(LIMITED.id, wanted, at);
+      return answer.kept ? String(answer.granted) : 'none';
+    });
+    this.granted = answers.join(',');
+  },
+);
+
+Then('it grants {string}', function (this: LimitsWorld, granted: string) {
+  assert.equal(this.granted, granted);
+});
