feat(gateway): keys may end on hosts that can't learn of those taken away

Ruled out: ending sessions as well (operations are refused, and the balancer sends callers elsewhere). Change: a key counts only for so long after the configuration was surely the newest, where the settings say so.

--- a/packages/coordination/src/refusal.ts
+++ b/packages/coordination/src/refusal.ts
@@ -52,6 +52,7 @@
   StatementTimeout = 'statement-timeout',
   UnknownKey = 'unknown-key',
   OverLimit = 'over-limit',
+  KeysUnconfirmed = 'keys-unconfirmed',
 }
 
 /** What a refusal tells the caller. */
@@ -220,6 +221,12 @@
     'workspace has used up its limit of operations',
     LATER_MS,
   ),
+  [RefusalReason.KeysUnconfirmed]: rule(
+    Ran.No,
+    '57P03',
+    'host can not tell whether the key still counts',
+    LATER_MS,
+  ),
   [RefusalReason.AlreadyRan]: rule(Ran.Yes, '23505', 'request id has run before', 0),
 };
 
--- a/packages/coordination/src/workspace.ts
+++ b/packages/coordination/src/workspace.ts
@@ -32,6 +32,21 @@
   return createHash('sha256').update(key).digest('base64') as KeyHash;
 }
 
+/** Whether keys go on to count on a host that can't learn of those taken away. */
+export interface KeyRules {
+  /**
+   * Time after which a host that does not know its configuration to be the newest serves no key, milliseconds;
+   * undefined where keys count until their removal is known.
+   */
+  readonly unconfirmedLifeMs: number | undefined;
+}
+
+/** Whether keys count at `now` by a configuration that was surely the newest at `confirmedAt`. */
+export function keysCount(confirmedAt: number, now: number, rules: KeyRules): boolean {
+  const { unconfirmedLifeMs } = rules;
+  return unconfirmedLifeMs === undefined || now - confirmedAt <= unconfirmedLifeMs;
+}
+
 /** What an operation is admitted as. */
 export type Admission =
   /** It needs no key and belongs to no workspace. */
--- a/packages/gateway/src/board.ts
+++ b/packages/gateway/src/board.ts
@@ -41,6 +41,8 @@
   catalog: Catalog | undefined;
   upstreams: ReadonlyMap<UpstreamId, UpstreamEntry> = new Map();
   hosts: ReadonlyMap<HostId, HostEntry> = new Map();
+  /** Latest local time at which the configuration in force was surely the newest; -Infinity before. */
+  catalogConfirmedAt = Number.NEGATIVE_INFINITY;
   /** Whether this host is stopping. */
   draining = false;
   private readonly records = new Map<GroupId, PrimaryRecord>();
--- a/packages/gateway/src/control/store-view.ts
+++ b/packages/gateway/src/control/store-view.ts
@@ -112,6 +112,7 @@
   /** Notes that the documents held were those of the store at local time `at`. */
   noteCurrent(at: number): void {
     this.currentAt = Math.max(this.currentAt, at);
+    this.board.catalogConfirmedAt = this.currentAt;
   }
 
   /** Latest local time at which a host may have been taken off the list, as far as this view knows. */
--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -149,8 +149,9 @@
       return;
     }
     const session = new Session(database, who, this.options.session);
-    if (session.refusal !== undefined) {
-      this.refuse(session.refusal, database);
+    const refusal = session.refusalAt(performance.now());
+    if (refusal !== undefined) {
+      this.refuse(refusal, database);
       return;
     }
     this.session = session;
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -2,8 +2,14 @@
  * One caller's session: its values, prepared names, transaction, and what it has seen of its own
  * commits. Statements are handled one after the other; the protocol around it is a codec's matter.
  */
-import type { GroupId, KeyHash, SessionPosition, Workspace } from '@gladespool/coordination';
-import { admit, hashKey, Ran, ranOf, RefusalReason } from '@gladespool/coordination';
+import type {
+  GroupId,
+  KeyHash,
+  KeyRules,
+  SessionPosition,
+  Workspace,
+} from '@gladespool/coordination';
+import { admit, hashKey, keysCount, Ran, ranOf, RefusalReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { GatewayBoard } from '../board.js';
@@ -35,6 +41,7 @@
   readonly board: GatewayBoard;
   readonly executor: Executor;
   readonly limits: OperationLimits;
+  readonly keys: KeyRules;
   readonly journal: RequestJournal;
 }
 
@@ -78,9 +85,9 @@
     this.key = hashKey(key);
   }
 
-  /** Why an operation of this session would be refused now; undefined when it would not. */
-  get refusal(): RefusalReason | undefined {
-    const place = this.place();
+  /** Why an operation of this session would be refused at `now`; undefined when it would not. */
+  refusalAt(now: number): RefusalReason | undefined {
+    const place = this.place(now);
     return place.isErr() ? place.error : undefined;
   }
 
@@ -197,9 +204,9 @@
     return DONE;
   }
 
-  /** Where an operation that begins now runs, or why it is refused. */
-  private place(): Result<Place, RefusalReason> {
-    const { board } = this.context;
+  /** Where an operation that begins at `now` runs, or why it is refused. */
+  private place(now: number): Result<Place, RefusalReason> {
+    const { board, keys } = this.context;
     const route = board.route(this.database);
     if (route === undefined) return err(RefusalReason.UnknownGroup);
     const admission = admit(route.isPublic, board.catalog?.keys, this.key);
@@ -209,13 +216,16 @@
       case 'open':
         return ok({ route, workspace: undefined });
       case 'workspace':
+        if (!keysCount(board.catalogConfirmedAt, now, keys)) {
+          return err(RefusalReason.KeysUnconfirmed);
+        }
         return ok({ route, workspace: admission.workspace });
     }
   }
 
   /** Admits an operation that begins at `now`: where it runs, or why it is refused. */
   private async admitted(now: number): Promise<Result<Place, Outcome>> {
-    const place = this.place();
+    const place = this.place(now);
     if (place.isErr()) return err(refused(place.error, this.database));
     const { workspace } = place.value;
     const refusal = workspace && (await this.context.limits.admit(workspace, now));
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -200,7 +200,13 @@
     const log = createLogger('caller', { host: self.host });
     const journal = new RequestJournal(this.board, metrics, log);
     return new CallerServer({
-      session: { board: this.board, executor: this.routing, limits: this.limits, journal },
+      session: {
+        board: this.board,
+        executor: this.routing,
+        limits: this.limits,
+        keys: rules.keys,
+        journal,
+      },
       createCodec,
       maxCallers: rules.maxCallers,
       startTimeoutMs: rules.startTimeoutMs,
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -3,6 +3,7 @@
  */
 import type {
   FailoverRules,
+  KeyRules,
   LapseRules,
   LimitTolerance,
   RetirementRules,
@@ -18,6 +19,7 @@
   readonly failover: FailoverRules;
   readonly retirement: RetirementRules;
   readonly lapse: LapseRules;
+  readonly keys: KeyRules;
   /** By how much workspaces may overrun their limits. */
   readonly tolerance: LimitTolerance;
   readonly drain: DrainTimes;
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -52,6 +52,7 @@
     maxWaiting: 16,
     gap: DEFAULT_GAP,
   },
+  keys: { unconfirmedLifeMs: undefined },
   tolerance: NO_TOLERANCE,
   drain: { acceptMs: 0, transactionsMs: 10, endMs: 20 },
   maxCallers: 10,
@@ -97,7 +98,13 @@
     const { board } = host.gateway;
     const journal = new RequestJournal(board, host.metrics, createLogger('test'));
     const { routing: executor, limits } = host.gateway;
-    const session = new Session(DATABASE, KEY, { board, executor, limits, journal });
+    const session = new Session(DATABASE, KEY, {
+      board,
+      executor,
+      limits,
+      keys: RULES.keys,
+      journal,
+    });
     const access = text.startsWith('READ') ? Access.Read : Access.Write;
     const statement = { kind: StatementKind.Run, access, text } as const;
     const { outcome } = await session.handle(text, statement, performance.now());
--- a/packages/gateway/tests/session.feature
+++ b/packages/gateway/tests/session.feature
@@ -84,3 +84,18 @@
       | BEGIN,READ x   | k2=a      | WRITE x 1,COMMIT,READ x     | rows,rows,unknown-key             | what is open goes on to its end  |
       | READ x         | k1=b      | READ x                      | rows                              | moved to another workspace       |
       | READ x         | k1=a k3=c | READ x                      | rows                              | other keys come and go           |
+
+  Scenario Outline: Keys on a host that can't learn of those taken away
+    Given keys end <life> ms after a configuration was the newest, and one that was so <age> ms ago
+    And a session with key "<key>", workspaces "<workspaces>" and a "<route>" route
+    Then it would be refused as "<reason>", and a read runs for workspace "<runs for>"
+
+    # 0 ms: they count until their removal is known
+    Examples:
+      | life  | age    | key | workspaces | route   | reason           | runs for |
+      | 60000 | 0      | k1  | k1=a       | private |                  | a        |
+      | 60000 | 120000 | k1  | k1=a       | private | keys-unconfirmed |          |
+      | 60000 | 120000 | k1  | k1=a       | public  |                  |          |
+      | 60000 | 120000 | k2  | k1=a       | private | unknown-key      |          |
+      | 60000 | 120000 | k1  | none       | private |                  |          |
+      | 0     | 120000 | k1  | k1=a       | private |                  | a        |
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { WorkspaceKeys } from '@gladespool/coordination';
+import type { KeyRules, WorkspaceKeys } from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -37,6 +37,7 @@
 const COMMITTED = { epoch: 1, position: { term: 1, offset: 9 } };
 const IDLE_MS = 20;
 const KEY = 'k1';
+const KEYS: KeyRules = { unconfirmedLifeMs: undefined };
 
 /** Executor that answers everything with one row, and refuses works that begin with "!". */
 class FakeExecutor implements Executor, OpenTransaction {
@@ -82,6 +83,8 @@
   session: Session;
   /** Workspaces by key; undefined where the configuration asks for no keys. */
   keys: WorkspaceKeys;
+  keyRules: KeyRules | undefined;
+  confirmedAt: number | undefined;
   answers: readonly string[];
 }
 
@@ -161,7 +164,13 @@
   world.executor = new FakeExecutor();
   const journal = new RequestJournal(world.board, new HostMetrics(), createLogger('test'));
   const { board, executor } = world;
-  world.session = new Session(DATABASE, KEY, { board, executor, limits: UNLIMITED, journal });
+  world.session = new Session(DATABASE, KEY, {
+    board,
+    executor,
+    limits: UNLIMITED,
+    keys: KEYS,
+    journal,
+  });
 }
 
 async function send(world: SessionWorld, statements: readonly string[]): Promise<void> {
@@ -274,6 +283,7 @@
   function (this: SessionWorld, key: string, keys: string, access: string) {
     this.keys = parseKeys(keys);
     this.board = new GatewayBoard(hostId('h1'), azId('z1'));
+    this.board.catalogConfirmedAt = this.confirmedAt ?? Number.NEGATIVE_INFINITY;
     putRoutes(this, 1, [DATABASE], access === 'public');
     this.executor = new FakeExecutor();
     const journal = new RequestJournal(this.board, new HostMetrics(), createLogger('test'));
@@ -281,6 +291,7 @@
       board: this.board,
       executor: this.executor,
       limits: UNLIMITED,
+      keys: this.keyRules ?? KEYS,
       journal,
     });
   },
@@ -299,7 +310,7 @@
 Then(
   'it would be refused as {string}, and a read runs for workspace {string}',
   async function (this: SessionWorld, reason: string, workspace: string) {
-    assert.equal(this.session.refusal ?? '', reason);
+    assert.equal(this.session.refusalAt(performance.now()) ?? '', reason);
     await send(this, ['READ x']);
     assert.equal(this.executor.jobs.at(-1)?.workspace ?? '', workspace);
     this.session.close();
@@ -310,3 +321,11 @@
   assert.equal(this.answers.join(','), answers);
   this.session.close();
 });
+
+Given(
+  'keys end {int} ms after a configuration was the newest, and one that was so {int} ms ago',
+  function (this: SessionWorld, lifeMs: number, agoMs: number) {
+    this.keyRules = { unconfirmedLifeMs: lifeMs === 0 ? undefined : lifeMs };
+    this.confirmedAt = performance.now() - agoMs;
+  },
+);
