perf(gateway): a workspace's work goes to the home of its own zone first

Cause: with homes over all zones a cut of one zone took the homes of a third of the workspaces from the others, and most statements crossed zones. Change: the own zone's home first, then those of other zones in the workspace's order, then this host itself.

--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/connection-share.ts
@@ -2,7 +2,7 @@
  * How many hosts of each zone hold connections to the upstreams of a group, and how many each.
  * With few hosts every host holds its own; with many, a few of each zone hold them for the others.
  * Where connections serve one workspace each and there are more workspaces than a home has
- * connections, one host of each zone is a home, and each workspace has homes of its own.
+ * connections, one host of each zone is a home.
  */
 import { homesOf } from './homes.js';
 import type { AzId, GroupId, HostId, WorkspaceId } from './ids.js';
@@ -55,8 +55,8 @@
 export interface HomePlan {
   readonly homes: ReadonlyMap<AzId, readonly HostId[]>;
   readonly connectionsPerHome: number;
-  /** Whether each workspace has homes of its own, of whatever zone. */
-  readonly byWorkspace: boolean;
+  /** Whether connections serve one workspace each, and are too few for all at once. */
+  readonly isBound: boolean;
 }
 
 /** Plans the homes of a group from the hosts that live, by zone; every host computes the same plan. */
@@ -68,7 +68,7 @@
 ): HomePlan {
   const shared = planShared(group, zones, room, rules);
   if (room.workspaces <= shared.connectionsPerHome) return shared;
-  return planByWorkspace(group, zones, room, rules);
+  return planBound(group, zones, room, rules);
 }
 
 /** Homes of every zone for the callers of that zone. */
@@ -82,14 +82,11 @@
   const usable = Math.min(allowed, room.slots * rules.perSlot);
   const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
   const homes = homesOfZones(group, zones, perZone);
-  return { homes, connectionsPerHome: partOf(usable, homes), byWorkspace: false };
+  return { homes, connectionsPerHome: partOf(usable, homes), isBound: false };
 }
 
-/**
- * One home in each zone. A workspace's work then goes to one of them, which has a connection of it far
- * more often than each of many homes would, and another zone's home takes over when it is lost.
- */
-function planByWorkspace(
+/** One home in each zone, which has a connection of a workspace more often than each of several would. */
+function planBound(
   group: GroupId,
   zones: ReadonlyMap<AzId, readonly HostId[]>,
   room: UpstreamRoom,
@@ -97,10 +94,10 @@
 ): HomePlan {
   const homes = homesOfZones(group, zones, 1);
   const usable = Math.floor(room.connections * rules.boundShare);
-  return { homes, connectionsPerHome: partOf(usable, homes), byWorkspace: true };
+  return { homes, connectionsPerHome: partOf(usable, homes), isBound: true };
 }
 
-/** Homes of a group in the order in which a workspace's work goes to them, over all zones. */
+/** Homes of a group in all zones, in an order of the workspace's own. */
 export function homesOfWorkspace(
   plan: HomePlan,
   group: GroupId,
--- a/packages/coordination/src/demand-share.ts
+++ b/packages/coordination/src/demand-share.ts
@@ -1,7 +1,8 @@
 /**
  * What a host admits of a workspace's operations on its own, while it can't reach the host that keeps
- * the allowance: as many in each window as it admitted in the one before, evenly over the window but for
- * the first. All hosts together then admit about what they did, which was within the limit.
+ * the allowance: as many in each window as it admitted in the one before, evenly over the window, and one
+ * at least. All hosts together then admit about what they did, which was within the limit, and hosts that
+ * have all just started serve something before the keepers do.
  */
 
 /** Counts of one workspace on one host, by windows of fixed length. */
@@ -23,7 +24,7 @@
   hasRoom(now: number): boolean {
     this.turnTo(now);
     const elapsed = now / this.windowMs - this.window;
-    return this.current < Math.max(Math.min(1, this.former), this.former * elapsed);
+    return this.current < Math.max(1, this.former * elapsed);
   }
 
   private turnTo(now: number): void {
--- a/packages/gateway/src/forward/home-directory.ts
+++ b/packages/gateway/src/forward/home-directory.ts
@@ -55,18 +55,17 @@
   }
 
   /**
-   * Homes to ask for a workspace's work before this host does it itself, in order; none when it is the
-   * first of them.
+   * Homes to ask for a workspace's work before this host does it itself, in order; none when it is a home.
+   * Where connections are bound to workspaces, a host that is no home has hardly any of them, so homes of
+   * other zones come before it.
    */
   homesBefore(group: GroupId, workspace: WorkspaceId | undefined): readonly HostId[] {
-    const { host } = this.board;
+    if (this.isHome(group)) return [];
     const plan = this.plan(group);
-    if (workspace === undefined || !plan.byWorkspace) {
-      return this.isHome(group) ? [] : this.homesFor(group, host);
-    }
-    const homes = homesOfWorkspace(plan, group, workspace);
-    const place = homes.indexOf(host);
-    return place < 0 ? homes : homes.slice(0, place);
+    const near = this.homesFor(group, this.board.host);
+    if (workspace === undefined || !plan.isBound) return near;
+    const all = homesOfWorkspace(plan, group, workspace);
+    return [...near, ...all.filter((host) => !near.includes(host))];
   }
 
   /** Homes of the own zone in the order in which `host` asks them, so that hosts spread over them. */
--- a/packages/gateway/src/limits/operation-limits.ts
+++ b/packages/gateway/src/limits/operation-limits.ts
@@ -111,7 +111,7 @@
     return account;
   }
 
-  /** Asks until nobody waits any more. */
+  /** Asks until nobody waits any more; whoever waits behind a keeper that is lost waits no longer. */
   private async askForWaiting(workspace: WorkspaceId, account: Account): Promise<void> {
     account.asking = true;
     while (account.waiting.length > 0) {
@@ -120,7 +120,7 @@
       const answer = await this.ask(workspace, asking.length);
       const now = performance.now();
       if (answer !== undefined) settleBy(workspace, account, asking, answer, now);
-      else this.settleAlone(workspace, account, asking, now);
+      else this.settleAlone(workspace, account, [...asking, ...account.waiting.splice(0)], now);
     }
     account.asking = false;
   }
