perf(pool): a free connection goes to its own workspace where nothing would be opened for another

Cause: while as many connections are being opened as may be at once, a waiter of another workspace that had waited for more than 25 ms kept a free connection from those of its own workspace, which had to wait on. Ruled out: no patience at all (a busy workspace would keep a connection for good). Change: the order is told whether closing this connection would let another one be opened right now.

--- a/packages/pool/src/connection-pool.ts
+++ b/packages/pool/src/connection-pool.ts
@@ -245,12 +245,18 @@
   /** The next waiter that has time left to run; the others are refused while that is certain. */
   private nextWaiterInTime(owner: Owner, now: number): Waiter<C> | undefined {
     for (;;) {
-      const waiter = this.waiting.takeNext(owner, now);
+      const waiter = this.waiting.takeNext(owner, now, this.mayReplace());
       if (waiter === undefined || waiter.deadlineAt - now >= this.holdMs) return waiter;
       waiter.settle(err(RefusalReason.DeadlineBeforeRun));
     }
   }
 
+  /** Whether a free connection is the only one that could make room for another right now. */
+  private mayReplace(): boolean {
+    if (this.idle.length > 0 || this.dialing.length >= MAX_CONNECTING) return false;
+    return this.connections >= this.limits.maxConnections;
+  }
+
   private takeIdle(owner: Owner): Bound<C> | undefined {
     for (;;) {
       const index = this.idle.findLastIndex((idle) => idle.owner === owner);
--- a/packages/pool/src/waiting-order.ts
+++ b/packages/pool/src/waiting-order.ts
@@ -56,15 +56,18 @@
   }
 
   /**
-   * Takes out whoever is to have a free connection of `owner` at `now`; undefined when nobody waits, or
-   * when a connection of another workspace is to be opened in its place.
+   * Takes out whoever is to have a free connection of `owner` at `now`; undefined when nobody waits for
+   * one, or when a connection of another workspace is to be opened in its place.
+   *
+   * @param mayReplace whether one could be opened right now, and only by closing this one
    */
-  takeNext(owner: Owner, now: number): W | undefined {
+  takeNext(owner: Owner, now: number, mayReplace: boolean): W | undefined {
     this.turns += 1;
     const next = this.inTurn();
     if (next === undefined) return undefined;
-    const chosen = next.owner === owner ? next : this.passing(next, owner, now);
-    if (chosen !== undefined) this.remove(chosen);
+    const chosen = next.owner === owner ? next : this.passing(next, owner, now, mayReplace);
+    if (chosen === undefined) return undefined;
+    this.remove(chosen);
     return chosen;
   }
 
@@ -95,10 +98,10 @@
   }
 
   /** A waiter of `owner` that may pass `next`. */
-  private passing(next: W, owner: Owner, now: number): W | undefined {
-    if (now - next.since > PATIENCE_MS) return undefined;
-    return this.waiters.find(
-      (waiter) => waiter.owner === owner && waiter.priority === next.priority,
-    );
+  private passing(next: W, owner: Owner, now: number, mayReplace: boolean): W | undefined {
+    const own = this.waiters.filter((waiter) => waiter.owner === owner);
+    const alike = own.find((waiter) => waiter.priority === next.priority);
+    if (!mayReplace) return alike ?? own[0];
+    return now - next.since > PATIENCE_MS ? undefined : alike;
   }
 }
