fix(gateway): what may have run counts, and allowances that went elsewhere are forgotten

Cause: found by reading the change: a read whose answer was lost was given back though an upstream had run it; a host that had kept an allowance, lost it to another host of the list and got it back went on with what it held, and so granted the burst once more. Ruled out: keeping nothing over any change of the list (rolling restarts change it every second or two). Change: a lost read is not given back; a keeper drops what falls to others as soon as the list says so.

--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -149,7 +149,7 @@
     const times = { beganAt: now, arrivedAt: now };
     const job = { ...this.jobAt(place), id, work, ...times };
     const outcome = await this.context.executor.run(job);
-    if (!hasRun(outcome)) this.giveBack(place);
+    if (!mayHaveRun(outcome)) this.giveBack(place);
     this.noteCommit(place.route.group, outcome);
     return outcome;
   }
@@ -320,14 +320,15 @@
   | { readonly kind: 'pinned'; readonly pinned: OpenTransaction }
   | { readonly kind: 'failed'; readonly outcome: Outcome };
 
-/** Whether a single statement may have run at an upstream. */
-function hasRun(outcome: Outcome): boolean {
+/** Whether a single statement may have run at an upstream; a read that was lost has changed nothing, but may. */
+function mayHaveRun(outcome: Outcome): boolean {
   switch (outcome.kind) {
     case 'completed':
       return true;
     case 'faulted':
       return !NOT_RUN.has(outcome.fault);
     case 'refused':
+      if (outcome.refusal.reason === RefusalReason.UpstreamLostReading) return true;
       return ranOf(outcome.refusal) !== Ran.No;
   }
 }
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -179,6 +179,9 @@
     board.onChange(BoardSection.Proof, () => {
       keeper.noteProof(performance.now());
     });
+    board.onChange(BoardSection.Hosts, () => {
+      keeper.noteHosts();
+    });
     return new FleetLimits({ board, directory, keeper, calls, tolerance, metrics });
   }
 
--- a/packages/gateway/src/limits/allowance-keeper.ts
+++ b/packages/gateway/src/limits/allowance-keeper.ts
@@ -97,6 +97,14 @@
     this.provedAt = now;
   }
 
+  /** Forgets allowances that other hosts keep by the hosts listed now; they grant what has been granted here. */
+  noteHosts(): void {
+    const { board, directory } = this.options;
+    for (const workspace of this.kept.keys()) {
+      if (directory.keepersOf(workspace)[0] !== board.host) this.kept.delete(workspace);
+    }
+  }
+
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind !== FrameKind.AllowanceAsk) return;
     const { id, workspace, wanted } = frame;
--- a/packages/gateway/tests/session.feature
+++ b/packages/gateway/tests/session.feature
@@ -99,3 +99,20 @@
       | 60000 | 120000 | k2  | k1=a       | private | unknown-key      |          |
       | 60000 | 120000 | k1  | none       | private |                  |          |
       | 0     | 120000 | k1  | k1=a       | private |                  | a        |
+
+  Scenario Outline: Operations are admitted once, and given back where nothing ran
+    Given a session with key "k1", workspaces "k1=a" and a "private" route
+    When its caller sends "<statements>" while the executor ends them as "<end>"
+    Then <admitted> operations were admitted and <given back> given back
+
+    Examples:
+      | statements                   | end                   | admitted | given back | why                                    |
+      | READ x                       | rows                  | 1        | 0          |                                        |
+      | !READ x                      | rows                  | 1        | 1          | the upstream shed it                   |
+      | READ x                       | queue-full            | 1        | 1          |                                        |
+      | READ x                       | upstream-lost-reading | 1        | 0          | it may have run, though it left nothing |
+      | WRITE x 1                    | upstream-lost         | 1        | 0          |                                        |
+      | BEGIN,READ x,READ y,COMMIT   | rows                  | 1        | 0          | a transaction is one operation         |
+      | BEGIN,ROLLBACK               | rows                  | 1        | 1          |                                        |
+      | BEGIN,READ x,ROLLBACK        | rows                  | 1        | 0          |                                        |
+      | SET a b,PREPARE s READ q     | rows                  | 0        | 0          | no operations                          |
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -9,6 +9,8 @@
   groupId,
   hashKey,
   hostId,
+  refuse,
+  RefusalReason,
   UpstreamFault,
   workspaceId,
 } from '@gladespool/coordination';
@@ -18,6 +20,7 @@
 import type {
   Executor,
   OpenTransaction,
+  OperationLimits,
   Outcome,
   Statement,
   StatementJob,
@@ -44,6 +47,8 @@
   readonly jobs: StatementJob[] = [];
   rolledBack = 0;
   refuseNext = false;
+  /** Reason for which the next statement is refused here, if any. */
+  refusalNext: RefusalReason | undefined;
   /** Resolves when a begin may go on. */
   gate: Promise<void> = Promise.resolve();
 
@@ -67,6 +72,7 @@
   }
 
   private outcome(wrote: boolean): Outcome {
+    if (this.refusalNext !== undefined) return refusedFor(this.refusalNext);
     if (this.refuseNext) {
       return { kind: 'faulted', fault: UpstreamFault.Busy, code: 'BUSY', text: '' };
     }
@@ -75,7 +81,27 @@
   }
 }
 
+function refusedFor(reason: RefusalReason): Outcome {
+  return { kind: 'refused', refusal: refuse(reason) };
+}
+
+/** Limits that admit everything and count. */
+class CountingLimits implements OperationLimits {
+  admitted = 0;
+  givenBack = 0;
+
+  admit(): Promise<undefined> {
+    this.admitted += 1;
+    return Promise.resolve(undefined);
+  }
+
+  giveBack(): void {
+    this.givenBack += 1;
+  }
+}
+
 interface SessionWorld {
+  limits: CountingLimits;
   openGate: () => void;
   pending: Promise<void>;
   board: GatewayBoard;
@@ -286,11 +312,12 @@
     this.board.catalogConfirmedAt = this.confirmedAt ?? Number.NEGATIVE_INFINITY;
     putRoutes(this, 1, [DATABASE], access === 'public');
     this.executor = new FakeExecutor();
+    this.limits = new CountingLimits();
     const journal = new RequestJournal(this.board, new HostMetrics(), createLogger('test'));
     this.session = new Session(DATABASE, key, {
       board: this.board,
       executor: this.executor,
-      limits: UNLIMITED,
+      limits: this.limits,
       keys: this.keyRules ?? KEYS,
       journal,
     });
@@ -329,3 +356,23 @@
     this.confirmedAt = performance.now() - agoMs;
   },
 );
+
+const REASONS: ReadonlyMap<string, RefusalReason> = new Map(
+  Object.values(RefusalReason).map((reason) => [reason, reason]),
+);
+
+When(
+  'its caller sends {string} while the executor ends them as {string}',
+  async function (this: SessionWorld, statements: string, end: string) {
+    this.executor.refusalNext = REASONS.get(end);
+    await send(this, statements.split(','));
+  },
+);
+
+Then(
+  '{int} operations were admitted and {int} given back',
+  function (this: SessionWorld, admitted: number, givenBack: number) {
+    assert.deepEqual([this.limits.admitted, this.limits.givenBack], [admitted, givenBack]);
+    this.session.close();
+  },
+);
--- a/packages/gateway/tests/workspace-limits-in-action.feature
+++ b/packages/gateway/tests/workspace-limits-in-action.feature
@@ -39,3 +39,4 @@
       | s    | 500:100,2600:100          | it misses the keeper   | 15,20   | from then on the rate                           |
       | k    | 500:100,1600:100          | no proof comes         | 25,none | a host that is cut off grants nothing           |
       | k    | 500:100,2500:100          | proofs come again at 2000 | 25,25 | and begins anew, without what it had        |
+      | k    | 500:100,600:100           | another host keeps it meanwhile | 25,15 | it begins anew, without what it had |
--- a/packages/gateway/tests/workspace-limits-in-action.steps.ts
+++ b/packages/gateway/tests/workspace-limits-in-action.steps.ts
@@ -175,9 +175,12 @@
   'it is asked for operations at {string} while {string}',
   function (this: LimitsWorld, asked: string, known: string) {
     const board = this.keeperBoard;
+    const usual = [hostId('k'), hostId('s')];
+    let keepers = usual;
+    const directory = { keepersOf: () => keepers, since: 0 };
     const keeper = new AllowanceKeeper({
       board,
-      directory: { keepersOf: () => [hostId('k'), hostId('s')], since: 0 },
+      directory,
       isReachable: () => known !== 'it misses the keeper',
       tolerance: { windowS: 5, overrun: 0, slack: 100 },
       authority: DEFAULT_AUTHORITY,
@@ -191,6 +194,12 @@
         board.prove(provedAt);
         keeper.noteProof(provedAt);
       }
+      if (known === 'another host keeps it meanwhile' && at > 0) {
+        keepers = [hostId('x')];
+        keeper.noteHosts();
+        keepers = usual;
+        directory.since = at;
+      }
       const answer = keeper.ask(LIMITED.id, wanted, at);
       return answer.kept ? String(answer.granted) : 'none';
     });
