--- a/packages/gateway/tests/workspace-limits-in-action.steps.ts
+++ b/packages/gateway/tests/workspace-limits-in-action.steps.ts
@@ -187,14 +187,14 @@
       log: createLogger('test'),
     });
     const proofs = [...(PROOFS.get(known) ?? STEADY_PROOFS)];
-    const answers = asked.split(',').map((question) => {
+    const answers = asked.split(',').map((question, index) => {
       const [at = 0, wanted = 0] = question.split(':').map(Number);
       while (proofs[0] !== undefined && proofs[0] <= at) {
         const provedAt = proofs.shift() ?? 0;
         board.prove(provedAt);
         keeper.noteProof(provedAt);
       }
-      if (known === 'another host keeps it meanwhile' && at > 0) {
+      if (known === 'another host keeps it meanwhile' && index > 0) {
         keepers = [hostId('x')];
         keeper.noteHosts();
         keepers = usual;
