refactor: folders name what is decided in coordination and in the gateway

Cause: 39 files side by side in coordination and 32 in the gateway's control; arrows ran from board and directories up to control and back. Ruled out: one package a folder (more manifests than code moves); barrels a folder (index.ts stays the one entry). Change: git mv and import paths only. coordination: authority, reads, load, places, membership, model. gateway: knowledge (board, directories, notes) and peering lie below home, forward and control; control by store, proofs, promotion, hosts.

--- a/packages/coordination/src/acknowledgement.ts
+++ b/packages/coordination/src/authority/acknowledgement.ts
@@ -5,12 +5,12 @@
  * once it lies in the logs of a majority under one term, because a promotion fences a majority
  * and chooses the highest log among it, and two majorities share a member.
  */
-import type { GroupRecord } from './group.js';
-import { majorityOf } from './group.js';
-import type { UpstreamId } from './ids.js';
-import type { Position } from './position.js';
-import { discardingTerm, isDiscarded } from './position.js';
-import type { UpstreamReport } from './upstream-report.js';
+import type { GroupRecord } from '../model/group.js';
+import { majorityOf } from '../model/group.js';
+import type { UpstreamId } from '../model/ids.js';
+import type { Position } from '../reads/position.js';
+import { discardingTerm, isDiscarded } from '../reads/position.js';
+import type { UpstreamReport } from '../model/upstream-report.js';
 
 /** Decision on a commit that waits to be confirmed. */
 export enum AckVerdict {
--- a/packages/coordination/src/damping.ts
+++ b/packages/coordination/src/authority/damping.ts
@@ -2,7 +2,7 @@
  * Keeps a group from flapping: after a promotion more evidence is needed for a while, and attempts
  * back off with jitter.
  */
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '../model/random.js';
 
 /** Bounds of damping. */
 export interface DampingRules {
--- a/packages/coordination/src/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -2,9 +2,9 @@
  * Decisions about changing a group's primary: when to suspect it, who acts, which upstream follows
  * it, and when a host may call for promotions.
  */
-import type { HostId, UpstreamId } from './ids.js';
-import type { Position } from './position.js';
-import { comparePositions } from './position.js';
+import type { HostId, UpstreamId } from '../model/ids.js';
+import type { Position } from '../reads/position.js';
+import { comparePositions } from '../reads/position.js';
 
 /** Times of failover. */
 export interface FailoverRules {
--- a/packages/coordination/src/primary-record.ts
+++ b/packages/coordination/src/authority/primary-record.ts
@@ -1,7 +1,7 @@
 /**
  * What the metadata store holds of a group's primary, and the order of two versions of it.
  */
-import type { GroupId, HostId, UpstreamId } from './ids.js';
+import type { GroupId, HostId, UpstreamId } from '../model/ids.js';
 
 /** Where a group stands between two primaries. */
 export enum RecordPhase {
--- a/packages/coordination/src/promotion.ts
+++ b/packages/coordination/src/authority/promotion.ts
@@ -6,12 +6,12 @@
  * record back. A failed promotion is never retried under the same term, because the upstream may
  * have become the primary of that term although its reply was lost.
  */
-import type { GroupRecord } from './group.js';
-import { GroupPhase, majorityOf } from './group.js';
-import type { HostId, UpstreamId } from './ids.js';
-import type { Lineage } from './position.js';
-import { comparePositions } from './position.js';
-import type { UpstreamReport } from './upstream-report.js';
+import type { GroupRecord } from '../model/group.js';
+import { GroupPhase, majorityOf } from '../model/group.js';
+import type { HostId, UpstreamId } from '../model/ids.js';
+import type { Lineage } from '../reads/position.js';
+import { comparePositions } from '../reads/position.js';
+import type { UpstreamReport } from '../model/upstream-report.js';
 
 /** Stage of an attempt. */
 export enum PromotionStage {
--- a/packages/coordination/src/reach-sample.ts
+++ b/packages/coordination/src/authority/reach-sample.ts
@@ -7,8 +7,8 @@
  * primary is lost or only out of reach for some, and no change of primary rests on their word alone: more
  * than half of all hosts have to give the former primary up.
  */
-import type { AzId, HostId } from './ids.js';
-import { topCandidates } from './rendezvous.js';
+import type { AzId, HostId } from '../model/ids.js';
+import { topCandidates } from '../places/rendezvous.js';
 
 /**
  * Hosts of each zone that are asked. 4: no single host of a zone decides for it, and at the sizes of
--- a/packages/coordination/src/reconcile.ts
+++ b/packages/coordination/src/authority/reconcile.ts
@@ -2,11 +2,11 @@
  * Finds upstreams that are not where the group's record wants them: replicas that follow no or an
  * older primary, former primaries that returned with an unconfirmed tail.
  */
-import type { GroupRecord, GroupSpec } from './group.js';
-import { GroupPhase } from './group.js';
-import type { UpstreamId } from './ids.js';
-import type { UpstreamReport } from './upstream-report.js';
-import { UpstreamRole } from './upstream-report.js';
+import type { GroupRecord, GroupSpec } from '../model/group.js';
+import { GroupPhase } from '../model/group.js';
+import type { UpstreamId } from '../model/ids.js';
+import type { UpstreamReport } from '../model/upstream-report.js';
+import { UpstreamRole } from '../model/upstream-report.js';
 
 /** Upstreams that have to be told to follow the record's primary. */
 export function upstreamsToFollow(
--- a/packages/coordination/src/suspicion.ts
+++ b/packages/coordination/src/authority/suspicion.ts
@@ -5,12 +5,12 @@
  * one whose writes no replica receives.
  */
 import { coveredOffset } from './acknowledgement.js';
-import type { PrimaryMarks } from './data-age.js';
-import { provedAge } from './data-age.js';
-import type { GroupRecord, GroupSpec } from './group.js';
-import { majorityOf } from './group.js';
-import type { AzId } from './ids.js';
-import type { UpstreamReport } from './upstream-report.js';
+import type { PrimaryMarks } from '../reads/data-age.js';
+import { provedAge } from '../reads/data-age.js';
+import type { GroupRecord, GroupSpec } from '../model/group.js';
+import { majorityOf } from '../model/group.js';
+import type { AzId } from '../model/ids.js';
+import type { UpstreamReport } from '../model/upstream-report.js';
 
 /** What a home knows about the primary. */
 export interface SuspicionInput {
--- a/packages/coordination/src/connection-share.ts
+++ b/packages/coordination/src/load/connection-share.ts
@@ -4,9 +4,9 @@
  * Where connections serve one workspace each and there are more workspaces than a home has
  * connections, one host of each zone is a home.
  */
-import { homesOf } from './homes.js';
-import type { AzId, GroupId, HostId, WorkspaceId } from './ids.js';
-import { rankCandidates } from './rendezvous.js';
+import { homesOf } from '../places/homes.js';
+import type { AzId, GroupId, HostId, WorkspaceId } from '../model/ids.js';
+import { rankCandidates } from '../places/rendezvous.js';
 
 /** A host as far as homes are concerned. */
 export interface HomeCandidate {
--- a/packages/coordination/src/operation-allowance.ts
+++ b/packages/coordination/src/load/operation-allowance.ts
@@ -6,7 +6,7 @@
  * hosts come and go. What it sends beyond its limit is refused at once; what lies below is not refused
  * for want of exact knowledge, so the bucket is filled and holds more, by parts of the tolerance.
  */
-import type { WorkspaceLimit } from './workspace.js';
+import type { WorkspaceLimit } from '../model/workspace.js';
 
 /** By how much a limit may be overrun, as the operators allow it. */
 export interface LimitTolerance {
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -3,7 +3,7 @@
  * relays spread only changes. A host counts another as live while any of its relays does, so that
  * one bad link between a relay and a member removes nobody.
  */
-import type { AzId, HostId } from './ids.js';
+import type { AzId, HostId } from '../model/ids.js';
 
 /** State of a member. */
 export enum MemberState {
--- a/packages/coordination/src/blackboard.ts
+++ b/packages/coordination/src/model/blackboard.ts
@@ -3,11 +3,11 @@
  * observations to them; input and output adapters carry them out. Nothing here lasts longer than
  * the process.
  */
-import type { PrimaryMarks } from './data-age.js';
+import type { PrimaryMarks } from '../reads/data-age.js';
 import type { GroupRecord, GroupSpec } from './group.js';
 import { compareRecords } from './group.js';
 import type { AzId, GroupId, HostId, UpstreamId } from './ids.js';
-import type { Member } from './membership.js';
+import type { Member } from '../membership/membership.js';
 import type { UpstreamHealth } from './upstream-report.js';
 import { UNKNOWN_HEALTH } from './upstream-report.js';
 
--- a/packages/coordination/src/group.ts
+++ b/packages/coordination/src/model/group.ts
@@ -3,7 +3,7 @@
  * primary, lineage; kept in the platform's store and changed only by compare-and-swap).
  */
 import type { AzId, GroupId, HostId, UpstreamId } from './ids.js';
-import type { Lineage } from './position.js';
+import type { Lineage } from '../reads/position.js';
 
 /** Phase of a group's record. */
 export enum GroupPhase {
--- a/packages/coordination/src/upstream-report.ts
+++ b/packages/coordination/src/model/upstream-report.ts
@@ -2,7 +2,7 @@
  * What an upstream said about itself, and the board on which a home keeps the latest of each.
  */
 import type { UpstreamId } from './ids.js';
-import type { Lineage, Position } from './position.js';
+import type { Lineage, Position } from '../reads/position.js';
 
 /** Role that an upstream believes it has. */
 export enum UpstreamRole {
--- a/packages/coordination/src/homes.ts
+++ b/packages/coordination/src/places/homes.ts
@@ -5,8 +5,8 @@
  * A host that becomes a home works from its slice of the reserve until the former holder of its
  * slot has surely given up, so the sum stays within the zone's part while both believe to hold it.
  */
-import type { GroupSpec } from './group.js';
-import type { AzId, GroupId, HostId } from './ids.js';
+import type { GroupSpec } from '../model/group.js';
+import type { AzId, GroupId, HostId } from '../model/ids.js';
 import { topCandidates } from './rendezvous.js';
 
 /** Homes of a group in a zone, preferred first. */
--- a/packages/coordination/src/data-age.ts
+++ b/packages/coordination/src/reads/data-age.ts
@@ -4,11 +4,11 @@
  * than t. While the primary can't be asked the proved age only grows. A superseded primary that still
  * answers proves nothing, so a mark counts only up to the time of the primary's proved authority.
  */
-import { majorityOf } from './group.js';
-import type { UpstreamId } from './ids.js';
+import { majorityOf } from '../model/group.js';
+import type { UpstreamId } from '../model/ids.js';
 import type { Lineage, Position } from './position.js';
 import { coverage, Coverage } from './position.js';
-import type { TimedReport } from './upstream-report.js';
+import type { TimedReport } from '../model/upstream-report.js';
 
 /** One observation of the primary. */
 export interface PrimaryMark {
--- a/packages/coordination/src/read-routing.ts
+++ b/packages/coordination/src/reads/read-routing.ts
@@ -2,14 +2,14 @@
  * Chooses the upstream that serves a read: one that covers the session's position and is as fresh
  * as the read asks, replicas before the primary, near before far, without herding.
  */
-import type { GroupRecord, GroupSpec, UpstreamSpec } from './group.js';
-import { UpstreamState } from './group.js';
-import type { AzId, UpstreamId } from './ids.js';
+import type { GroupRecord, GroupSpec, UpstreamSpec } from '../model/group.js';
+import { UpstreamState } from '../model/group.js';
+import type { AzId, UpstreamId } from '../model/ids.js';
 import type { Position } from './position.js';
 import { coverage, Coverage, isDiscarded } from './position.js';
-import type { RandomSource } from './random.js';
-import { RefusalReason } from './refusal.js';
-import type { UpstreamHealth } from './upstream-report.js';
+import type { RandomSource } from '../model/random.js';
+import { RefusalReason } from '../model/refusal.js';
+import type { UpstreamHealth } from '../model/upstream-report.js';
 
 /** Health of an upstream together with what the home measured about it. */
 export interface UpstreamView {
--- a/packages/coordination/src/session-floor.ts
+++ b/packages/coordination/src/reads/session-floor.ts
@@ -1,7 +1,7 @@
 /**
  * What a session has seen of each group; it travels in the caller's token.
  */
-import type { GroupId } from './ids.js';
+import type { GroupId } from '../model/ids.js';
 import type { Position } from './position.js';
 import { comparePositions, maxPosition, ORIGIN } from './position.js';
 
--- a/packages/coordination/src/upstream-choice.ts
+++ b/packages/coordination/src/reads/upstream-choice.ts
@@ -3,8 +3,8 @@
  * least expected time; the primary at a surcharge. Where connections serve one workspace each, one goes
  * first that has a free connection of the read's workspace, and next one that has room for another.
  */
-import type { UpstreamId } from './ids.js';
-import type { RandomSource } from './random.js';
+import type { UpstreamId } from '../model/ids.js';
+import type { RandomSource } from '../model/random.js';
 
 /** What a home has for a workspace at an upstream. */
 export enum Reuse {
--- a/packages/gateway/src/control/host-retirer.ts
+++ b/packages/gateway/src/control/hosts/host-retirer.ts
@@ -8,13 +8,13 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard, HostEntry } from '../board.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
 import type { HostRound } from './host-round.js';
-import type { MetadataStore } from './metadata-store.js';
-import { changeEnd, StorePurpose } from './metadata-store.js';
-import type { PeerCalls } from './peer-calls.js';
-import { hostKey } from './store-documents.js';
-import type { StoreView } from './store-view.js';
+import type { MetadataStore } from '../store/metadata-store.js';
+import { changeEnd, StorePurpose } from '../store/metadata-store.js';
+import type { PeerCalls } from '../../peering/peer-calls.js';
+import { hostKey } from '../store/store-documents.js';
+import type { StoreView } from '../store/store-view.js';
 
 /** What the retirer works on. */
 export interface HostRetirerOptions {
--- a/packages/gateway/src/control/host-round.ts
+++ b/packages/gateway/src/control/hosts/host-round.ts
@@ -8,10 +8,10 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard, HostEntry } from '../board.js';
-import type { StoreItem } from './metadata-store.js';
-import type { PeerCalls } from './peer-calls.js';
-import type { RelayOrder } from './relay-order.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { StoreItem } from '../store/metadata-store.js';
+import type { PeerCalls } from '../../peering/peer-calls.js';
+import type { RelayOrder } from '../../knowledge/relay-order.js';
 
 /** A question that all hosts may be asked. */
 export type RoundQuestion = FrameOf<FrameKind.RoundAsk>['question'];
--- a/packages/gateway/src/control/primary-monitor.ts
+++ b/packages/gateway/src/control/promotion/primary-monitor.ts
@@ -3,10 +3,10 @@
  * probes while these are missing.
  */
 import type { GroupId } from '@gladespool/coordination';
-import type { GatewayBoard } from '../board.js';
-import type { GroupHome } from '../home/group-home.js';
-import type { UpstreamHealth } from '../home/upstream-health.js';
-import type { UpstreamProbe } from '../home/upstream-probe.js';
+import type { GatewayBoard } from '../../knowledge/board.js';
+import type { GroupHome } from '../../home/group-home.js';
+import type { UpstreamHealth } from '../../home/upstream-health.js';
+import type { UpstreamProbe } from '../../home/upstream-probe.js';
 
 /** Times of the monitor. */
 export interface MonitorRules {
--- a/packages/gateway/src/control/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -6,7 +6,7 @@
 import type { PrimaryRecord, SuccessorReport, UpstreamId } from '@gladespool/coordination';
 import { isMajority, RecordPhase, silentHostFreeAt } from '@gladespool/coordination';
 import { FrameKind } from '@gladespool/protocol';
-import { changeEnd, StorePurpose } from './metadata-store.js';
+import { changeEnd, StorePurpose } from '../store/metadata-store.js';
 import { PromotionAnswer } from './promotion-call.js';
 import { PromotionCause } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
--- a/packages/gateway/src/control/promotion-context.ts
+++ b/packages/gateway/src/control/promotion/promotion-context.ts
@@ -3,17 +3,17 @@
  */
 import type { AuthorityRules, FailoverRules } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
-import type { GatewayBoard, HostEntry } from '../board.js';
-import type { HomeDirectory } from '../forward/home-directory.js';
-import type { UpstreamProbe } from '../home/upstream-probe.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { HomeDirectory } from '../../knowledge/home-directory.js';
+import type { UpstreamProbe } from '../../home/upstream-probe.js';
 import type { ClaimLock } from './claim-lock.js';
-import type { HostRound } from './host-round.js';
-import type { MetadataStore } from './metadata-store.js';
-import type { PeerCalls } from './peer-calls.js';
+import type { HostRound } from '../hosts/host-round.js';
+import type { MetadataStore } from '../store/metadata-store.js';
+import type { PeerCalls } from '../../peering/peer-calls.js';
 import type { PromotionPort } from './promotion-call.js';
-import type { ProofKeeper } from './proof-keeper.js';
-import type { StoreView } from './store-view.js';
-import type { WriteHolds } from './write-holds.js';
+import type { ProofKeeper } from '../proofs/proof-keeper.js';
+import type { StoreView } from '../store/store-view.js';
+import type { WriteHolds } from '../../knowledge/write-holds.js';
 
 /** What attempts work with. */
 export interface PromotionContext {
--- a/packages/gateway/src/control/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -15,14 +15,14 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { HostEntry } from '../board.js';
-import type { ReachNotes } from '../forward/reach-notes.js';
+import type { HostEntry } from '../../knowledge/board.js';
+import type { ReachNotes } from '../../knowledge/reach-notes.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
 import { PromotionAttempt } from './promotion-attempt.js';
 import { PromotionCause } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
 import { ReachPoll } from './reach-poll.js';
-import { readOwnDocument } from './store-documents.js';
+import { readOwnDocument } from '../store/store-documents.js';
 
 /** What the controller works with. */
 export interface PromotionControllerOptions {
--- a/packages/gateway/src/control/reach-poll.ts
+++ b/packages/gateway/src/control/promotion/reach-poll.ts
@@ -4,9 +4,9 @@
 import type { GroupId, HostId, PrimaryRecord, ReachEvidence } from '@gladespool/coordination';
 import { hostId, reachSample } from '@gladespool/coordination';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard, HostEntry } from '../board.js';
-import type { HomeDirectory } from '../forward/home-directory.js';
-import type { PeerCalls } from './peer-calls.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { HomeDirectory } from '../../knowledge/home-directory.js';
+import type { PeerCalls } from '../../peering/peer-calls.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
 
 /** What a poll works with. */
--- a/packages/gateway/src/control/record-claimer.ts
+++ b/packages/gateway/src/control/promotion/record-claimer.ts
@@ -5,11 +5,11 @@
 import { claimDuty, RecordPhase, recordRank } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import type { StoreChange, StoreItem } from './metadata-store.js';
-import { changeEnd, StorePurpose } from './metadata-store.js';
+import type { StoreChange, StoreItem } from '../store/metadata-store.js';
+import { changeEnd, StorePurpose } from '../store/metadata-store.js';
 import type { PromotionContext } from './promotion-context.js';
 import type { PromotionLog } from './promotion-log.js';
-import { DUTY_KEY, primaryKey } from './store-documents.js';
+import { DUTY_KEY, primaryKey } from '../store/store-documents.js';
 
 /** Longest time for the change, milliseconds. */
 const CLAIM_TIMEOUT_MS = 1000;
--- a/packages/gateway/src/control/record-founder.ts
+++ b/packages/gateway/src/control/promotion/record-founder.ts
@@ -4,13 +4,13 @@
 import type { GroupId } from '@gladespool/coordination';
 import { rankCandidates, RecordPhase } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
-import type { GatewayBoard } from '../board.js';
-import type { UpstreamEntry } from '../model/catalog.js';
-import { ReportedRole } from '../model/catalog.js';
-import type { MetadataStore } from './metadata-store.js';
-import { changeEnd, StorePurpose } from './metadata-store.js';
-import { primaryKey } from './store-documents.js';
-import type { StoreView } from './store-view.js';
+import type { GatewayBoard } from '../../knowledge/board.js';
+import type { UpstreamEntry } from '../../model/catalog.js';
+import { ReportedRole } from '../../model/catalog.js';
+import type { MetadataStore } from '../store/metadata-store.js';
+import { changeEnd, StorePurpose } from '../store/metadata-store.js';
+import { primaryKey } from '../store/store-documents.js';
+import type { StoreView } from '../store/store-view.js';
 
 /** What the founder works on. */
 export interface RecordFounderOptions {
--- a/packages/gateway/src/control/peer-renewer.ts
+++ b/packages/gateway/src/control/proofs/peer-renewer.ts
@@ -9,12 +9,12 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard, HostEntry } from '../board.js';
-import type { HostRound, RoundAnswer } from './host-round.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { HostRound, RoundAnswer } from '../hosts/host-round.js';
 import type { HostList } from './passable-proof.js';
 import type { ProofKeeper } from './proof-keeper.js';
-import type { RelayOrder } from './relay-order.js';
-import type { StoreView } from './store-view.js';
+import type { RelayOrder } from '../../knowledge/relay-order.js';
+import type { StoreView } from '../store/store-view.js';
 
 /** What the renewer works on. */
 export interface PeerRenewerOptions {
--- a/packages/gateway/src/control/proof-keeper.ts
+++ b/packages/gateway/src/control/proofs/proof-keeper.ts
@@ -5,14 +5,14 @@
  */
 import type { GladespoolError } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
-import type { GatewayBoard, HostEntry } from '../board.js';
-import type { MetadataStore, StoreEntry } from './metadata-store.js';
-import { StorePurpose } from './metadata-store.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { MetadataStore, StoreEntry } from '../store/metadata-store.js';
+import { StorePurpose } from '../store/metadata-store.js';
 import type { HostList, PassableProof } from './passable-proof.js';
-import type { Registrar } from './registrar.js';
-import type { StoreFollower } from './store-follower.js';
-import { hostKey, OWN_PREFIX, readOwnDocument } from './store-documents.js';
-import type { StoreView } from './store-view.js';
+import type { Registrar } from '../store/registrar.js';
+import type { StoreFollower } from '../store/store-follower.js';
+import { hostKey, OWN_PREFIX, readOwnDocument } from '../store/store-documents.js';
+import type { StoreView } from '../store/store-view.js';
 
 /** Times of the proofs' renewal. */
 export interface ProofRules {
--- a/packages/gateway/src/control/sync-answers.ts
+++ b/packages/gateway/src/control/proofs/sync-answers.ts
@@ -6,10 +6,10 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard } from '../board.js';
-import { BoardSection } from '../board.js';
+import type { GatewayBoard } from '../../knowledge/board.js';
+import { BoardSection } from '../../knowledge/board.js';
 import type { ProofKeeper } from './proof-keeper.js';
-import type { StoreView } from './store-view.js';
+import type { StoreView } from '../store/store-view.js';
 
 type SyncAsk = FrameOf<FrameKind.SyncAsk>;
 type SyncReply = FrameOf<FrameKind.SyncReply>;
--- a/packages/gateway/src/control/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -8,14 +8,14 @@
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard, HostEntry } from '../board.js';
-import { BoardSection } from '../board.js';
-import type { DocumentExchange } from './document-exchange.js';
-import type { PeerCalls } from './peer-calls.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import { BoardSection } from '../../knowledge/board.js';
+import type { DocumentExchange } from '../store/document-exchange.js';
+import type { PeerCalls } from '../../peering/peer-calls.js';
 import type { ProofKeeper } from './proof-keeper.js';
-import type { RelayOrder } from './relay-order.js';
-import type { StoreFollower } from './store-follower.js';
-import type { StoreView } from './store-view.js';
+import type { RelayOrder } from '../../knowledge/relay-order.js';
+import type { StoreFollower } from '../store/store-follower.js';
+import type { StoreView } from '../store/store-view.js';
 
 type SyncReply = FrameOf<FrameKind.SyncReply>;
 
--- a/packages/gateway/src/control/document-exchange.ts
+++ b/packages/gateway/src/control/store/document-exchange.ts
@@ -6,7 +6,7 @@
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind, packDocuments, unpackDocuments } from '@gladespool/protocol';
-import type { PeerCalls } from './peer-calls.js';
+import type { PeerCalls } from '../../peering/peer-calls.js';
 import type { StoreView } from './store-view.js';
 
 /** What the exchange works on. */
--- a/packages/gateway/src/control/lapsed-upstreams.ts
+++ b/packages/gateway/src/control/store/lapsed-upstreams.ts
@@ -4,7 +4,7 @@
 import type { LapseRules, UpstreamId } from '@gladespool/coordination';
 import { LapseStage, lapseStage } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
-import type { UpstreamEntry } from '../model/catalog.js';
+import type { UpstreamEntry } from '../../model/catalog.js';
 
 /** One vanished entry. */
 interface Lapse {
--- a/packages/gateway/src/control/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -3,7 +3,7 @@
  * asks every host that is listed, so it must not vanish while its host may hold a proof.
  */
 import type { Logger } from '@gladespool/observability';
-import type { GatewayBoard, HostEntry } from '../board.js';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
 import type { MetadataStore, StoreItem } from './metadata-store.js';
 import { changeEnd, StorePurpose } from './metadata-store.js';
 import { hostKey } from './store-documents.js';
--- a/packages/gateway/src/control/store-documents.ts
+++ b/packages/gateway/src/control/store/store-documents.ts
@@ -5,7 +5,7 @@
 import { azId, groupId, hostId, RecordPhase, upstreamId } from '@gladespool/coordination';
 import { readJson } from '@gladespool/protocol';
 import * as z from 'zod';
-import type { HostEntry } from '../board.js';
+import type { HostEntry } from '../../knowledge/board.js';
 
 /** Prefix of every key of the gateway. */
 export const OWN_PREFIX = 'gladespool/';
--- a/packages/gateway/src/entry/isolation-guard.ts
+++ b/packages/gateway/src/entry/isolation-guard.ts
@@ -4,7 +4,7 @@
  */
 import type { AuthorityRules } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
-import type { GatewayBoard } from '../board.js';
+import type { GatewayBoard } from '../knowledge/board.js';
 
 /** What the guard works on. */
 export interface IsolationGuardOptions {
--- a/packages/gateway/src/entry/request-journal.ts
+++ b/packages/gateway/src/entry/request-journal.ts
@@ -4,7 +4,7 @@
 import { RefusalReason, REFUSAL_RULES } from '@gladespool/coordination';
 import type { HostMetrics, LogFields, Logger } from '@gladespool/observability';
 import { ServedBy } from '@gladespool/observability';
-import type { GatewayBoard } from '../board.js';
+import type { GatewayBoard } from '../knowledge/board.js';
 import type { Outcome } from '../model/outcome.js';
 import { DONE } from '../model/outcome.js';
 import type { Statement } from '../model/statement.js';
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -12,7 +12,7 @@
 import { admit, hashKey, keysCount, Ran, ranOf, RefusalReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
-import type { GatewayBoard } from '../board.js';
+import type { GatewayBoard } from '../knowledge/board.js';
 import type { Executor, Job, OpenTransaction } from '../home/job.js';
 import type { OperationLimits } from '../limits/operation-limits.js';
 import type { Route } from '../model/catalog.js';
--- a/packages/gateway/src/forward/forward-service.ts
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -6,7 +6,7 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { ForwardOperation, FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard } from '../board.js';
+import type { GatewayBoard } from '../knowledge/board.js';
 import type { Executor, OpenTransaction } from '../home/job.js';
 import type { Outcome } from '../model/outcome.js';
 import { refused } from '../model/outcome.js';
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -15,14 +15,14 @@
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { PeerAddress } from '@gladespool/peers';
 import type { Result } from 'neverthrow';
-import type { GatewayBoard } from '../board.js';
-import type { PeerCalls } from '../control/peer-calls.js';
+import type { GatewayBoard } from '../knowledge/board.js';
+import type { PeerCalls } from '../peering/peer-calls.js';
 import type { BeginJob, Executor, Job, OpenTransaction, StatementJob } from '../home/job.js';
 import type { LocalExecutor } from '../home/local-executor.js';
 import type { Outcome } from '../model/outcome.js';
 import { accessOf } from '../model/statement.js';
-import type { HomeDirectory } from './home-directory.js';
-import type { ReachNotes } from './reach-notes.js';
+import type { HomeDirectory } from '../knowledge/home-directory.js';
+import type { ReachNotes } from '../knowledge/reach-notes.js';
 import { RemoteExecutor } from './remote-executor.js';
 
 /** What the routing works with. */
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -8,7 +8,7 @@
   LimitTolerance,
   RetirementRules,
 } from '@gladespool/coordination';
-import type { SyncRules } from './control/sync-service.js';
+import type { SyncRules } from './control/proofs/sync-service.js';
 import type { DrainTimes } from './entry/caller-server.js';
 import type { HomeRules } from './home/group-home.js';
 
--- a/packages/gateway/src/home/await-authority.ts
+++ b/packages/gateway/src/home/await-authority.ts
@@ -3,7 +3,7 @@
  * if that is expected to be over in time.
  */
 import { isWorthHolding } from '@gladespool/coordination';
-import { BoardSection } from '../board.js';
+import { BoardSection } from '../knowledge/board.js';
 import type { GroupHome } from './group-home.js';
 import type { Job } from './job.js';
 
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -25,14 +25,14 @@
   Reuse,
 } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
-import type { GatewayBoard } from '../board.js';
-import type { WriteHolds } from '../control/write-holds.js';
-import type { HomeDirectory } from '../forward/home-directory.js';
-import type { ReachNotes } from '../forward/reach-notes.js';
+import type { GatewayBoard } from '../knowledge/board.js';
+import type { WriteHolds } from '../knowledge/write-holds.js';
+import type { HomeDirectory } from '../knowledge/home-directory.js';
+import type { ReachNotes } from '../knowledge/reach-notes.js';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
 import type { Job } from './job.js';
-import type { PromotionPace } from './promotion-pace.js';
+import type { PromotionPace } from '../knowledge/promotion-pace.js';
 import { UpstreamSlot } from './upstream-slot.js';
 
 /** Longer than a connection that is lost and opened anew, milliseconds. */
--- a/packages/gateway/src/home/local-executor.ts
+++ b/packages/gateway/src/home/local-executor.ts
@@ -5,7 +5,7 @@
 import { Access, RefusalReason, RetryReason } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
-import { BoardSection } from '../board.js';
+import { BoardSection } from '../knowledge/board.js';
 import type { Outcome } from '../model/outcome.js';
 import { NOT_RUN, refused } from '../model/outcome.js';
 import { accessOf } from '../model/statement.js';
--- a/packages/gateway/src/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -12,7 +12,7 @@
   UpstreamId,
 } from '@gladespool/coordination';
 import { isIsolated, isNewerRecord } from '@gladespool/coordination';
-import type { Catalog, Route, UpstreamEntry } from './model/catalog.js';
+import type { Catalog, Route, UpstreamEntry } from '../model/catalog.js';
 
 /** A host as it registered itself in the metadata store. */
 export interface HostEntry {
--- a/packages/gateway/src/forward/home-directory.ts
+++ b/packages/gateway/src/knowledge/home-directory.ts
@@ -10,8 +10,8 @@
   WorkspaceId,
 } from '@gladespool/coordination';
 import { homesOfWorkspace, hostsByZone, planHomes, rankCandidates } from '@gladespool/coordination';
-import type { GatewayBoard } from '../board.js';
-import { BoardSection } from '../board.js';
+import type { GatewayBoard } from './board.js';
+import { BoardSection } from './board.js';
 
 /** Homes as this host sees them. */
 export class HomeDirectory {
--- a/packages/gateway/src/limits/keeper-directory.ts
+++ b/packages/gateway/src/knowledge/keeper-directory.ts
@@ -5,8 +5,8 @@
  */
 import type { HostId, WorkspaceId } from '@gladespool/coordination';
 import { rankCandidates, topCandidates } from '@gladespool/coordination';
-import type { GatewayBoard } from '../board.js';
-import { BoardSection } from '../board.js';
+import type { GatewayBoard } from './board.js';
+import { BoardSection } from './board.js';
 
 /**
  * Hosts for each keeper. Every operation asks once, so a keeper answers for eight hosts' operations: some
--- a/packages/gateway/src/home/promotion-pace.ts
+++ b/packages/gateway/src/knowledge/promotion-pace.ts
@@ -4,8 +4,8 @@
  */
 import type { GroupId } from '@gladespool/coordination';
 import { learnPromotionMs, RecordPhase } from '@gladespool/coordination';
-import type { GatewayBoard } from '../board.js';
-import { BoardSection } from '../board.js';
+import type { GatewayBoard } from './board.js';
+import { BoardSection } from './board.js';
 
 /** Assumed time of a promotion before one was seen, milliseconds: some hundred are usual. */
 const FIRST_PROMOTION_MS = 700;
--- a/packages/gateway/src/control/relay-order.ts
+++ b/packages/gateway/src/knowledge/relay-order.ts
@@ -5,7 +5,7 @@
  */
 import type { AzId, HostId } from '@gladespool/coordination';
 import { rankCandidates } from '@gladespool/coordination';
-import type { GatewayBoard, HostEntry } from '../board.js';
+import type { GatewayBoard, HostEntry } from './board.js';
 
 /** Part of the zone's widest link from which a host counts as one of those with a wide link. */
 const WIDE_SHARE = 0.5;
--- a/packages/gateway/src/control/write-holds.ts
+++ b/packages/gateway/src/knowledge/write-holds.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { GroupId } from '@gladespool/coordination';
-import type { GatewayBoard } from '../board.js';
+import type { GatewayBoard } from './board.js';
 
 /** Time between two looks at what is in flight, milliseconds. */
 const POLL_MS = 5;
--- a/packages/gateway/src/limits/allowance-keeper.ts
+++ b/packages/gateway/src/limits/allowance-keeper.ts
@@ -16,8 +16,8 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard } from '../board.js';
-import type { KeeperDirectory } from './keeper-directory.js';
+import type { GatewayBoard } from '../knowledge/board.js';
+import type { KeeperDirectory } from '../knowledge/keeper-directory.js';
 
 /** What a keeper works on. */
 export interface AllowanceKeeperOptions {
--- a/packages/gateway/src/limits/operation-limits.ts
+++ b/packages/gateway/src/limits/operation-limits.ts
@@ -12,10 +12,10 @@
 import { DemandShare, refuse, RefusalReason } from '@gladespool/coordination';
 import type { HostMetrics } from '@gladespool/observability';
 import { FrameKind } from '@gladespool/protocol';
-import type { GatewayBoard } from '../board.js';
-import type { PeerCalls } from '../control/peer-calls.js';
+import type { GatewayBoard } from '../knowledge/board.js';
+import type { PeerCalls } from '../peering/peer-calls.js';
 import type { AllowanceKeeper, KeeperAnswer } from './allowance-keeper.js';
-import type { KeeperDirectory } from './keeper-directory.js';
+import type { KeeperDirectory } from '../knowledge/keeper-directory.js';
 
 /** Admits operations. */
 export interface OperationLimits {
--- a/packages/gateway/tests/first-proof.steps.ts
+++ b/packages/gateway/tests/first-proof.steps.ts
@@ -3,12 +3,12 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { azId, hostId, lapseRules } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
-import { GatewayBoard } from '../src/board.js';
-import { DEFAULT_PROOFS, ProofKeeper } from '../src/control/proof-keeper.js';
-import { Registrar } from '../src/control/registrar.js';
-import { DEFAULT_FOLLOWER, StoreFollower } from '../src/control/store-follower.js';
-import { hostKey } from '../src/control/store-documents.js';
-import { StoreView } from '../src/control/store-view.js';
+import { GatewayBoard } from '../src/knowledge/board.js';
+import { DEFAULT_PROOFS, ProofKeeper } from '../src/control/proofs/proof-keeper.js';
+import { Registrar } from '../src/control/store/registrar.js';
+import { DEFAULT_FOLLOWER, StoreFollower } from '../src/control/store/store-follower.js';
+import { hostKey } from '../src/control/store/store-documents.js';
+import { StoreView } from '../src/control/store/store-view.js';
 import { FakeStore, FakeStoreClient } from './fakes/fake-store.js';
 
 interface ProofWorld {
--- a/packages/gateway/tests/host-round.steps.ts
+++ b/packages/gateway/tests/host-round.steps.ts
@@ -8,8 +8,8 @@
 import { err, ok } from 'neverthrow';
 import type { HostEntry } from '../src/index.js';
 import { GatewayBoard, RelayOrder } from '../src/index.js';
-import type { HostRoundOptions, RoundAnswer } from '../src/control/host-round.js';
-import { HostRound } from '../src/control/host-round.js';
+import type { HostRoundOptions, RoundAnswer } from '../src/control/hosts/host-round.js';
+import { HostRound } from '../src/control/hosts/host-round.js';
 
 interface RoundWorld {
   listed: ReadonlyMap<HostId, HostEntry>;
--- a/packages/gateway/tests/peer-liveness.steps.ts
+++ b/packages/gateway/tests/peer-liveness.steps.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { createLogger } from '@gladespool/observability';
-import type { WatchedLink } from '../src/control/peer-liveness.js';
-import { PeerLiveness } from '../src/control/peer-liveness.js';
+import type { WatchedLink } from '../src/peering/peer-liveness.js';
+import { PeerLiveness } from '../src/peering/peer-liveness.js';
 
 interface LivenessWorld {
   liveness: PeerLiveness;
--- a/packages/gateway/tests/store-view.steps.ts
+++ b/packages/gateway/tests/store-view.steps.ts
@@ -9,11 +9,11 @@
   upstreamId,
 } from '@gladespool/coordination';
 import { createLogger } from '@gladespool/observability';
-import type { HostEntry } from '../src/board.js';
-import { BoardSection, GatewayBoard } from '../src/board.js';
-import type { StoreEvent, StoreItem } from '../src/control/metadata-store.js';
-import { hostKey, primaryKey } from '../src/control/store-documents.js';
-import { StoreView } from '../src/control/store-view.js';
+import type { HostEntry } from '../src/knowledge/board.js';
+import { BoardSection, GatewayBoard } from '../src/knowledge/board.js';
+import type { StoreEvent, StoreItem } from '../src/control/store/metadata-store.js';
+import { hostKey, primaryKey } from '../src/control/store/store-documents.js';
+import { StoreView } from '../src/control/store/store-view.js';
 import type { UpstreamEntry } from '../src/model/catalog.js';
 import { ReportedRole } from '../src/model/catalog.js';
 
--- a/packages/gateway/tests/sync-answers.steps.ts
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -5,11 +5,11 @@
 import type { PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import { GatewayBoard } from '../src/board.js';
-import type { PassableProof } from '../src/control/passable-proof.js';
-import { hostKey, primaryKey } from '../src/control/store-documents.js';
-import { StoreView } from '../src/control/store-view.js';
-import { SyncAnswers } from '../src/control/sync-answers.js';
+import { GatewayBoard } from '../src/knowledge/board.js';
+import type { PassableProof } from '../src/control/proofs/passable-proof.js';
+import { hostKey, primaryKey } from '../src/control/store/store-documents.js';
+import { StoreView } from '../src/control/store/store-view.js';
+import { SyncAnswers } from '../src/control/proofs/sync-answers.js';
 
 interface AnswersWorld {
   board: GatewayBoard;
