feat: regions, evacuations, births, warm-up limits and bound regions are decoded into the catalog and the board

Cause: five parts are to be built side by side and need one set of types: where zones lie, which zones are evacuated, when an upstream was born, how long it is cold, where data may be. None was decoded. Nothing acts on them yet.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -36,3 +36,4 @@
 export * from './model/workspace.js';
 export * from './load/operation-allowance.js';
 export * from './load/demand-share.js';
+export * from './places/topology.js';
--- a/packages/coordination/src/model/ids.ts
+++ b/packages/coordination/src/model/ids.ts
@@ -10,6 +10,8 @@
 export type HostId = Branded<'HostId'>;
 /** Name of an availability zone. */
 export type AzId = Branded<'AzId'>;
+/** Name of a region: availability zones that are near one another. */
+export type RegionId = Branded<'RegionId'>;
 /** Name of a database group; callers give it as the database name. */
 export type GroupId = Branded<'GroupId'>;
 /** Name of an upstream, unique in its group. */
@@ -29,6 +31,11 @@
   return text as AzId;
 }
 
+/** Marks a checked string as a region name. */
+export function regionId(text: string): RegionId {
+  return text as RegionId;
+}
+
 /** Marks a checked string as a group name. */
 export function groupId(text: string): GroupId {
   return text as GroupId;
--- a/packages/coordination/src/model/workspace.ts
+++ b/packages/coordination/src/model/workspace.ts
@@ -2,7 +2,7 @@
  * Workspaces: which key opens which, and what an operation of a caller is admitted as.
  */
 import { createHash } from 'node:crypto';
-import type { WorkspaceId } from './ids.js';
+import type { RegionId, WorkspaceId } from './ids.js';
 
 /** What a workspace may use, over all hosts together. */
 export interface WorkspaceLimit {
@@ -17,6 +17,8 @@
   readonly id: WorkspaceId;
   /** Undefined where nothing is limited. */
   readonly limit: WorkspaceLimit | undefined;
+  /** Regions that its data may not leave; missing where it may be anywhere. */
+  readonly regions?: readonly RegionId[];
 }
 
 declare const keyHashBrand: unique symbol;
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
-import type { HostId, LapseRules, SeenDuty, UpstreamId } from '@gladespool/coordination';
+import type { AzId, HostId, LapseRules, SeenDuty, UpstreamId } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import { BoardSection } from '../../knowledge/board.js';
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
@@ -16,7 +16,9 @@
 /** A document that others keep in the store: operators and upstreams. */
 export type ForeignDocument =
   | { readonly kind: 'catalog'; readonly catalog: Catalog }
-  | { readonly kind: 'upstream'; readonly entry: UpstreamEntry };
+  | { readonly kind: 'upstream'; readonly entry: UpstreamEntry }
+  /** Upstreams of the zone are to get no work for as long as the document is there. */
+  | { readonly kind: 'evacuation'; readonly az: AzId };
 
 /** Reads documents of others; undefined when a key is of no concern or its text is broken. */
 export interface ForeignDocuments {
@@ -84,6 +86,8 @@
   /** Changes at or below this revision are not all remembered as removals. */
   private removalsSince = 0;
   private readonly lapsed: LapsedUpstreams;
+  /** Evacuated zones, with the local time at which this host learned of it. */
+  private readonly evacuatedSince = new Map<AzId, number>();
   /** Sections of the board that no longer show what is held. */
   private readonly outdated = new Set<BoardSection>();
 
@@ -279,10 +283,24 @@
       case 'upstream':
         this.lapsed.remove(document.entry.id);
         return;
+      case 'evacuation':
+        this.evacuate(document.az, revision, now);
+        return;
       default:
     }
   }
 
+  private evacuate(az: AzId, revision: number, now: number): void {
+    if (this.evacuatedSince.has(az)) return;
+    this.evacuatedSince.set(az, now);
+    this.log.info('zone-evacuated', { az, revision });
+  }
+
+  private endEvacuation(az: AzId, revision: number): void {
+    this.evacuatedSince.delete(az);
+    this.log.info('evacuation-ended', { az, revision });
+  }
+
   private noteRevision(key: string, revision: number): void {
     this.newest = Math.max(this.newest, revision);
     if (key.startsWith(OWN_PREFIX)) this.ownNewest = Math.max(this.ownNewest, revision);
@@ -329,6 +347,7 @@
     if (section !== undefined) this.outdated.add(section);
     if (held.kind === 'host') this.hostGoneAt = now;
     if (held.kind === 'upstream') this.lapsed.add(held.entry, now);
+    if (held.kind === 'evacuation') this.endEvacuation(held.az, revision);
   }
 
   private noteRemoval({ key, revision }: RemovedKey): void {
@@ -346,12 +365,15 @@
   }
 
   /**
-   * Puts upstreams and hosts on the board where they have changed: every listener of a section works
+   * Puts upstreams, hosts and evacuations on the board where they have changed: every listener of a section works
    * out anew what follows from all of its entries, such as the homes of each group.
    */
   private publish(): void {
     if (this.outdated.has(BoardSection.Upstreams)) this.board.putUpstreams(this.upstreams());
     if (this.outdated.has(BoardSection.Hosts)) this.board.putHosts(this.hosts());
+    if (this.outdated.has(BoardSection.Evacuations)) {
+      this.board.putEvacuations(new Map(this.evacuatedSince));
+    }
     this.outdated.clear();
   }
 
@@ -377,6 +399,7 @@
 const SECTIONS: ReadonlyMap<Held['kind'], BoardSection> = new Map([
   ['host', BoardSection.Hosts],
   ['upstream', BoardSection.Upstreams],
+  ['evacuation', BoardSection.Evacuations],
 ]);
 
 /** Whether two documents of one key hold the same entry of a host or an upstream. */
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -2,6 +2,7 @@
  * One gateway host: callers, homes and control around the board. Protocols and the platform come in
  * through interfaces.
  */
+import type { Topology } from '@gladespool/coordination';
 import { SeededRandom } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { createLogger } from '@gladespool/observability';
@@ -33,6 +34,8 @@
 /** What a gateway host is made of. */
 export interface GatewayOptions {
   readonly self: HostEntry;
+  /** Where the zones of the deployment lie. */
+  readonly topology?: Topology;
   readonly callers: { readonly address: string; readonly port: number };
   readonly store: MetadataStore;
   readonly documents: ForeignDocuments;
@@ -71,7 +74,7 @@
 
   constructor(private readonly options: GatewayOptions) {
     const { self, metrics } = options;
-    this.board = new GatewayBoard(self.host, self.az);
+    this.board = new GatewayBoard(self.host, self.az, options.topology);
     this.log = createLogger('gateway', { host: self.host });
     this.holds = new WriteHolds(this.board);
     this.directory = new HomeDirectory(this.board);
--- a/packages/gateway/src/gateway-rules.ts
+++ b/packages/gateway/src/gateway-rules.ts
@@ -12,6 +12,14 @@
 import type { DrainTimes } from './entry/caller-server.js';
 import type { HomeRules } from './home/group-home.js';
 
+/** By how much a cold upstream's limit may be exceeded in any second. */
+export interface WarmupTolerance {
+  /** Factor on the statements of a second. */
+  readonly overrun: number;
+  /** Statements on top of that. */
+  readonly slack: number;
+}
+
 /** Rules of one host. */
 export interface GatewayRules {
   readonly home: HomeRules;
@@ -22,6 +30,10 @@
   readonly keys: KeyRules;
   /** By how much workspaces may overrun their limits. */
   readonly tolerance: LimitTolerance;
+  /** By how much the statements of a cold upstream may exceed its limit. */
+  readonly warmupTolerance: WarmupTolerance;
+  /** Time within which upstreams of an evacuated zone get no work any more, milliseconds. */
+  readonly evacuationMs: number;
   readonly drain: DrainTimes;
   /** Callers' connections at most. */
   readonly maxCallers: number;
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -9,9 +9,10 @@
   GroupId,
   HostId,
   PrimaryRecord,
+  Topology,
   UpstreamId,
 } from '@gladespool/coordination';
-import { isIsolated, isNewerRecord } from '@gladespool/coordination';
+import { isIsolated, isNewerRecord, ONE_REGION } from '@gladespool/coordination';
 import type { Catalog, Route, UpstreamEntry } from '../model/catalog.js';
 
 /** A host as it registered itself in the metadata store. */
@@ -34,6 +35,8 @@
   Hosts = 'hosts',
   /** The proof that the records held are those of the store. */
   Proof = 'proof',
+  /** Zones whose upstreams the operators want out of use. */
+  Evacuations = 'evacuations',
 }
 
 /** What one host believes. */
@@ -41,6 +44,8 @@
   catalog: Catalog | undefined;
   upstreams: ReadonlyMap<UpstreamId, UpstreamEntry> = new Map();
   hosts: ReadonlyMap<HostId, HostEntry> = new Map();
+  /** Zones whose upstreams take no work, with the local time at which this host learned of it. */
+  evacuations: ReadonlyMap<AzId, number> = new Map();
   /** Latest local time at which the configuration in force was surely the newest; -Infinity before. */
   catalogConfirmedAt = Number.NEGATIVE_INFINITY;
   /** Whether this host is stopping. */
@@ -54,6 +59,7 @@
   constructor(
     readonly host: HostId,
     readonly az: AzId,
+    readonly topology: Topology = ONE_REGION,
   ) {}
 
   /** Calls `listener` at each change of a section; the result stops that. */
@@ -84,6 +90,12 @@
     this.notify(BoardSection.Hosts);
   }
 
+  /** Takes the zones that are evacuated now. */
+  putEvacuations(evacuations: ReadonlyMap<AzId, number>): void {
+    this.evacuations = evacuations;
+    this.notify(BoardSection.Evacuations);
+  }
+
   /** Takes a record; an older version of it is passed over. */
   putRecord(record: PrimaryRecord): boolean {
     if (!isNewerRecord(this.records.get(record.group), record)) return false;
--- a/packages/gateway/src/model/catalog.ts
+++ b/packages/gateway/src/model/catalog.ts
@@ -5,6 +5,7 @@
   AzId,
   Consistency,
   GroupId,
+  RegionId,
   UpstreamId,
   Workspace,
   WorkspaceId,
@@ -26,6 +27,16 @@
   readonly priority: number;
   /** Whether callers need no key; such a route belongs to no workspace. */
   readonly isPublic: boolean;
+  /** Regions that the data of this route may not leave; missing where it may be anywhere. */
+  readonly regions?: readonly RegionId[];
+}
+
+/** How an upstream that is cold is warmed up: by few statements at first. */
+export interface WarmupLimit {
+  /** Time for which an upstream is cold after it has started, milliseconds. */
+  readonly lastsMs: number;
+  /** Statements a second that a cold upstream may get, over all hosts. */
+  readonly statementsPerS: number;
 }
 
 /** A group's bounds. */
@@ -34,6 +45,8 @@
   readonly connectionsPerUpstream: number;
   /** Replicas that must have received a commit before it is confirmed. */
   readonly syncReplicas: number;
+  /** Missing where upstreams need no warming up. */
+  readonly warmup?: WarmupLimit;
 }
 
 /** The configuration in force. */
@@ -66,4 +79,11 @@
   readonly slots: number;
   /** Whether it is about to leave and takes no new work. */
   readonly draining: boolean;
+  /**
+   * Start of the upstream, Unix milliseconds by its own clock: one that starts again under its id holds
+   * nothing of before. Missing where it does not tell.
+   */
+  readonly born?: number;
+  /** Time for which it is still cold when it wrote its entry, milliseconds; missing when it is not. */
+  readonly coldForMs?: number;
 }
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -54,6 +54,8 @@
   },
   keys: { unconfirmedLifeMs: undefined },
   tolerance: NO_TOLERANCE,
+  warmupTolerance: { overrun: 1, slack: 0 },
+  evacuationMs: 5000,
   drain: { acceptMs: 0, transactionsMs: 10, endMs: 20 },
   maxCallers: 10,
   startTimeoutMs: 1000,
