refactor(gateway): the view of the store is split by job

Ruled out: splitting by kind of document (revisions and removals are the same for all kinds). No behaviour changes.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -29,7 +29,7 @@
 import { Registrar } from './store/registrar.js';
 import { RelayOrder } from '../knowledge/relay-order.js';
 import { DEFAULT_FOLLOWER, StoreFollower } from './store/store-follower.js';
-import type { ForeignDocuments } from './store/store-view.js';
+import type { ForeignDocuments } from './store/foreign-documents.js';
 import { StoreView } from './store/store-view.js';
 import { SyncAnswers } from './proofs/sync-answers.js';
 import { SyncService } from './proofs/sync-service.js';
--- /dev/null
+++ b/packages/gateway/src/control/store/foreign-documents.ts
@@ -0,0 +1,17 @@
+/**
+ * Documents that others keep in the metadata store: operators and upstreams.
+ */
+import type { AzId } from '@gladespool/coordination';
+import type { Catalog, UpstreamEntry } from '../../model/catalog.js';
+
+/** A document that others keep in the store: operators and upstreams. */
+export type ForeignDocument =
+  | { readonly kind: 'catalog'; readonly catalog: Catalog }
+  | { readonly kind: 'upstream'; readonly entry: UpstreamEntry }
+  /** Upstreams of the zone are to get no work for as long as the document is there. */
+  | { readonly kind: 'evacuation'; readonly az: AzId };
+
+/** Reads documents of others; undefined when a key is of no concern or its text is broken. */
+export interface ForeignDocuments {
+  read(key: string, text: string): ForeignDocument | undefined;
+}
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -12,7 +12,7 @@
 import { ControlPlane } from './control/control-plane.js';
 import type { MetadataStore } from './control/store/metadata-store.js';
 import type { PromotionPort } from './control/promotion/promotion-call.js';
-import type { ForeignDocuments } from './control/store/store-view.js';
+import type { ForeignDocuments } from './control/store/foreign-documents.js';
 import { WriteHolds } from './knowledge/write-holds.js';
 import type { CallerCodec } from './entry/caller-codec.js';
 import { CallerServer } from './entry/caller-server.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export * from './knowledge/board.js';
+export * from './control/store/foreign-documents.js';
 export * from './control/store/metadata-store.js';
 export * from './control/promotion/promotion-call.js';
 export * from './control/proofs/proof-keeper.js';
