--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -39,7 +39,7 @@
 /** Workspace of that key, where there are any. */
 export const WORKSPACE = workspaceId('w1');
 
-/** Birth that upstreams tell at first, Unix milliseconds. */
+/** Birth that the first upstream tells at first, Unix milliseconds; each other one is born a little later. */
 export const BIRTH = 1_700_000_000_000;
 
 const LOOPBACK = '127.0.0.1';
@@ -152,7 +152,7 @@
       role,
       slots: 3,
       draining: false,
-      ...(this.tellsBirths && { born: BIRTH }),
+      ...(this.tellsBirths && { born: BIRTH + index }),
     };
     this.store.put(`upstream/${id}`, entry);
   }
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -38,9 +38,9 @@
 
   constructor(readonly id: UpstreamId) {}
 
-  /** Starts again with nothing of before, but believes in the role that it had. */
-  startAnew(): void {
-    this.life += 1;
+  /** Starts again with nothing of before, but believes in the role that it had; a relay may keep connections. */
+  startAnew(closesConnections = true): void {
+    if (closesConnections) this.life += 1;
     this.term = 1;
     this.offset = 0;
   }
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -24,6 +24,8 @@
 export class FakeStore {
   revision = 1;
   away = false;
+  /** Whether it answers reads but refuses every change. */
+  readOnly = false;
   /** Changes that are done but whose answers are lost, from now on. */
   loseAnswers = 0;
   readonly items = new Map<string, StoreItem>();
@@ -90,7 +92,7 @@
   }
 
   change(change: StoreChange): Promise<Result<ChangeResult, GladespoolError>> {
-    if (this.away) return Promise.resolve(err(AWAY));
+    if (this.away || this.store.readOnly) return Promise.resolve(err(AWAY));
     const { store } = this;
     const holds = change.conditions.every(
       ({ key, revision }) => (store.items.get(key)?.revision ?? 0) === revision,
--- a/packages/gateway/tests/upstream-born-anew.feature
+++ b/packages/gateway/tests/upstream-born-anew.feature
@@ -15,13 +15,26 @@
       | no birth at first, then a later one              |
       | a later birth once it was gone from the store    |
 
-  Scenario: The primary has started anew, and its entry is still that of before
+  Scenario Outline: The primary has started anew, and its entry is still that of before
     Given 3 hosts that serve a group whose upstreams tell their births
-    When the primary starts anew, and its entry tells nothing of it
+    When the primary starts anew, its connections <connections>, and its entry tells nothing of it
     Then another upstream becomes the primary under one fence
     And every host writes there, none at the former primary after the change
     And no host has confirmed a write that the upstream which started anew has run
 
+    Examples:
+      | connections |
+      | end         |
+      | stay open   |
+
+  Scenario: No host knows how far the log of the primary reached, and the change of it is delayed
+    Given 3 hosts that serve a group whose upstreams tell their births, and that have written nothing
+    When the primary starts anew, every host has read its entry, and the store takes no change
+    Then no host runs a write at the primary within 300 ms
+    When the store takes changes again
+    Then another upstream becomes the primary under one fence
+    And every host writes there, none at the former primary after the change
+
   Scenario Outline: Nothing tells that the primary is another upstream
     Given 3 hosts that serve a group <births>
     When the entry of the primary tells <birth>
--- a/packages/gateway/tests/upstream-born-anew.steps.ts
+++ b/packages/gateway/tests/upstream-born-anew.steps.ts
@@ -118,19 +118,77 @@
   },
 );
 
+async function startPrimaryAnew(
+  world: BirthWorld,
+  closesConnections: boolean,
+  birth: string,
+): Promise<void> {
+  const { deployment } = world;
+  world.confirmed = [];
+  world.ranBefore = deployment.group.ran.length;
+  upstream(world).startAnew(closesConnections);
+  const writing = deployment.upstreams > 1 ? writeOn(world) : Promise.resolve();
+  await tell(world, PRIMARY_KEY, birth);
+  await writing;
+}
+
 When(
   /^the primary starts anew, and its entry tells (.*)$/,
   TIMEOUT,
-  async function (this: BirthWorld, birth: string) {
-    this.confirmed = [];
-    this.ranBefore = this.deployment.group.ran.length;
+  function (this: BirthWorld, birth: string) {
+    return startPrimaryAnew(this, true, birth);
+  },
+);
+
+When(
+  /^the primary starts anew, its connections (end|stay open), and its entry tells nothing of it$/,
+  TIMEOUT,
+  function (this: BirthWorld, connections: string) {
+    return startPrimaryAnew(this, connections === 'end', 'nothing of it');
+  },
+);
+
+Given(
+  '{int} hosts that serve a group whose upstreams tell their births, and that have written nothing',
+  TIMEOUT,
+  async function (this: BirthWorld, hosts: number) {
+    this.deployment = Object.assign(new FakeDeployment(), { tellsBirths: true });
+    await this.deployment.start(hosts);
+    this.former = FORMER;
+  },
+);
+
+When(
+  'the primary starts anew, every host has read its entry, and the store takes no change',
+  async function (this: BirthWorld) {
+    const { deployment } = this;
+    deployment.store.readOnly = true;
     upstream(this).startAnew();
-    const writing = this.deployment.upstreams > 1 ? writeOn(this) : Promise.resolve();
-    await tell(this, PRIMARY_KEY, birth);
-    await writing;
+    await tell(this, PRIMARY_KEY, 'a later birth');
+    await deployment.until(() =>
+      deployment.hosts.every(({ gateway }) => gateway.board.upstreams.get(FORMER)?.born === LATER),
+    );
   },
 );
 
+Then(
+  'no host runs a write at the primary within {int} ms',
+  TIMEOUT,
+  async function (this: BirthWorld, ms: number) {
+    const { deployment } = this;
+    const until = performance.now() + ms;
+    do {
+      await Promise.all(deployment.hosts.map((each) => deployment.run(each, 'WRITE x 1')));
+    } while (performance.now() < until);
+    const there = deployment.group.ran.filter((run) => run.upstream === FORMER);
+    assert.deepEqual(there, []);
+  },
+);
+
+When('the store takes changes again', function (this: BirthWorld) {
+  this.deployment.store.readOnly = false;
+});
+
 When(/^the entry of the primary tells (.*)$/, function (this: BirthWorld, birth: string) {
   return tell(this, PRIMARY_KEY, birth);
 });
@@ -159,7 +217,10 @@
 );
 
 Then('the record names the birth of the primary', function (this: BirthWorld) {
-  assert.equal(host(this, 0).gateway.board.record(GROUP)?.born, BIRTH);
+  const { board } = host(this, 0).gateway;
+  const record = board.record(GROUP);
+  assert.ok(record);
+  assert.equal(record.born, board.upstreams.get(record.primary)?.born);
 });
 
 Then('every host has dropped what it held of that replica', async function (this: BirthWorld) {
