--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -74,17 +74,20 @@
   readonly received: Position;
   /** Whether it is about to leave. */
   readonly draining: boolean;
+  /** Whether its zone is evacuated; missing counts as not. */
+  readonly evacuated?: boolean;
 }
 
 /**
  * The upstream that becomes primary: one that already leads a newer term than all others report,
- * else the one that has received most. Leaving ones only if there is no other.
+ * else the one that has received most. Leaving ones only if there is no other, those of evacuated
+ * zones never.
  */
 export function chooseSuccessor(
   reports: readonly SuccessorReport[],
   former: UpstreamId,
 ): SuccessorReport | undefined {
-  const others = reports.filter((report) => report.id !== former);
+  const others = reports.filter((report) => report.id !== former && report.evacuated !== true);
   const staying = others.filter((report) => !report.draining);
   const candidates = staying.length > 0 ? staying : others;
   return [...candidates].sort(bySuitability)[0];
@@ -106,6 +109,29 @@
   return reported >= Math.max(1, replicas - syncReplicas + 1);
 }
 
+/**
+ * The successor if enough upstreams have reported for it to hold every confirmed commit. Reports from
+ * evacuated zones show what was confirmed, but their upstreams can't follow: where the others alone are
+ * too few, the successor must have received as much as they all.
+ */
+export function chooseCoveringSuccessor(
+  reports: readonly SuccessorReport[],
+  former: UpstreamId,
+  replicas: number,
+  syncReplicas: number,
+): SuccessorReport | undefined {
+  if (!hasEnoughReports(reports, former, replicas, syncReplicas)) return undefined;
+  const chosen = chooseSuccessor(reports, former);
+  if (chosen === undefined || syncReplicas === 0) return chosen;
+  const inUse = reports.filter((report) => report.evacuated !== true);
+  if (hasEnoughReports(inUse, former, replicas, syncReplicas)) return chosen;
+  const others = reports.filter((report) => report.id !== former);
+  const holdsAll = others.every(
+    (report) => comparePositions(report.received, chosen.received) <= 0,
+  );
+  return holdsAll ? chosen : undefined;
+}
+
 /**
  * Whether a planned change had better end with the former primary: it reports, and nobody who could
  * follow holds all of its commits. An upstream that leads already is followed whatever it lacks.
--- a/packages/coordination/src/model/refusal.ts
+++ b/packages/coordination/src/model/refusal.ts
@@ -53,6 +53,8 @@
   UnknownKey = 'unknown-key',
   OverLimit = 'over-limit',
   KeysUnconfirmed = 'keys-unconfirmed',
+  ZoneEvacuated = 'zone-evacuated',
+  NoPermittedRegion = 'no-permitted-region',
 }
 
 /** What a refusal tells the caller. */
@@ -227,6 +229,18 @@
     'host can not tell whether the key still counts',
     LATER_MS,
   ),
+  [RefusalReason.ZoneEvacuated]: rule(
+    Ran.No,
+    '57P03',
+    'every upstream that could run it is in an evacuated zone',
+    LATER_MS,
+  ),
+  [RefusalReason.NoPermittedRegion]: rule(
+    Ran.No,
+    '57P03',
+    'no upstream that could run it is in a region that the data may be in',
+    0,
+  ),
   [RefusalReason.AlreadyRan]: rule(Ran.Yes, '23505', 'request id has run before', 0),
 };
 
--- a/packages/coordination/src/model/retry-reason.ts
+++ b/packages/coordination/src/model/retry-reason.ts
@@ -11,4 +11,5 @@
   WatchLost = 'watch-lost',
   UpstreamBusy = 'upstream-busy',
   LostPreparation = 'lost-preparation',
+  UpstreamExcluded = 'upstream-excluded',
 }
--- /dev/null
+++ b/packages/coordination/src/places/evacuation.ts
@@ -0,0 +1,62 @@
+/**
+ * Evacuation of an availability zone: which work its upstreams still take while the operators want
+ * them out of use, counted from when the request may have been stored.
+ */
+import type { AzId } from '../model/ids.js';
+
+/** How far the evacuation of a zone has come on one host. */
+export enum EvacuationStage {
+  /** The zone is in use. */
+  None = 'none',
+  /** A primary in it serves until it is replaced; open transactions go on. */
+  Leaving = 'leaving',
+  /** Nothing is sent to its upstreams any more. */
+  Over = 'over',
+}
+
+/**
+ * Part of the time for an evacuation in which primaries and open transactions of the zone go on. A usual
+ * planned change takes well under half of that time; the rest covers hosts that learn of the request
+ * late and statements that are on their way.
+ */
+export const LEAVING_SHARE = 0.5;
+
+/**
+ * Stage of a zone's evacuation at `now`.
+ *
+ * @param inUseAt latest local time at which the zone was surely not evacuated; undefined while it is not
+ * @param evacuationMs time after the request within which all work has to end, milliseconds
+ */
+export function evacuationStage(
+  inUseAt: number | undefined,
+  now: number,
+  evacuationMs: number,
+): EvacuationStage {
+  if (inUseAt === undefined) return EvacuationStage.None;
+  const isLeaving = now - inUseAt < evacuationMs * LEAVING_SHARE;
+  return isLeaving ? EvacuationStage.Leaving : EvacuationStage.Over;
+}
+
+/**
+ * Whether an upstream takes new work. A primary does so until it is replaced, but only where it can be.
+ *
+ * @param isReplaceablePrimary whether it is the primary of a group with upstreams in other zones
+ */
+export function takesNewWork(stage: EvacuationStage, isReplaceablePrimary: boolean): boolean {
+  switch (stage) {
+    case EvacuationStage.None:
+      return true;
+    case EvacuationStage.Leaving:
+      return isReplaceablePrimary;
+    case EvacuationStage.Over:
+      return false;
+  }
+}
+
+/** Whether one of the zones at least is not evacuated. */
+export function isAnyInUse(
+  zones: readonly AzId[],
+  evacuations: ReadonlyMap<AzId, unknown>,
+): boolean {
+  return zones.some((az) => !evacuations.has(az));
+}
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -16,6 +16,11 @@
 import type { SearchResult } from './successor-search.js';
 import { STATUS_TIMEOUT_MS, SuccessorSearch } from './successor-search.js';
 
+/** Causes with which the former primary still serves. */
+const PLANNED: ReadonlySet<PromotionCause> = new Set([
+  PromotionCause.Draining,
+  PromotionCause.Evacuated,
+]);
 /** Longest time for naming the new primary in the record, milliseconds. */
 const PUBLISH_TIMEOUT_MS = 1000;
 /** Longest time for a host to give the former primary up before it counts as silent, milliseconds. */
@@ -72,12 +77,21 @@
 
   /** Whether the former primary still serves, so that the change can as well wait. */
   private get isPlanned(): boolean {
-    return this.cause === PromotionCause.Draining;
+    return PLANNED.has(this.cause);
   }
 
-  /** Whether the former primary no longer says that it leaves, or has an entry again. */
+  /** Whether the former primary need not leave any more, or has an entry again. */
   private get formerStays(): boolean {
-    return this.ctx.board.upstreams.get(this.former.primary)?.draining === false;
+    const { primary } = this.former;
+    const isLeaving = this.ctx.board.upstreams.get(primary)?.draining ?? true;
+    return !isLeaving && !this.isEvacuated(primary);
+  }
+
+  /** Whether an upstream lies in a zone that is evacuated now. */
+  private isEvacuated(upstream: UpstreamId): boolean {
+    const { board } = this.ctx;
+    const entry = board.upstreams.get(upstream);
+    return entry !== undefined && board.evacuations.has(entry.az);
   }
 
   /** Prepares a planned change; false when it is put off. */
@@ -161,21 +175,28 @@
     return silentHostFreeAt(this.ctx.view.hostLastGoneAt, this.ctx.authority);
   }
 
-  /** The upstream to promote, chosen shortly before the last silent host is free; resolves then. */
+  /**
+   * The upstream to promote, chosen shortly before the last silent host is free; resolves then. It is chosen
+   * anew if its zone is evacuated meanwhile.
+   */
   private async chooseSuccessor(claim: RecordClaim, freeAt: number): Promise<SearchResult> {
     // Where replicas confirm commits, a host that is not free yet may still confirm one.
     const { search } = this;
     if (search.syncReplicasOf(this.former) > 0) await waitUntil(freeAt);
     else await waitUntil(freeAt - CHOICE_MS);
-    const [found] = await Promise.all([search.find(claim.record), waitUntil(freeAt)]);
-    return found;
+    for (;;) {
+      const [found] = await Promise.all([search.find(claim.record), waitUntil(freeAt)]);
+      const { successor } = found;
+      if (successor === undefined || !this.isEvacuated(successor.id)) return found;
+    }
   }
 
-  /** Calls for the promotion, never after the duty's window. */
+  /** Calls for the promotion, never after the duty's window, nor into a zone that is evacuated. */
   private async promote(claim: RecordClaim, upstream: UpstreamId): Promise<boolean> {
     const { port, self, rules } = this.ctx;
     const windowEnd = claim.sentAt + rules.dutyWindowMs;
     for (let leftMs = windowEnd - performance.now(); leftMs > 0;) {
+      if (this.isEvacuated(upstream)) return false;
       const answer = await port.promote({
         group: this.former.group,
         upstream,
--- a/packages/gateway/src/control/promotion/promotion-cause.ts
+++ b/packages/gateway/src/control/promotion/promotion-cause.ts
@@ -6,6 +6,7 @@
 export enum PromotionCause {
   Suspect = 'suspect',
   Draining = 'draining',
+  Evacuated = 'evacuated',
   Unlisted = 'unlisted',
   StalledClaim = 'stalled-claim',
 }
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -6,6 +6,7 @@
   actingOrder,
   FailoverVerdict,
   groupId,
+  isAnyInUse,
   isGivenUp,
   judgeSuspicion,
   rankCandidates,
@@ -17,6 +18,7 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { HostEntry } from '../../knowledge/board.js';
 import type { ReachNotes } from '../../knowledge/reach-notes.js';
+import type { UpstreamEntry } from '../../model/catalog.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
 import { PromotionAttempt } from './promotion-attempt.js';
 import { PromotionCause } from './promotion-cause.js';
@@ -76,6 +78,8 @@
   unlistedSince: number | undefined;
   /** Since when this host has seen the primary leaving; undefined while it stays. */
   drainingSince: number | undefined;
+  /** Since when this host has seen the primary's zone evacuated; undefined while it is in use. */
+  evacuatedSince: number | undefined;
   /** Local time until which a host that acts before this one is expected to act. */
   leftToOtherUntil: number;
 }
@@ -150,9 +154,21 @@
     state.unlistedSince = undefined;
     if (entry.draining) return this.failingPrimary(record, now) ?? drainingPrimary(state, now);
     state.drainingSince = undefined;
+    if (this.mustLeaveZone(entry)) {
+      return this.failingPrimary(record, now) ?? evacuatedPrimary(state, now);
+    }
+    state.evacuatedSince = undefined;
     return this.failingPrimary(record, now);
   }
 
+  /** Whether a primary's zone is evacuated and another upstream could follow it. */
+  private mustLeaveZone({ az, group }: UpstreamEntry): boolean {
+    const { board } = this.options.context;
+    if (!board.evacuations.has(az)) return false;
+    const zones = board.upstreamsOf(group).map((entry) => entry.az);
+    return isAnyInUse(zones, board.evacuations);
+  }
+
   /** An own claim has stalled once its attempt is over, be it that of this host's former process. */
   private stalledClaim(
     record: PrimaryRecord,
@@ -268,6 +284,7 @@
       seenAt: now,
       unlistedSince: undefined,
       drainingSince: undefined,
+      evacuatedSince: undefined,
       leftToOtherUntil: Number.NEGATIVE_INFINITY,
     };
     if (held !== undefined) return Object.assign(held, seen);
@@ -287,3 +304,8 @@
   state.drainingSince ??= now;
   return { cause: PromotionCause.Draining, since: state.drainingSince };
 }
+
+function evacuatedPrimary(state: GroupState, now: number): Occasion {
+  state.evacuatedSince ??= now;
+  return { cause: PromotionCause.Evacuated, since: state.evacuatedSince };
+}
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -3,7 +3,8 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
-import { chooseSuccessor, hasEnoughReports, keepsFormer } from '@gladespool/coordination';
+import { chooseCoveringSuccessor, keepsFormer } from '@gladespool/coordination';
+import type { UpstreamEntry } from '../../model/catalog.js';
 import type { PromotionContext } from './promotion-context.js';
 import type { PromotionLog } from './promotion-log.js';
 
@@ -98,21 +99,29 @@
   ): SuccessorReport | undefined {
     const members = this.ctx.board.upstreamsOf(former.group);
     const replicas = members.filter((entry) => entry.id !== former.primary).length;
-    if (!hasEnoughReports(reports, former.primary, replicas, confirming)) return undefined;
-    return chooseSuccessor(reports, former.primary);
+    return chooseCoveringSuccessor(reports, former.primary, replicas, confirming);
   }
 
-  private async reports({ group }: PrimaryRecord): Promise<readonly SuccessorReport[]> {
-    const { board, probe } = this.ctx;
-    const found = await Promise.all(
-      board.upstreamsOf(group).map(async (entry) => {
-        const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
-        if (result.kind !== 'status') return undefined;
-        return { ...result.status, id: entry.id, draining: entry.draining };
-      }),
-    );
+  private async reports(former: PrimaryRecord): Promise<readonly SuccessorReport[]> {
+    const { board } = this.ctx;
+    const members = board.upstreamsOf(former.group).filter((entry) => this.matters(entry, former));
+    const found = await Promise.all(members.map((entry) => this.report(entry)));
     return found.filter((report) => report !== undefined);
   }
+
+  /** Whether the choice needs an upstream's report: those of evacuated zones tell only what is confirmed. */
+  private matters(entry: UpstreamEntry, former: PrimaryRecord): boolean {
+    if (!this.ctx.board.evacuations.has(entry.az)) return true;
+    return entry.id === former.primary || this.syncReplicasOf(former) > 0;
+  }
+
+  private async report(entry: UpstreamEntry): Promise<SuccessorReport | undefined> {
+    const { board, probe } = this.ctx;
+    const { id, group, draining } = entry;
+    const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
+    if (result.kind !== 'status') return undefined;
+    return { ...result.status, id, draining, evacuated: board.evacuations.has(entry.az) };
+  }
 }
 
 /**
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -86,7 +86,7 @@
   /** Changes at or below this revision are not all remembered as removals. */
   private removalsSince = 0;
   private readonly lapsed: LapsedUpstreams;
-  /** Evacuated zones, with the local time at which this host learned of it. */
+  /** Evacuated zones, with the latest local time at which they were surely in use. */
   private readonly evacuatedSince = new Map<AzId, number>();
   /** Sections of the board that no longer show what is held. */
   private readonly outdated = new Set<BoardSection>();
@@ -290,10 +290,15 @@
     }
   }
 
+  /**
+   * Notes an evacuation. The request may be as old as the documents held until now: a host that starts, or
+   * that has not heard of the store for long, must not take it for new.
+   */
   private evacuate(az: AzId, revision: number, now: number): void {
     if (this.evacuatedSince.has(az)) return;
-    this.evacuatedSince.set(az, now);
-    this.log.info('zone-evacuated', { az, revision });
+    const inUseAt = Math.min(now, this.currentAt);
+    this.evacuatedSince.set(az, inUseAt);
+    this.log.info('zone-evacuated', { az, revision, at_most_ms: Math.round(now - inUseAt) });
   }
 
   private endEvacuation(az: AzId, revision: number): void {
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -6,10 +6,19 @@
   GroupId,
   KeyHash,
   KeyRules,
+  PermittedRegions,
   SessionPosition,
   Workspace,
 } from '@gladespool/coordination';
-import { admit, hashKey, keysCount, Ran, ranOf, RefusalReason } from '@gladespool/coordination';
+import {
+  admit,
+  hashKey,
+  keysCount,
+  permittedRegions,
+  Ran,
+  ranOf,
+  RefusalReason,
+} from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { GatewayBoard } from '../knowledge/board.js';
@@ -49,6 +58,8 @@
 interface Place {
   readonly route: Route;
   readonly workspace: Workspace | undefined;
+  /** Regions that its data may be in. */
+  readonly regions: PermittedRegions;
 }
 
 /** A transaction from the caller's BEGIN on; it is opened at an upstream with its first statement. */
@@ -214,12 +225,12 @@
       case 'unknown-key':
         return err(RefusalReason.UnknownKey);
       case 'open':
-        return ok({ route, workspace: undefined });
+        return placeOf(route, undefined);
       case 'workspace':
         if (!keysCount(board.catalogConfirmedAt, now, keys)) {
           return err(RefusalReason.KeysUnconfirmed);
         }
-        return ok({ route, workspace: admission.workspace });
+        return placeOf(route, admission.workspace);
     }
   }
 
@@ -238,9 +249,10 @@
   }
 
   /** What every job at a place has in common. */
-  private jobAt({ route, workspace }: Place): Pick<Job, 'route' | 'workspace' | 'values' | 'own'> {
+  private jobAt({ route, workspace, regions }: Place): Omit<Job, 'id' | 'beganAt' | 'arrivedAt'> {
     const own = this.own.get(route.group);
-    return { route, workspace: workspace?.id, values: this.values, own };
+    const job = { route, workspace: workspace?.id, values: this.values, own };
+    return regions === undefined ? job : { ...job, regions };
   }
 
   private rollback(): Outcome {
@@ -333,6 +345,13 @@
   }
 }
 
+/** Where an operation runs, unless its data may be nowhere. */
+function placeOf(route: Route, workspace: Workspace | undefined): Result<Place, RefusalReason> {
+  const regions = permittedRegions(route.regions, workspace?.regions);
+  if (regions?.length === 0) return err(RefusalReason.NoPermittedRegion);
+  return ok({ route, workspace, regions });
+}
+
 function notPinned(outcome: Outcome): Pinning {
   return { kind: 'failed', outcome };
 }
--- a/packages/gateway/src/forward/forward-frames.ts
+++ b/packages/gateway/src/forward/forward-frames.ts
@@ -2,7 +2,7 @@
  * Jobs and outcomes as they travel between hosts.
  */
 import type { Refusal } from '@gladespool/coordination';
-import { groupId, workspaceId } from '@gladespool/coordination';
+import { groupId, regionId, workspaceId } from '@gladespool/coordination';
 import type { FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { Job, StepJob } from '../home/job.js';
@@ -49,6 +49,7 @@
   return {
     route: decodeRoute(route),
     workspace: ask.workspace === undefined ? undefined : workspaceId(ask.workspace),
+    ...(ask.regions && { regions: ask.regions.map(regionId) }),
     id: ask.request,
     values: new Map(ask.values),
     own: ask.own,
--- a/packages/gateway/src/forward/remote-executor.ts
+++ b/packages/gateway/src/forward/remote-executor.ts
@@ -143,8 +143,13 @@
     readOnly: false,
     ...encodeTimes(job, now),
   };
-  const { own, workspace } = job;
-  return { ...fields, ...(own && { own }), ...(workspace && { workspace }) };
+  const { own, workspace, regions } = job;
+  return {
+    ...fields,
+    ...(own && { own }),
+    ...(workspace && { workspace }),
+    ...(regions && { regions }),
+  };
 }
 
 function timeLeft(job: Job): number {
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -7,6 +7,7 @@
 import {
   Access,
   Consistency,
+  isPermitted,
   Ran,
   ranOf,
   RefusalReason,
@@ -75,7 +76,7 @@
     const { job, needsPrimary } = attempt;
     const { group } = job.route;
     const now = performance.now();
-    const detours = this.reachable(this.detours(job, needsPrimary, now), now);
+    const detours = this.reachable(job, this.detours(job, needsPrimary, now), now);
     const first = await this.runElsewhere(attempt, detours);
     if (first !== undefined) return first;
     const own = await attempt.on(this.options.local);
@@ -83,14 +84,25 @@
     if (outcome === undefined || !couldGoElsewhere(outcome)) return own;
     const { reason } = outcome.refusal;
     const later = performance.now();
-    const helpers = this.reachable(this.helpers(group, needsPrimary, reason, later), later);
+    const helpers = this.reachable(job, this.helpers(group, needsPrimary, reason, later), later);
     return (await this.runElsewhere(attempt, helpers)) ?? own;
   }
 
-  /** Without the hosts that don't answer; work forwarded to them would wait for nothing. */
-  private reachable(peers: readonly PeerAddress[], now: number): readonly PeerAddress[] {
+  /**
+   * Without the hosts that don't answer, since work forwarded to them would wait for nothing, and without those
+   * outside the regions that the data may be in.
+   */
+  private reachable(job: Job, peers: readonly PeerAddress[], now: number): readonly PeerAddress[] {
     const { calls } = this.options;
-    return peers.filter((peer) => calls.isReachable(peer, now)).slice(0, MAX_DETOURS);
+    const inside = peers.filter((peer) => this.isInside(job, peer));
+    return inside.filter((peer) => calls.isReachable(peer, now)).slice(0, MAX_DETOURS);
+  }
+
+  private isInside({ regions }: Job, peer: PeerAddress): boolean {
+    if (regions === undefined) return true;
+    const { board } = this.options;
+    const entry = board.hosts.get(peer.host as HostId);
+    return entry !== undefined && isPermitted(entry.az, regions, board.topology);
   }
 
   /** Tries `peers` in turn; undefined when none of them ran the work. */
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -95,6 +95,9 @@
     this.board.onChange(BoardSection.Hosts, () => {
       metrics.liveHosts.set(this.board.hosts.size);
     });
+    this.board.onChange(BoardSection.Evacuations, () => {
+      metrics.evacuatedZones.set(this.board.evacuations.size);
+    });
   }
 
   /** Whether callers should come here at `now`. */
@@ -143,6 +146,7 @@
       directory: this.directory,
       reach: this.reach,
       random: new SeededRandom(seed),
+      evacuationMs: rules.evacuationMs,
       metrics,
       log: createLogger('home', { host: self.host }),
     });
--- a/packages/gateway/src/home/await-authority.ts
+++ b/packages/gateway/src/home/await-authority.ts
@@ -6,6 +6,7 @@
 import { BoardSection } from '../knowledge/board.js';
 import type { GroupHome } from './group-home.js';
 import type { Job } from './job.js';
+import { primaryExclusion } from './upstream-exclusion.js';
 
 /** Longest wait before the authority is looked at again, milliseconds. */
 const REVIEW_MS = 25;
@@ -19,6 +20,7 @@
 export async function awaitAuthority(home: GroupHome, job: Job, now: number): Promise<boolean> {
   const { timeoutMs } = job.route;
   for (let time = now; ; time = performance.now()) {
+    if (primaryExclusion(home, job, time) !== undefined) return false;
     if (mayUsePrimary(home, time)) return true;
     if (home.missesPrimary(time) && home.hasDetour(time)) return false;
     const expectedAt = home.expectedPrimaryAt(time);
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -14,6 +14,7 @@
 import { poolPriority } from './group-home.js';
 import type { Job } from './job.js';
 import type { PreparedConnection } from './prepared-connection.js';
+import { exclusionOf } from './upstream-exclusion.js';
 import type { UpstreamSlot } from './upstream-slot.js';
 
 /** A connection that was borrowed and set up. */
@@ -50,10 +51,17 @@
   const leftMs = job.arrivedAt + job.route.timeoutMs - now;
   const waitMs = Math.min(leftMs, job.route.targetLatencyMs * WAIT_SHARE);
   if (waitMs < LEAST_EXCHANGE_MS) return err(RefusalReason.DeadlineBeforeRun);
+  const excluded = exclusionOf(home, slot.entry, job, now);
+  if (excluded !== undefined) return err(excluded);
   const priority = poolPriority(job.route.priority);
   const leased = await slot.acquire(priority, now, waitMs, job.workspace);
   if (leased.isErr()) return err(leased.error);
   const lease = leased.value;
+  const excludedMeanwhile = exclusionOf(home, slot.entry, job, performance.now());
+  if (excludedMeanwhile !== undefined) {
+    lease.release();
+    return err(excludedMeanwhile);
+  }
   const failed = await lease.connection.setUp(
     job.values,
     work,
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -71,13 +71,23 @@
   readonly directory: HomeDirectory;
   readonly reach: ReachNotes;
   readonly random: RandomSource;
+  /** Time within which upstreams of an evacuated zone get no work any more, milliseconds. */
+  readonly evacuationMs: number;
   readonly metrics: HostMetrics;
   readonly log: Logger;
 }
 
+/** An open transaction as its home watches it. */
+export interface WatchedTransaction {
+  /** Ends the transaction if it may not go on at `now`. */
+  review(now: number): void;
+}
+
 /** Connections and knowledge of one group on one host. */
 export class GroupHome {
   readonly marks = new MarkLog();
+  /** Transactions that are open on upstreams of the group. */
+  readonly transactions = new Set<WatchedTransaction>();
   private readonly slots = new Map<UpstreamId, UpstreamSlot>();
 
   constructor(
@@ -121,8 +131,13 @@
   /** Refusal of work that needs the primary while there is none to use, with when to come back. */
   refuseWithoutPrimary(reason: RefusalReason, now: number): Refusal {
     const waitMs = this.expectedPrimaryAt(now) - now;
+    return { ...refuse(reason, this.group), retryAfterMs: this.spreadReturn(waitMs) };
+  }
+
+  /** When a caller that is to wait for `waitMs` is told to come back, milliseconds from now. */
+  spreadReturn(waitMs: number): number {
     const spread = 1 + RETURN_SPREAD * this.context.random.unit();
-    return { ...refuse(reason, this.group), retryAfterMs: Math.ceil(waitMs * spread) };
+    return Math.ceil(waitMs * spread);
   }
 
   /** Whether another host is known to reach the primary. */
@@ -194,8 +209,12 @@
     }
   }
 
-  /** Gives back connections that this host opened for want of a home and does not use at `now`. */
+  /**
+   * Ends transactions that may not go on at `now`, and gives back connections that this host opened for
+   * want of a home and does not use.
+   */
   tick(now: number): void {
+    for (const transaction of [...this.transactions]) transaction.review(now);
     if (this.context.directory.isHome(this.group)) return;
     for (const slot of this.slots.values()) slot.closeIdle(now - FALLBACK_IDLE_MS);
   }
--- a/packages/gateway/src/home/job.ts
+++ b/packages/gateway/src/home/job.ts
@@ -1,7 +1,7 @@
 /**
  * What a session hands to a home, and what it gets back.
  */
-import type { SessionPosition, WorkspaceId } from '@gladespool/coordination';
+import type { PermittedRegions, SessionPosition, WorkspaceId } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import type { Route } from '../model/catalog.js';
 import type { Outcome } from '../model/outcome.js';
@@ -13,6 +13,8 @@
   readonly route: Route;
   /** Workspace that the caller acts for; undefined where none is asked for. */
   readonly workspace: WorkspaceId | undefined;
+  /** Regions that its data may be in; missing where it may be anywhere. */
+  readonly regions?: PermittedRegions;
   /** Id that the caller gave the statement. */
   readonly id: string;
   readonly values: SessionValues;
--- a/packages/gateway/src/home/local-executor.ts
+++ b/packages/gateway/src/home/local-executor.ts
@@ -92,7 +92,7 @@
     tried: ReadonlySet<UpstreamId>,
     now: number,
   ): Result<ReadTarget, Refusal> {
-    return job.readOnly ? planRead(home, job, tried, now) : planAtPrimary(home, now);
+    return job.readOnly ? planRead(home, job, tried, now) : planAtPrimary(home, job, now);
   }
 }
 
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -11,13 +11,16 @@
 import { WireLoss } from '../model/upstream-wire.js';
 import type { Borrowed } from './exchange.js';
 import { borrow, send } from './exchange.js';
-import type { GroupHome } from './group-home.js';
+import type { GroupHome, WatchedTransaction } from './group-home.js';
 import type { BeginJob, OpenTransaction, StepJob } from './job.js';
 import type { ReadTarget } from './read-plan.js';
+import { mayGoOn } from './upstream-exclusion.js';
 import { confirmed, notBorrowed } from './write-flow.js';
 
 /** Longest time for a rollback before its connection is closed instead, milliseconds. */
 const ROLLBACK_TIMEOUT_MS = 1000;
+/** Told of a transaction that was ended since its upstream's zone is evacuated. */
+const EVACUATED = 'zone evacuated';
 
 /** Opens a transaction on the upstream of `target`. */
 export async function openTransaction(
@@ -56,9 +59,13 @@
 }
 
 /** An open transaction. */
-export class PinnedTransaction implements OpenTransaction {
+export class PinnedTransaction implements OpenTransaction, WatchedTransaction {
   private wrote = false;
   private over = false;
+  /** Whether a statement is on its way. */
+  private isRunning = false;
+  /** Why the transaction was ended by this host; empty when the reason told says it all. */
+  private endedFor = '';
   /** Ends the count of transactions that a planned change of the primary waits for. */
   private readonly leave: () => void;
 
@@ -68,14 +75,30 @@
     private readonly begin: BeginJob,
   ) {
     this.leave = begin.readOnly ? () => undefined : home.context.holds.enter(home.group);
+    home.transactions.add(this);
   }
 
   async run(step: StepJob): Promise<Outcome> {
-    if (this.over) return refused(RefusalReason.TransactionLost);
+    this.review(performance.now());
+    if (this.over) return this.lost();
+    this.isRunning = true;
+    const outcome = await this.runStep(step);
+    this.isRunning = false;
+    return outcome;
+  }
+
+  /** Ends the transaction if its zone has been evacuated for too long, but no statement that is on its way. */
+  review(now: number): void {
+    if (!this.isRunning && !this.over && !this.mayGoOn(now)) this.evacuate();
+  }
+
+  private async runStep(step: StepJob): Promise<Outcome> {
     const { connection } = this.borrowed.lease;
     const leftMs = step.arrivedAt + this.begin.route.timeoutMs - performance.now();
     const failed = await connection.setUp(step.values, step.work, leftMs);
     if (failed !== undefined) return this.fail(refused(RefusalReason.TransactionLost));
+    if (!this.mayGoOn(performance.now())) this.evacuate();
+    if (this.over) return this.lost();
     if (accessOf(step.work) === Access.Write) this.wrote = true;
     const command = connection.commandFor(step.work, step.id, undefined);
     const { answer } = await send(this.home, this.borrowed, command, leftMs);
@@ -89,9 +112,10 @@
   }
 
   async commit(id: string, arrivedAt: number): Promise<Outcome> {
-    if (this.over) return refused(RefusalReason.TransactionLost);
+    this.review(performance.now());
+    if (this.over) return this.lost();
     if (this.wrote && !this.mayCommit()) return this.fail(refused(RefusalReason.NoAuthority));
-    this.over = true;
+    this.end();
     const leftMs = arrivedAt + this.begin.route.timeoutMs - performance.now();
     const { answer } = await send(this.home, this.borrowed, { kind: 'commit', id }, leftMs);
     this.leave();
@@ -102,11 +126,33 @@
 
   rollback(): void {
     if (this.over) return;
-    this.over = true;
+    this.end();
     this.leave();
     void this.rollBackAndRelease();
   }
 
+  /** Ends the transaction since its zone has been evacuated for too long. */
+  private evacuate(): void {
+    const { group, context } = this.home;
+    const upstream = this.borrowed.slot.entry.id;
+    context.log.info('transaction-evacuated', { request: this.begin.id, group, upstream });
+    this.endedFor = EVACUATED;
+    this.rollback();
+  }
+
+  private end(): void {
+    this.over = true;
+    this.home.transactions.delete(this);
+  }
+
+  private lost(): Outcome {
+    return refused(RefusalReason.TransactionLost, this.endedFor);
+  }
+
+  private mayGoOn(now: number): boolean {
+    return mayGoOn(this.home, this.borrowed.slot.entry, now);
+  }
+
   private mayCommit(): boolean {
     const { record } = this.borrowed;
     return record !== undefined && this.home.answerCounts(record, performance.now());
@@ -114,6 +160,8 @@
 
   private async rollBackAndRelease(): Promise<void> {
     const { lease } = this.borrowed;
+    // A lost connection ends the transaction as well, and nothing reaches the upstream.
+    if (!this.mayGoOn(performance.now())) lease.connection.close();
     if (lease.connection.usable) {
       await send(this.home, this.borrowed, { kind: 'rollback' }, ROLLBACK_TIMEOUT_MS);
     }
--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -13,6 +13,7 @@
 import { awaitAuthority } from './await-authority.js';
 import type { ReadTarget } from './read-plan.js';
 import { planRead } from './read-plan.js';
+import { isExclusion } from './upstream-exclusion.js';
 import { notBorrowed } from './write-flow.js';
 
 /** Upstreams tried for one read at most: each of three twice. */
@@ -96,6 +97,7 @@
 /** Without a connection another upstream may serve; where only the primary may, the answer is final. */
 function withoutConnection(home: GroupHome, reason: Reason, target: ReadTarget): Try {
   if (target.needsAuthority) return final(notBorrowed(home, reason));
+  if (isExclusion(reason)) return again(RetryReason.UpstreamExcluded, reason);
   const unreachable = reason === RefusalReason.UpstreamUnreachable;
   return again(unreachable ? RetryReason.ConnectFailed : RetryReason.UpstreamBusy, reason);
 }
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -8,6 +8,12 @@
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { GroupHome } from './group-home.js';
 import type { Job } from './job.js';
+import {
+  exclusionOf,
+  groupExclusion,
+  primaryExclusion,
+  refuseExcluded,
+} from './upstream-exclusion.js';
 
 /** One place to run a read. */
 export interface ReadTarget {
@@ -29,7 +35,7 @@
   now: number,
 ): Result<ReadTarget, Refusal> {
   const after = floorOf(home, job);
-  if (after === undefined) return planAtPrimary(home, now);
+  if (after === undefined) return planAtPrimary(home, job, now);
   const primary = home.record?.primary;
   const authority = home.hasAuthority(now);
   const isAllowed = (entry: UpstreamEntry): boolean =>
@@ -38,16 +44,22 @@
   // A primary that is leaving still has every commit, and leads until it is replaced.
   const isPrimary = (entry: UpstreamEntry): boolean => entry.id === primary && authority;
   const choose = (passes: (entry: UpstreamEntry) => boolean): UpstreamEntry | undefined =>
-    home.choose(passes, job, now);
+    home.choose((any) => exclusionOf(home, any, job, now) === undefined && passes(any), job, now);
   const entry =
     choose((any) => isAllowed(any) && isFresh(any)) ??
     choose((any) => isPrimary(any) && isFresh(any)) ??
     choose(isAllowed) ??
     choose((any) => any.id !== primary);
-  if (entry === undefined) return err(refuse(RefusalReason.NoCoveringUpstream, home.group));
+  if (entry === undefined) return err(refuseRead(home, job, now));
   return ok({ entry, after, needsAuthority: false });
 }
 
+function refuseRead(home: GroupHome, job: Job, now: number): Refusal {
+  const excluded = groupExclusion(home, job, now);
+  if (excluded !== undefined) return refuseExcluded(home, excluded);
+  return refuse(RefusalReason.NoCoveringUpstream, home.group);
+}
+
 /** Position behind which the read may run anywhere; undefined when only the primary will do. */
 function floorOf(home: GroupHome, job: Job): Position | undefined {
   const { consistency, maxStalenessMs } = job.route;
@@ -60,7 +72,9 @@
 }
 
 /** The primary, if it is proved; for primary reads and whatever may write. */
-export function planAtPrimary(home: GroupHome, now: number): Result<ReadTarget, Refusal> {
+export function planAtPrimary(home: GroupHome, job: Job, now: number): Result<ReadTarget, Refusal> {
+  const excluded = primaryExclusion(home, job, now);
+  if (excluded !== undefined) return err(refuseExcluded(home, excluded));
   const { record } = home;
   if (record === undefined || !home.hasAuthority(now)) {
     return err(home.refuseWithoutPrimary(RefusalReason.NoAuthority, now));
--- a/packages/gateway/src/home/write-flow.ts
+++ b/packages/gateway/src/home/write-flow.ts
@@ -11,7 +11,8 @@
 import type { Borrowed } from './exchange.js';
 import { borrow, send } from './exchange.js';
 import type { GroupHome } from './group-home.js';
-import type { StatementJob } from './job.js';
+import type { Job, StatementJob } from './job.js';
+import { isExclusion, primaryExclusion, refuseExcluded } from './upstream-exclusion.js';
 
 /** Times that a write which did not run is sent again. */
 const MAX_TRIES = 3;
@@ -21,7 +22,7 @@
   let last: Outcome = refused(RefusalReason.NoPrimary, home.group);
   for (let count = 0; count < MAX_TRIES; count += 1) {
     if (!(await awaitAuthority(home, job, performance.now()))) {
-      return withoutPrimary(home, RefusalReason.NoAuthority);
+      return withoutAuthority(home, job);
     }
     const { record } = home;
     const slot = record === undefined ? undefined : home.slot(record.primary);
@@ -56,10 +57,17 @@
 
 /** Refusal of work for which no connection to the primary could be had. */
 export function notBorrowed(home: GroupHome, reason: RefusalReason): Outcome {
+  if (isExclusion(reason)) return { kind: 'refused', refusal: refuseExcluded(home, reason) };
   if (reason === RefusalReason.UpstreamUnreachable) return withoutPrimary(home, reason);
   return refused(reason, home.group);
 }
 
+function withoutAuthority(home: GroupHome, job: Job): Outcome {
+  const excluded = primaryExclusion(home, job, performance.now());
+  if (excluded === undefined) return withoutPrimary(home, RefusalReason.NoAuthority);
+  return { kind: 'refused', refusal: refuseExcluded(home, excluded) };
+}
+
 function withoutPrimary(home: GroupHome, reason: RefusalReason): Outcome {
   return { kind: 'refused', refusal: home.refuseWithoutPrimary(reason, performance.now()) };
 }
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -44,7 +44,10 @@
   catalog: Catalog | undefined;
   upstreams: ReadonlyMap<UpstreamId, UpstreamEntry> = new Map();
   hosts: ReadonlyMap<HostId, HostEntry> = new Map();
-  /** Zones whose upstreams take no work, with the local time at which this host learned of it. */
+  /**
+   * Zones that the operators evacuate, with the latest local time at which this host surely knew the zone to be
+   * in use; -Infinity where it never did.
+   */
   evacuations: ReadonlyMap<AzId, number> = new Map();
   /** Latest local time at which the configuration in force was surely the newest; -Infinity before. */
   catalogConfirmedAt = Number.NEGATIVE_INFINITY;
--- /dev/null
+++ b/packages/gateway/tests/bound-regions-in-action.steps.ts
@@ -0,0 +1,286 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { AzId, GladespoolError, RegionId } from '@gladespool/coordination';
+import {
+  Access,
+  azId,
+  Consistency,
+  gladespoolError,
+  hostId,
+  isPermitted,
+  permittedRegions,
+  RecordPhase,
+  regionId,
+  Step,
+  Topology,
+  upstreamId,
+} from '@gladespool/coordination';
+import type { PeerAddress } from '@gladespool/peers';
+import { encodeFrame, FrameDecoder, FrameKind } from '@gladespool/protocol';
+import fc from 'fast-check';
+import type { Result } from 'neverthrow';
+import { err } from 'neverthrow';
+import type { BeginJob, Outcome, UpstreamDriver, UpstreamEntry } from '../src/index.js';
+import { GatewayBoard, LocalExecutor, ReportedRole } from '../src/index.js';
+import { decodeJob } from '../src/forward/forward-frames.js';
+import { RemoteExecutor } from '../src/forward/remote-executor.js';
+import { RoutedExecutor } from '../src/forward/routed-executor.js';
+import type { PeerCalls } from '../src/peering/peer-calls.js';
+import type { ActionWorld } from './fakes/action-world.js';
+import { DATABASE, FakeDeployment, GROUP } from './fakes/fake-deployment.js';
+import { homeContext } from './fakes/fake-home.js';
+
+interface BoundWorld extends ActionWorld {
+  outcomes: readonly Outcome[];
+  regions: readonly RegionId[];
+  held: readonly RegionId[] | undefined;
+  /** Names of all that was asked in the random courses. */
+  asked: Asked;
+}
+
+const SEED = 20_261;
+const RUNS = 150;
+/** Time of a statement, milliseconds; all that is asked fails at once. */
+const STATEMENT_MS = 20;
+const REGIONS = ['r0', 'r1', 'r2'].map(regionId);
+const ZONES = ['z0', 'z1', 'z2', 'z3', 'z4'].map(azId);
+const HOSTS = 6;
+
+const bound = fc.option(fc.subarray(REGIONS), { nil: undefined });
+const zone = fc.constantFrom(...ZONES);
+const dealOf = fc.record({
+  /** Region of each zone; undefined where the settings don't tell it. */
+  regions: fc.array(fc.option(fc.constantFrom(...REGIONS), { nil: undefined }), {
+    minLength: ZONES.length,
+    maxLength: ZONES.length,
+  }),
+  hosts: fc.array(zone, { minLength: HOSTS, maxLength: HOSTS }),
+  upstreams: fc.array(zone, { minLength: 1, maxLength: 4 }),
+  ofRoute: bound,
+  ofWorkspace: bound,
+  isBounded: fc.boolean(),
+  hasMark: fc.boolean(),
+  work: fc.constantFrom('read', 'write', 'begin', 'begin-read'),
+  evacuated: fc.subarray(ZONES, { maxLength: 1 }),
+});
+type Deal = typeof dealOf extends fc.Arbitrary<infer T> ? T : never;
+
+/** Zones of the upstreams and names of the hosts that were asked. */
+interface Asked {
+  readonly upstreams: AzId[];
+  readonly hosts: string[];
+}
+
+const FAILED = gladespoolError({ step: Step.PeerExchange, peer: 'p' }, 'fails');
+
+function failingDriver(asked: Asked): UpstreamDriver {
+  return {
+    connect: (entry) => {
+      asked.upstreams.push(entry.az);
+      return Promise.resolve(err(FAILED));
+    },
+    readStatus: () => undefined,
+  };
+}
+
+function failingCalls(asked: Asked): PeerCalls {
+  const ask = (peer: PeerAddress): Promise<Result<never, GladespoolError>> => {
+    asked.hosts.push(peer.host);
+    return Promise.resolve(err(FAILED));
+  };
+  return { isReachable: () => true, ask, tell: () => undefined } as unknown as PeerCalls;
+}
+
+function topologyOf({ regions }: Deal): Topology {
+  const told = new Map<AzId, RegionId>();
+  for (const [index, region] of regions.entries()) {
+    const az = ZONES[index];
+    if (az !== undefined && region !== undefined) told.set(az, region);
+  }
+  return new Topology(told);
+}
+
+function upstreamAt(az: AzId, index: number): UpstreamEntry {
+  const address = '127.0.0.1';
+  const role = ReportedRole.Replica;
+  const id = upstreamId(`u${index}`);
+  return { id, group: GROUP, address, port: 1, az, role, slots: 3, draining: false };
+}
+
+function hostAt(az: AzId, index: number): Parameters<GatewayBoard['putHosts']>[0] {
+  const host = hostId(`h${index}`);
+  const entry = { host, az, address: '127.0.0.1', port: 1, incarnation: 1, linkMbps: 20 };
+  return new Map([[host, entry]]);
+}
+
+function fillBoard(board: GatewayBoard, deal: Deal, now: number): void {
+  const upstreams = deal.upstreams.map(upstreamAt);
+  board.putUpstreams(new Map(upstreams.map((entry) => [entry.id, entry])));
+  board.putHosts(new Map(deal.hosts.flatMap((az, index) => [...hostAt(az, index)])));
+  board.putEvacuations(new Map(deal.evacuated.map((az) => [az, now])));
+  const record = { group: GROUP, epoch: 1, phase: RecordPhase.Serving };
+  board.putRecord({ ...record, primary: upstreamId('u0'), holder: hostId('h0') });
+  board.prove(now);
+}
+
+function jobOf(deal: Deal, now: number): BeginJob {
+  const route = {
+    database: DATABASE,
+    group: GROUP,
+    consistency: deal.isBounded ? Consistency.BoundedStaleness : Consistency.Primary,
+    maxStalenessMs: 1500,
+    timeoutMs: STATEMENT_MS,
+    targetLatencyMs: STATEMENT_MS,
+    priority: 1,
+    isPublic: true,
+  };
+  const session = { values: new Map<string, string>(), own: undefined, workspace: undefined };
+  const times = { beganAt: now, arrivedAt: now };
+  const regions = permittedRegions(deal.ofRoute, deal.ofWorkspace);
+  const readOnly = deal.work === 'begin-read';
+  return { route, id: 'r', ...session, ...times, readOnly, ...(regions && { regions }) };
+}
+
+async function runDeal(deal: Deal): Promise<Asked> {
+  const asked: Asked = { upstreams: [], hosts: [] };
+  const now = performance.now();
+  const board = new GatewayBoard(hostId('h0'), deal.hosts[0] ?? azId('z0'), topologyOf(deal));
+  const context = homeContext(board, failingDriver(asked));
+  fillBoard(board, deal, now);
+  const local = new LocalExecutor(context);
+  if (deal.hasMark) {
+    const { marks } = local.home(GROUP);
+    marks.startEpoch(1);
+    marks.add({ sentAt: now, position: { term: 1, offset: 1 } });
+  }
+  const { directory, reach, metrics, log } = context;
+  reach.put(GROUP, 1, [...board.hosts.keys()].slice(1), now);
+  const calls = failingCalls(asked);
+  const routed = new RoutedExecutor({ board, local, calls, directory, reach, metrics, log });
+  const job = jobOf(deal, now);
+  if (deal.work.startsWith('begin')) {
+    await routed.begin(job);
+  } else {
+    const access = deal.work === 'read' ? Access.Read : Access.Write;
+    await routed.run({ ...job, work: { kind: 'text', access, text: 'x' } });
+  }
+  const hostZones = asked.hosts.map((host) => board.hosts.get(hostId(host))?.az);
+  for (const az of [...asked.upstreams, ...hostZones]) {
+    assert.ok(az !== undefined && isPermitted(az, job.regions, board.topology), az);
+  }
+  return asked;
+}
+
+Given(
+  'random zones, hosts and upstreams, some bound routes and workspaces, and hosts that all fail',
+  function (this: BoundWorld) {
+    this.asked = { upstreams: [], hosts: [] };
+  },
+);
+
+When(
+  'reads, writes and transactions run on one of the hosts',
+  { timeout: 60_000 },
+  async function (this: BoundWorld) {
+    const course = fc.asyncProperty(dealOf, async (deal) => {
+      const { upstreams, hosts } = await runDeal(deal);
+      this.asked.upstreams.push(...upstreams);
+      this.asked.hosts.push(...hosts);
+    });
+    await fc.assert(course, { seed: SEED, numRuns: RUNS });
+  },
+);
+
+Then('only upstreams and other hosts in permitted regions were asked', function (this: BoundWorld) {
+  // Each course was checked as it ran; here, that they asked any.
+  assert.ok(this.asked.upstreams.length > 0 && this.asked.hosts.length > 0);
+});
+
+function regionsOf(words: string): readonly RegionId[] | undefined {
+  if (words === 'anywhere') return undefined;
+  return words === 'nowhere' ? [] : words.split(',').map(regionId);
+}
+
+/** A deployment of three zones, each in a region of its own, whose route is bound to `regions`. */
+function deploymentBoundTo(regions: string): FakeDeployment {
+  const deployment = new FakeDeployment();
+  const regionOfZone = REGIONS.map((region, index) => [azId(`z${index}`), region] as const);
+  deployment.topology = new Topology(new Map(regionOfZone));
+  deployment.regions = regionsOf(regions);
+  return deployment;
+}
+
+Given(
+  '{int} hosts in the regions r0, r1 and r2 that serve a group whose data may be in {string}',
+  { timeout: 20_000 },
+  async function (this: BoundWorld, count: number, regions: string) {
+    this.deployment = deploymentBoundTo(regions);
+    await this.deployment.start(count);
+  },
+);
+
+Given(
+  '{int} hosts in the regions r0, r1 and r2 that serve data of {string} to a workspace of {string}',
+  { timeout: 20_000 },
+  async function (this: BoundWorld, count: number, ofRoute: string, ofWorkspace: string) {
+    this.deployment = deploymentBoundTo(ofRoute);
+    this.deployment.limit = { ratePerS: 1000, burst: 1000 };
+    this.deployment.workspaceRegions = regionsOf(ofWorkspace);
+    await this.deployment.start(count);
+  },
+);
+
+When('each host runs {string}', async function (this: BoundWorld, text: string) {
+  const { deployment } = this;
+  this.outcomes = await Promise.all(deployment.hosts.map((each) => deployment.run(each, text)));
+});
+
+Then(
+  'each outcome is {string}, and only {string} ran it',
+  function (this: BoundWorld, expected: string, upstreams: string) {
+    const told = this.outcomes.map((outcome) =>
+      outcome.kind === 'refused' ? outcome.refusal.reason : outcome.kind,
+    );
+    assert.deepEqual([...new Set(told)], [expected]);
+    const ran = new Set(this.deployment.group.ran.map(({ upstream }) => upstream));
+    assert.equal([...ran].join(','), upstreams);
+  },
+);
+
+Given('work that may be in {string}', function (this: BoundWorld, regions: string) {
+  this.regions = regionsOf(regions) ?? [];
+});
+
+When('it is forwarded', async function (this: BoundWorld) {
+  const ask = (
+    _peer: PeerAddress,
+    build: (id: number) => Parameters<typeof encodeFrame>[0],
+  ): Promise<Result<never, GladespoolError>> => {
+    const [frame] = new FrameDecoder('p').push(encodeFrame(build(1)))._unsafeUnwrap();
+    assert.ok(frame?.kind === FrameKind.ForwardAsk && frame.route !== undefined);
+    this.held = decodeJob(frame, frame.route, 0).regions;
+    return Promise.resolve(err(FAILED));
+  };
+  const peer = { host: 'p', address: '127.0.0.1', port: 1 };
+  const remote = new RemoteExecutor({ ask } as unknown as PeerCalls, peer);
+  const now = performance.now();
+  const job = { ...jobOf(OPEN_DEAL, now), regions: this.regions };
+  await remote.run({ ...job, work: { kind: 'text', access: Access.Read, text: 'x' } });
+});
+
+Then('the other host holds it to {string}', function (this: BoundWorld, regions: string) {
+  assert.deepEqual(this.held, regionsOf(regions));
+});
+
+/** A deal that binds nothing. */
+const OPEN_DEAL: Deal = {
+  regions: [],
+  hosts: [],
+  upstreams: [],
+  ofRoute: undefined,
+  ofWorkspace: undefined,
+  isBounded: false,
+  hasMark: false,
+  work: 'read',
+  evacuated: [],
+};
--- a/packages/gateway/tests/fakes/action-world.ts
+++ b/packages/gateway/tests/fakes/action-world.ts
@@ -2,6 +2,7 @@
  * World of the scenarios in which several hosts act on one group together.
  */
 import assert from 'node:assert/strict';
+import { setTimeout as pause } from 'node:timers/promises';
 import type { UpstreamId } from '@gladespool/coordination';
 import { upstreamId } from '@gladespool/coordination';
 import type { Outcome } from '../../src/index.js';
@@ -36,3 +37,17 @@
 
 /** Key of its entry in the store. */
 export const PRIMARY_KEY = `upstream/${FORMER}`;
+
+/** Writes on a host until the primary is no longer the one at the beginning. */
+export async function writeUntilChanged(
+  world: ActionWorld,
+  each: FakeHost,
+): Promise<readonly Outcome[]> {
+  const { deployment } = world;
+  const outcomes: Outcome[] = [];
+  while (deployment.primary() === FORMER) {
+    outcomes.push(await deployment.run(each, 'WRITE x 1'));
+    await pause(5);
+  }
+  return outcomes;
+}
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -2,7 +2,7 @@
  * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
+import type { RegionId, Topology, UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -14,6 +14,7 @@
   hashKey,
   hostId,
   NO_TOLERANCE,
+  ONE_REGION,
   upstreamId,
   workspaceId,
 } from '@gladespool/coordination';
@@ -39,6 +40,9 @@
 /** Workspace of that key, where there are any. */
 export const WORKSPACE = workspaceId('w1');
 
+/** Key of a zone's evacuation but for the zone. */
+export const EVACUATION_PREFIX = 'evacuate/';
+
 const LOOPBACK = '127.0.0.1';
 const POLL_MS = 5;
 const RULES: GatewayRules = {
@@ -81,6 +85,21 @@
   /** Oldest data that reads may show, milliseconds; 0 for reads of the primary. */
   maxStalenessMs = 0;
 
+  /** Replicas that must have received a commit before it is confirmed. */
+  syncReplicas = 0;
+
+  /** Time for which upstreams of an evacuated zone may be used in part, milliseconds. */
+  evacuationMs = 5000;
+
+  /** Where the zones lie. */
+  topology: Topology = ONE_REGION;
+
+  /** Regions that the data of the route may not leave; undefined where it may be anywhere. */
+  regions: readonly RegionId[] | undefined;
+
+  /** The same for the workspace of the callers' key, where there is one. */
+  workspaceRegions: readonly RegionId[] | undefined;
+
   /** Starts `count` hosts and waits until each may use the primary. */
   async start(count: number): Promise<void> {
     this.putCatalog();
@@ -172,7 +191,8 @@
       },
       peerKey: Buffer.from('test'),
       seeds: [],
-      rules: RULES,
+      rules: { ...RULES, evacuationMs: this.evacuationMs },
+      topology: this.topology,
       metrics,
       seed: index,
     });
@@ -189,11 +209,14 @@
 function readDocument(
   key: string,
   text: string,
-  { maxStalenessMs, limit }: Pick<FakeDeployment, 'maxStalenessMs' | 'limit'>,
+  { maxStalenessMs, limit, regions, workspaceRegions, syncReplicas }: FakeDeployment,
 ): ForeignDocument | undefined {
   if (key.startsWith('upstream/')) {
     return { kind: 'upstream', entry: JSON.parse(text) as UpstreamEntry };
   }
+  if (key.startsWith(EVACUATION_PREFIX)) {
+    return { kind: 'evacuation', az: azId(key.slice(EVACUATION_PREFIX.length)) };
+  }
   if (key !== 'catalog') return undefined;
   const route = {
     database: DATABASE,
@@ -204,16 +227,19 @@
     targetLatencyMs: 500,
     priority: 1,
     isPublic: false,
+    ...(regions && { regions }),
   };
-  const bounds = { group: GROUP, connectionsPerUpstream: 20, syncReplicas: 0 };
+  const ofWorkspace = workspaceRegions && { regions: workspaceRegions };
+  const workspace = { id: WORKSPACE, limit, ...ofWorkspace };
+  const bounds = { group: GROUP, connectionsPerUpstream: 20, syncReplicas };
   return {
     kind: 'catalog',
     catalog: {
       version: (JSON.parse(text) as { readonly version: number }).version,
       routes: new Map([[DATABASE, route]]),
       groups: new Map([[GROUP, bounds]]),
-      keys: limit && new Map([[hashKey(KEY), { id: WORKSPACE, limit }]]),
-      workspaces: new Map(limit && [[WORKSPACE, { id: WORKSPACE, limit }]]),
+      keys: limit && new Map([[hashKey(KEY), workspace]]),
+      workspaces: new Map(limit && [[WORKSPACE, workspace]]),
       transactionIdleMs: 1000,
     },
   };
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -40,6 +40,8 @@
 /** The upstreams of one group, and the platform that promotes them. */
 export class FakeGroup implements PromotionPort {
   readonly upstreams = new Map<UpstreamId, FakeUpstream>();
+  /** Called when a call for a promotion has arrived. */
+  onPromotion: (req: PromotionRequest) => void = () => undefined;
   /** Calls for promotions that arrived, with the time at which they did. */
   readonly promotions: { readonly req: PromotionRequest; readonly at: number }[] = [];
   /** Statements that ran, by upstream. */
@@ -54,6 +56,7 @@
     const chosen = this.upstreams.get(req.upstream);
     if (chosen === undefined || chosen.dead) return Promise.resolve(ok(PromotionAnswer.Refused));
     this.promotions.push({ req, at: performance.now() });
+    this.onPromotion(req);
     chosen.term = Math.max(...[...this.upstreams.values()].map(({ term }) => term)) + 1;
     chosen.isPrimary = true;
     return Promise.resolve(ok(PromotionAnswer.Done));
--- /dev/null
+++ b/packages/gateway/tests/fakes/fake-home.ts
@@ -0,0 +1,35 @@
+/**
+ * What the homes of one host work with, made around a board.
+ */
+import { DEFAULT_AUTHORITY, DEFAULT_GAP, SeededRandom } from '@gladespool/coordination';
+import { createLogger, HostMetrics } from '@gladespool/observability';
+import type { GatewayBoard, HomeContext, UpstreamDriver } from '../../src/index.js';
+import { HomeDirectory } from '../../src/knowledge/home-directory.js';
+import { PromotionPace } from '../../src/knowledge/promotion-pace.js';
+import { ReachNotes } from '../../src/knowledge/reach-notes.js';
+import { WriteHolds } from '../../src/knowledge/write-holds.js';
+
+/** Time within which an evacuated zone has to be left, milliseconds. */
+export const EVACUATION_MS = 5000;
+
+/** Context of homes whose knowledge is `board`. */
+export function homeContext(board: GatewayBoard, driver: UpstreamDriver): HomeContext {
+  return {
+    board,
+    driver,
+    rules: {
+      authority: DEFAULT_AUTHORITY,
+      connectTimeoutMs: 5,
+      maxWaiting: 16,
+      gap: DEFAULT_GAP,
+    },
+    holds: new WriteHolds(board),
+    pace: new PromotionPace(board, 0),
+    directory: new HomeDirectory(board),
+    reach: new ReachNotes(),
+    random: new SeededRandom(1),
+    evacuationMs: EVACUATION_MS,
+    metrics: new HostMetrics(),
+    log: createLogger('test'),
+  };
+}
--- a/packages/gateway/tests/primary-leaving.steps.ts
+++ b/packages/gateway/tests/primary-leaving.steps.ts
@@ -1,25 +1,14 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Then, When } from '@cucumber/cucumber';
-import type { Outcome, UpstreamEntry } from '../src/index.js';
+import type { UpstreamEntry } from '../src/index.js';
 import type { ActionWorld } from './fakes/action-world.js';
-import { FORMER, host, PRIMARY_KEY } from './fakes/action-world.js';
-import type { FakeHost } from './fakes/fake-deployment.js';
+import { FORMER, host, PRIMARY_KEY, writeUntilChanged } from './fakes/action-world.js';
 
 When('the entry of the primary goes and does not come back', function (this: ActionWorld) {
   this.deployment.store.remove(PRIMARY_KEY);
 });
 
-async function writeUntilChanged(world: ActionWorld, each: FakeHost): Promise<readonly Outcome[]> {
-  const { deployment } = world;
-  const outcomes: Outcome[] = [];
-  while (deployment.primary() === FORMER) {
-    outcomes.push(await deployment.run(each, 'WRITE x 1'));
-    await pause(5);
-  }
-  return outcomes;
-}
-
 When(
   'the primary says that it is leaving, and hosts write all the time',
   function (this: ActionWorld) {
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -115,6 +115,12 @@
     registers: [this.registry],
   });
 
+  readonly evacuatedZones = new Gauge({
+    name: 'gladespool_evacuated_zones',
+    help: 'Availability zones whose upstreams the operators want out of use',
+    registers: [this.registry],
+  });
+
   readonly latency = new Histogram({
     name: 'gladespool_request_seconds',
     help: 'Time from the arrival of a request to its answer',
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -405,6 +405,8 @@
     route: forwardRouteSchema.optional(),
     /** Workspace of the caller; missing where none is asked for. */
     workspace: z.string().optional(),
+    /** Regions that the data may be in; missing where it may be anywhere. */
+    regions: z.array(z.string()).readonly().optional(),
     readOnly: z.boolean(),
     work: forwardWorkSchema.optional(),
     values: z.array(z.tuple([z.string(), z.string()])),
