--- a/packages/gateway/src/control/promotion/promotion-cause.ts
+++ b/packages/gateway/src/control/promotion/promotion-cause.ts
@@ -8,6 +8,7 @@
   Draining = 'draining',
   /** It has started anew under its id and holds none of the commits. */
   BornAnew = 'born-anew',
+  Evacuated = 'evacuated',
   Unlisted = 'unlisted',
   StalledClaim = 'stalled-claim',
 }
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -15,7 +15,7 @@
 /** Publisher of one host. */
 export class BoardPublisher {
   private readonly lapsed: LapsedUpstreams;
-  /** Evacuated zones, with the local time at which this host learned of it. */
+  /** Evacuated zones, with the latest local time at which they were surely in use. */
   private readonly evacuatedSince = new Map<AzId, number>();
   /** Sections of the board that no longer show what is held. */
   private readonly outdated = new Set<BoardSection>();
@@ -127,10 +127,15 @@
     this.log.warn('record-in-doubt', { group, epoch, primary, revision });
   }
 
+  /**
+   * Notes an evacuation. The request may be as old as the documents held until now: a host that starts, or
+   * that has not heard of the store for long, must not take it for new.
+   */
   private evacuate(az: AzId, revision: number, now: number): void {
     if (this.evacuatedSince.has(az)) return;
-    this.evacuatedSince.set(az, now);
-    this.log.info('zone-evacuated', { az, revision });
+    const inUseAt = Math.min(now, this.board.catalogConfirmedAt);
+    this.evacuatedSince.set(az, inUseAt);
+    this.log.info('zone-evacuated', { az, revision, at_most_ms: Math.round(now - inUseAt) });
   }
 
   private endEvacuation(az: AzId, revision: number): void {
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -2,7 +2,7 @@
  * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
+import type { RegionId, Topology, UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -14,6 +14,7 @@
   hashKey,
   hostId,
   NO_TOLERANCE,
+  ONE_REGION,
   upstreamId,
   workspaceId,
 } from '@gladespool/coordination';
@@ -49,6 +50,8 @@
 
 /** Birth that the first upstream tells at first, Unix milliseconds; each other one is born a little later. */
 export const BIRTH = 1_700_000_000_000;
+/** Key of a zone's evacuation but for the zone. */
+export const EVACUATION_PREFIX = 'evacuate/';
 
 const LOOPBACK = '127.0.0.1';
 const POLL_MS = 5;
@@ -97,6 +100,20 @@
 
   /** Upstreams of the group, in zones z0, z1 and so on. */
   upstreams = 3;
+  /** Replicas that must have received a commit before it is confirmed. */
+  syncReplicas = 0;
+
+  /** Time for which upstreams of an evacuated zone may be used in part, milliseconds. */
+  evacuationMs = 5000;
+
+  /** Where the zones lie. */
+  topology: Topology = ONE_REGION;
+
+  /** Regions that the data of the route may not leave; undefined where it may be anywhere. */
+  regions: readonly RegionId[] | undefined;
+
+  /** The same for the workspace of the callers' key, where there is one. */
+  workspaceRegions: readonly RegionId[] | undefined;
 
   /** Starts `count` hosts and waits until each may use the primary. */
   async start(count: number): Promise<void> {
@@ -190,7 +207,8 @@
       },
       peerKey: Buffer.from('test'),
       seeds: [],
-      rules: RULES,
+      rules: { ...RULES, evacuationMs: this.evacuationMs },
+      topology: this.topology,
       metrics,
       seed: index,
     });
@@ -203,15 +221,18 @@
   }
 }
 
-/** Documents of the tests: a fixed catalog, and upstreams as they were put. */
+/** Documents of the tests: a fixed catalog, and upstreams and evacuations as they were put. */
 function readDocument(
   key: string,
   text: string,
-  { maxStalenessMs, limit }: Pick<FakeDeployment, 'maxStalenessMs' | 'limit'>,
+  { maxStalenessMs, limit, regions, workspaceRegions, syncReplicas }: FakeDeployment,
 ): DocumentReading<ForeignDocument> {
   if (key.startsWith('upstream/')) {
     return usedDocument({ kind: 'upstream', entry: JSON.parse(text) as UpstreamEntry });
   }
+  if (key.startsWith(EVACUATION_PREFIX)) {
+    return usedDocument({ kind: 'evacuation', az: azId(key.slice(EVACUATION_PREFIX.length)) });
+  }
   if (key !== 'catalog') return OF_NO_CONCERN;
   const route = {
     database: DATABASE,
@@ -222,16 +243,19 @@
     targetLatencyMs: 500,
     priority: 1,
     isPublic: false,
+    ...(regions && { regions }),
   };
-  const bounds = { group: GROUP, connectionsPerUpstream: 20, syncReplicas: 0 };
+  const ofWorkspace = workspaceRegions && { regions: workspaceRegions };
+  const workspace = { id: WORKSPACE, limit, ...ofWorkspace };
+  const bounds = { group: GROUP, connectionsPerUpstream: 20, syncReplicas };
   return usedDocument({
     kind: 'catalog',
     catalog: {
       version: (JSON.parse(text) as { readonly version: number }).version,
       routes: new Map([[DATABASE, route]]),
       groups: new Map([[GROUP, bounds]]),
-      keys: limit && new Map([[hashKey(KEY), { id: WORKSPACE, limit }]]),
-      workspaces: new Map(limit && [[WORKSPACE, { id: WORKSPACE, limit }]]),
+      keys: limit && new Map([[hashKey(KEY), workspace]]),
+      workspaces: new Map(limit && [[WORKSPACE, workspace]]),
       transactionIdleMs: 1000,
     },
   });
