fix(gateway): hosts of several regions renew their proofs 100 ms earlier while the store is away

Cause: a round over a border opens links (three round trips) and is passed on over the border again; begun at an age of 650 ms it could end after the proofs of 1 s had run out. Ruled out: a shorter round: its 200 ms hold narrowly at 40 ms. Longer proofs: every change of a primary would wait for them. Change: the first host asks at 550 ms where the settings tell several regions, the others as before after it. One region: unchanged.

--- a/packages/coordination/src/authority/renewal-order.ts
+++ b/packages/coordination/src/authority/renewal-order.ts
@@ -18,6 +18,11 @@
 
 /** Age of a proof from which the first host asks, milliseconds: usual ages reach 350, and a read may fail. */
 const FIRST_AT_MS = 650;
+/**
+ * By how much earlier hosts of several regions ask, milliseconds: a link to another region takes three round
+ * trips to open, and the question and the passing on one and a half more. Ages there reach 450.
+ */
+const FAR_LEAD_MS = 100;
 /** Added for each zone before, milliseconds: a round and its passing on take about as long. */
 const ZONE_STEP_MS = 60;
 /** Zones after which all are late alike: the last one still asks before a proof of 1 s runs out. */
@@ -32,9 +37,14 @@
 /** Time between two rounds of a later host, milliseconds, for each place that it stands after the first. */
 const LATE_PAUSE_MS = 3000;
 
-/** Age of its proof from which a host asks, milliseconds. */
-export function renewalDueAge({ zone, rank }: RenewalPlace): number {
-  return FIRST_AT_MS + Math.min(zone, LAST_ZONE_STEP) * ZONE_STEP_MS + rank * RANK_STEP_MS;
+/**
+ * Age of its proof from which a host asks, milliseconds.
+ *
+ * @param isSpread whether hosts stand in several regions
+ */
+export function renewalDueAge({ zone, rank }: RenewalPlace, isSpread = false): number {
+  const firstAtMs = isSpread ? FIRST_AT_MS - FAR_LEAD_MS : FIRST_AT_MS;
+  return firstAtMs + Math.min(zone, LAST_ZONE_STEP) * ZONE_STEP_MS + rank * RANK_STEP_MS;
 }
 
 /**
--- a/packages/coordination/tests/renewal-order.feature
+++ b/packages/coordination/tests/renewal-order.feature
@@ -14,6 +14,16 @@
       | 17   | 0    | 890  | more zones than steps                                |
       | 0    | 5    | 1150 | later hosts only after their proofs have run out     |
 
+  Scenario Outline: Hosts of several regions ask earlier, since the others are farther away
+    Then the host of place <rank> in zone <zone> of several regions asks from an age of <age> ms on
+
+    Examples:
+      | zone | rank | age  | why                                                |
+      | 0    | 0    | 550  | above the usual ages, also of far hosts            |
+      | 1    | 0    | 610  | the first host of the next zone                    |
+      | 5    | 0    | 790  | the last zone has time for two ways over a border  |
+      | 0    | 5    | 1050 | later hosts only after their proofs have run out   |
+
   Scenario Outline: The time between two rounds
     Then after <failed> failed rounds place <rank> pauses for "<pause>" ms, <state>
 
--- a/packages/coordination/tests/renewal-order.steps.ts
+++ b/packages/coordination/tests/renewal-order.steps.ts
@@ -18,6 +18,13 @@
   },
 );
 
+Then(
+  'the host of place {int} in zone {int} of several regions asks from an age of {int} ms on',
+  function (rank: number, zone: number, ageMs: number) {
+    assert.equal(renewalDueAge({ zone, rank }, true), ageMs);
+  },
+);
+
 Then(
   /^after (\d+) failed rounds place (\d+) pauses for "(\w+)" ms, (proven|isolated)$/,
   function (failed: string, rank: string, pauseMs: string, state: string) {
--- a/packages/gateway/src/control/proofs/peer-renewer.ts
+++ b/packages/gateway/src/control/proofs/peer-renewer.ts
@@ -48,8 +48,8 @@
     const { board, order } = this.options;
     const place = { zone: order.zonePlace, rank: order.rank };
     const ageMs = now - board.provenSince;
-    if (ageMs < renewalDueAge(place)) {
-      if (ageMs < renewalDueAge({ zone: 0, rank: 0 })) this.noteStore(now);
+    if (ageMs < renewalDueAge(place, board.topology.isSpread)) {
+      if (ageMs < this.firstDueAge) this.noteStore(now);
       return;
     }
     const isIsolated = board.isIsolated(now, this.options.authority);
@@ -108,9 +108,14 @@
     });
   }
 
+  /** Age of a proof from which the first of all hosts asks, milliseconds. */
+  private get firstDueAge(): number {
+    return renewalDueAge({ zone: 0, rank: 0 }, this.options.board.topology.isSpread);
+  }
+
   private noteStore(now: number): void {
     const { listedAt } = this.options.proofs;
-    if (!this.renewing || now - listedAt > renewalDueAge({ zone: 0, rank: 0 })) return;
+    if (!this.renewing || now - listedAt > this.firstDueAge) return;
     this.renewing = false;
     this.options.log.info('proof-renewed-by-store');
   }
