feat(gateway): over several regions news cross once, and hosts near the store or the upstreams act first

Cause: everything that ranks hosts treated all zones alike: the reader could stand far from the store, each zone's first host asked it over the path between regions, rounds and pings went to every host there, and a promotion could be driven from the far region. Change: a host measures a small read of the store and tells it in its entry; regions are ranked by the median. The first host of one zone of each other region asks the reader, those of its other zones ask that one. Rounds ask two hosts of a far zone of more than three; the ring of pings keeps regions together; three hosts of the region with most of a group's upstreams act first; among equal positions the successor is of the former primary's region. A host that begins to stop while it measures is not listed. All only where the settings tell several regions. Frames of a round of 48 hosts in 4 zones: at most 47 in one region, 31 in two.

--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -74,11 +74,14 @@
   readonly received: Position;
   /** Whether it is about to leave. */
   readonly draining: boolean;
+  /** Whether it stands in the region of the former primary. */
+  readonly isNear: boolean;
 }
 
 /**
  * The upstream that becomes primary: one that already leads a newer term than all others report,
- * else the one that has received most. Leaving ones only if there is no other.
+ * else the one that has received most, among equals one of the region where the primary was. Leaving
+ * ones only if there is no other.
  */
 export function chooseSuccessor(
   reports: readonly SuccessorReport[],
@@ -121,7 +124,10 @@
 function bySuitability(a: SuccessorReport, b: SuccessorReport): number {
   if (a.isPrimary !== b.isPrimary) return a.isPrimary ? -1 : 1;
   if (a.isPrimary && a.term !== b.term) return b.term - a.term;
-  return comparePositions(b.received, a.received) || (a.id < b.id ? -1 : 1);
+  const byReceived = comparePositions(b.received, a.received);
+  if (byReceived !== 0) return byReceived;
+  if (a.isNear !== b.isNear) return a.isNear ? -1 : 1;
+  return a.id < b.id ? -1 : 1;
 }
 
 /** The duty record as seen by a host. */
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -37,3 +37,4 @@
 export * from './load/operation-allowance.js';
 export * from './load/demand-share.js';
 export * from './places/topology.js';
+export * from './places/region-order.js';
--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -22,7 +22,7 @@
     When "a" was the primary
     Then the successor is "<successor>"
 
-    # report = id:role:term.position[:draining]
+    # report = id:role:term.position[:draining][:near], near the former primary
     Examples:
       | reports                                        | successor | why                                   |
       | b:replica:1.10,c:replica:1.12                  | c         | the furthest                          |
@@ -33,6 +33,10 @@
       | b:primary:2.5,c:primary:3.1                    | c         | the later term                        |
       | b:replica:1.10,c:replica:1.10                  | b         | equal: every host chooses alike       |
       | a:primary:1.3                                  | none      | nobody else                           |
+      | b:replica:1.10,c:replica:1.10:near             | c         | equal: the former one's region        |
+      | b:replica:1.11,c:replica:1.10:near             | b         | commits count more than regions       |
+      | b:primary:2.5,c:replica:1.12:near              | b         | it leads already, in another region   |
+      | b:replica:1.10,c:replica:1.10:draining:near    | b         | leaving ones come last there as well  |
 
   Scenario Outline: A successor is chosen only of reports that must hold every confirmed commit
     Given upstreams reporting "<reports>"
--- a/packages/coordination/tests/failover.steps.ts
+++ b/packages/coordination/tests/failover.steps.ts
@@ -41,14 +41,15 @@
 
 Given('upstreams reporting {string}', function (this: FailoverWorld, reports: string) {
   this.reports = reports.split(',').map((report) => {
-    const [id, role, position, draining] = report.split(':');
+    const [id, role, position, ...marks] = report.split(':');
     const [term, offset] = (position ?? '').split('.').map(Number);
     return {
       id: upstreamId(id ?? ''),
       isPrimary: role === 'primary',
       term: term ?? 0,
       received: { term: term ?? 0, offset: offset ?? 0 },
-      draining: draining === 'draining',
+      draining: marks.includes('draining'),
+      isNear: marks.includes('near'),
     };
   });
 });
--- /dev/null
+++ b/packages/coordination/tests/region-order.steps.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { AzId, HostId, RegionId } from '../src/index.js';
+import { azId, hostId, regionFirst, regionId, regionOfMost, Topology } from '../src/index.js';
+
+interface RegionWorld {
+  topology: Topology;
+  zones: readonly AzId[];
+  order: readonly HostId[];
+}
+
+Given('the regions {string}', function (this: RegionWorld, regions: string) {
+  const told = regions === 'none' ? [] : regions.split(',').map((each) => each.split(':'));
+  this.topology = new Topology(
+    new Map(told.map(([az, region]) => [azId(az ?? ''), regionId(region ?? '')] as const)),
+  );
+});
+
+When('upstreams stand in zones {string}', function (this: RegionWorld, zones: string) {
+  this.zones = zones.split(',').map(azId);
+});
+
+Then('most of them stand in region {string}', function (this: RegionWorld, region: string) {
+  assert.equal(regionOfMost(this.zones, this.topology) ?? 'none', region);
+});
+
+When(
+  'hosts ranked {string} act on a group of region {string}',
+  function (this: RegionWorld, ranked: string, region: string) {
+    const hosts = ranked.split(',').map(hostId);
+    const regionOf = (host: HostId): RegionId | undefined =>
+      this.topology.regionOf(azId(host.split('-')[0] ?? ''));
+    this.order = regionFirst(hosts, region === 'none' ? undefined : regionId(region), regionOf);
+  },
+);
+
+Then('they take their turns as {string}', function (this: RegionWorld, order: string) {
+  assert.equal(this.order.join(','), order);
+});
--- a/packages/gateway/src/control/hosts/host-retirer.ts
+++ b/packages/gateway/src/control/hosts/host-retirer.ts
@@ -70,10 +70,20 @@
     this.running = false;
   }
 
-  /** The other hosts in the order of the list, beginning after this one. */
+  /**
+   * The other hosts in the order of the list, beginning after this one. Hosts of one region stand together,
+   * so that few pings cross to another one.
+   */
   private followers(): readonly HostEntry[] {
     const { board } = this.options;
-    const entries = [...board.hosts.values()].sort((a, b) => (a.host < b.host ? -1 : 1));
+    const { isSpread } = board.topology;
+    const regionOf = ({ az }: HostEntry): string =>
+      (isSpread ? board.topology.regionOf(az) : undefined) ?? '';
+    const entries = [...board.hosts.values()].sort((a, b) => {
+      const [region, other] = [regionOf(a), regionOf(b)];
+      if (region !== other) return region < other ? -1 : 1;
+      return a.host < b.host ? -1 : 1;
+    });
     const own = entries.findIndex((entry) => entry.host === board.host);
     return own < 0 ? [] : [...entries.slice(own + 1), ...entries.slice(0, own)];
   }
--- a/packages/gateway/src/control/hosts/host-round.ts
+++ b/packages/gateway/src/control/hosts/host-round.ts
@@ -1,10 +1,11 @@
 /**
  * One question to every listed host. In a zone of few hosts each is asked directly; in a larger one the first
  * hosts of the zone ask the others, to whom they have links already, and pass the answers on. So the host
- * that asks neither opens a link to everyone nor sends each question itself.
+ * that asks neither opens a link to everyone nor sends each question itself. In zones of another region
+ * fewer are asked directly.
  */
 import type { AzId, HostId } from '@gladespool/coordination';
-import { hostId } from '@gladespool/coordination';
+import { Distance, hostId } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -34,6 +35,8 @@
 
 /** Hosts of a zone up to which each is asked directly: one link more is cheaper than one way more. */
 const DIRECT_HOSTS = 12;
+/** The same for a zone of another region: for four hosts, asking two of them takes half of the links. */
+const DIRECT_FAR_HOSTS = 3;
 /** Hosts of a larger zone that are asked to ask the others; each asks all, so that one may be lost. */
 const ASKING_HOSTS = 2;
 /** Time for which answers of a zone are gathered before they are passed on together, milliseconds. */
@@ -111,7 +114,7 @@
     take: Take,
   ): Promise<void> {
     const hosts = this.othersOf(az);
-    if (az === this.options.board.az || hosts.length <= DIRECT_HOSTS) {
+    if (az === this.options.board.az || this.areAskedDirectly(az, hosts)) {
       await Promise.all(hosts.map((entry) => this.askHost(entry, question, timeoutMs, take)));
       return;
     }
@@ -127,9 +130,16 @@
     return order.hostsOf(az).filter((entry) => entry.host !== board.host);
   }
 
+  /** Whether the hosts of a zone are so few that each is asked directly. */
+  private areAskedDirectly(az: AzId, hosts: readonly HostEntry[]): boolean {
+    const { board } = this.options;
+    const isFar = board.topology.distance(board.az, az) === Distance.OtherRegion;
+    return hosts.length <= (isFar ? DIRECT_FAR_HOSTS : DIRECT_HOSTS);
+  }
+
   private toldFirst(az: AzId): readonly HostEntry[] {
     const hosts = this.othersOf(az);
-    if (hosts.length <= DIRECT_HOSTS) return hosts;
+    if (this.areAskedDirectly(az, hosts)) return hosts;
     return this.reachableFirst(hosts).slice(0, ASKING_HOSTS);
   }
 
--- a/packages/gateway/src/control/promotion/primary-monitor.ts
+++ b/packages/gateway/src/control/promotion/primary-monitor.ts
@@ -42,15 +42,15 @@
 
   constructor(private readonly options: PrimaryMonitorOptions) {}
 
-  /** Sends the probes that are due at `now`; `actsFirst` hosts also watch quiet groups. */
-  tick(now: number, actsFirst: boolean): void {
+  /** Sends the probes that are due at `now`; quiet groups are watched where this host `actsFirst`. */
+  tick(now: number, actsFirst: (group: GroupId) => boolean): void {
     const { board, rules } = this.options;
     for (const record of board.allRecords) {
       const health = this.healthOf(record.group);
       if (health === undefined) continue;
       const quietMs = now - health.lastAnswerAt;
       const waiting = health.inFlight > 0 && quietMs > rules.quietMs;
-      const idle = actsFirst && quietMs > rules.idleQuietMs;
+      const idle = quietMs > rules.idleQuietMs && actsFirst(record.group);
       if (waiting || idle || health.failingSince !== undefined) void this.probe(record.group);
     }
   }
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -3,20 +3,18 @@
  */
 import type { GroupId, HostId, PrimaryRecord, ReachEvidence } from '@gladespool/coordination';
 import {
-  actingOrder,
   FailoverVerdict,
   groupId,
   isGivenUp,
   judgeSuspicion,
-  rankCandidates,
   RecordPhase,
   recordRank,
 } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
-import type { HostEntry } from '../../knowledge/board.js';
 import type { ReachNotes } from '../../knowledge/reach-notes.js';
+import { ActingHosts } from './acting-hosts.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
 import { PromotionAttempt } from './promotion-attempt.js';
 import { PromotionCause } from './promotion-cause.js';
@@ -31,8 +29,6 @@
   readonly reach: ReachNotes;
 }
 
-/** Key by which hosts are ranked for acting; one for all groups, so that the duty seldom moves. */
-const DUTY_RANK_KEY = 'duty';
 /** Causes on which the other hosts have to agree. */
 const MISSED: ReadonlySet<PromotionCause> = new Set([
   PromotionCause.Suspect,
@@ -53,12 +49,6 @@
   readonly since: number;
 }
 
-/** The listed hosts `of` the board in order of rank, kept since ranking many hosts at each tick is dear. */
-interface RankedHosts {
-  readonly of: ReadonlyMap<HostId, HostEntry>;
-  readonly hosts: readonly HostId[];
-}
-
 /**
  * What is known of one group. It is kept while the record changes, also by an attempt of this host, which
  * ends in the state that it began with.
@@ -84,21 +74,23 @@
 export class PromotionController implements PeerHandler {
   private readonly groups = new Map<GroupId, GroupState>();
   private readonly poll: ReachPoll;
-  private ranked: RankedHosts | undefined;
+  private readonly acting: ActingHosts;
 
   constructor(private readonly options: PromotionControllerOptions) {
     const { context, monitor } = options;
-    const { board, calls, directory } = context;
+    const { board, calls, directory, view, rules } = context;
+    this.acting = new ActingHosts({ board, view, rules });
     this.poll = new ReachPoll({ board, directory, calls, monitor });
   }
 
   /** Starts what is due at `now`. */
   tick(now: number): void {
     const { monitor, context } = this.options;
-    const rank = this.hostsAsTheyAct(now).indexOf(context.board.host);
-    monitor.tick(now, rank === 0);
-    if (context.board.draining || context.view.revision === 0 || rank < 0) return;
-    for (const record of context.board.allRecords) this.review(record, rank, now);
+    const { board, view } = context;
+    const placeOf = this.acting.places(now);
+    monitor.tick(now, (group) => placeOf(group) === 0);
+    if (board.draining || view.revision === 0 || !board.hosts.has(board.host)) return;
+    for (const record of board.allRecords) this.review(record, placeOf(record.group), now);
   }
 
   onFrame(link: PeerLink, frame: Frame): void {
@@ -120,16 +112,6 @@
     // Nothing is kept by link.
   }
 
-  /** All hosts in the order in which they act: by rank, but the holder of the duty first. */
-  private hostsAsTheyAct(now: number): readonly HostId[] {
-    const { board, view, rules } = this.options.context;
-    if (this.ranked?.of !== board.hosts) {
-      const hosts = rankCandidates(DUTY_RANK_KEY, [...board.hosts.keys()]);
-      this.ranked = { of: board.hosts, hosts };
-    }
-    return actingOrder(this.ranked.hosts, view.seenDuty, now, rules);
-  }
-
   private review(record: PrimaryRecord, rank: number, now: number): void {
     const { board, authority, rules } = this.options.context;
     const state = this.stateOf(record, now);
@@ -252,7 +234,7 @@
   private leaveToOther(other: HostId, group: GroupId): void {
     const { board } = this.options.context;
     const now = performance.now();
-    const order = this.hostsAsTheyAct(now);
+    const order = this.acting.order(group, now);
     if (order.indexOf(other) > order.indexOf(board.host)) return;
     const record = board.record(group);
     if (record === undefined) return;
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -2,8 +2,8 @@
  * Finds the upstream that follows a group's primary, and tells before a planned change whether there is one.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
-import { chooseSuccessor, hasEnoughReports, keepsFormer } from '@gladespool/coordination';
+import type { AzId, PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
+import { chooseSuccessor, Distance, hasEnoughReports, keepsFormer } from '@gladespool/coordination';
 import type { PromotionContext } from './promotion-context.js';
 import type { PromotionLog } from './promotion-log.js';
 
@@ -102,17 +102,25 @@
     return chooseSuccessor(reports, former.primary);
   }
 
-  private async reports({ group }: PrimaryRecord): Promise<readonly SuccessorReport[]> {
+  private async reports({ group, primary }: PrimaryRecord): Promise<readonly SuccessorReport[]> {
     const { board, probe } = this.ctx;
+    const formerAz = board.upstreams.get(primary)?.az;
     const found = await Promise.all(
       board.upstreamsOf(group).map(async (entry) => {
         const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
         if (result.kind !== 'status') return undefined;
-        return { ...result.status, id: entry.id, draining: entry.draining };
+        const isNear = this.isNear(formerAz, entry.az);
+        return { ...result.status, id: entry.id, draining: entry.draining, isNear };
       }),
     );
     return found.filter((report) => report !== undefined);
   }
+
+  /** Whether a zone lies in the region where the primary was; all are alike once its entry is gone. */
+  private isNear(formerAz: AzId | undefined, az: AzId): boolean {
+    if (formerAz === undefined) return true;
+    return this.ctx.board.topology.distance(formerAz, az) !== Distance.OtherRegion;
+  }
 }
 
 /**
--- a/packages/gateway/src/control/store/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -11,6 +11,12 @@
 /** Longest time for writing the entry, milliseconds. */
 const WRITE_TIMEOUT_MS = 1500;
 
+/**
+ * Longest time for the read that measures the way to the store, milliseconds: far above the way to another
+ * region; callers of a host that starts wait meanwhile.
+ */
+const MEASURE_TIMEOUT_MS = 300;
+
 /** Time between two tries that failed, milliseconds: a store that is down is not called by all hosts at each tick. */
 const RETRY_MS = 250;
 
@@ -25,6 +31,8 @@
 export class Registrar {
   private writing = false;
   private notBefore = Number.NEGATIVE_INFINITY;
+  /** Round trip to the store, milliseconds; undefined before it is measured, and where it need not be. */
+  private storeRoundTripMs: number | undefined;
 
   constructor(
     private readonly self: HostEntry,
@@ -40,14 +48,23 @@
 
   /** Writes the entry if it is not listed; the entry if this call has written it. */
   async ensure(): Promise<Registration | undefined> {
-    const sentAt = performance.now();
-    const isDue = !this.writing && sentAt >= this.notBefore;
+    const isDue = !this.writing && performance.now() >= this.notBefore;
     if (this.isListed || this.board.draining || !isDue) return undefined;
     this.writing = true;
-    const write = { key: hostKey(this.self.host), value: JSON.stringify(this.self) };
+    if (this.board.topology.isSpread) await this.measure();
+    const registration = await this.write();
+    this.writing = false;
+    return registration;
+  }
+
+  private async write(): Promise<Registration | undefined> {
+    // A host that began to stop during the measurement would stay listed: it has looked for its entry already.
+    if (this.board.draining) return undefined;
+    const sentAt = performance.now();
+    const entry: HostEntry = { ...this.self, storeRoundTripMs: this.storeRoundTripMs };
+    const write = { key: hostKey(this.self.host), value: JSON.stringify(entry) };
     const change = { conditions: [], writes: [write], removals: [] };
     const result = await this.store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
-    this.writing = false;
     if (result.isOk() && result.value.kind === 'done') {
       const { revision } = result.value;
       this.log.info('registered', { incarnation: this.self.incarnation, revision });
@@ -58,6 +75,22 @@
     return undefined;
   }
 
+  /**
+   * Measures the way to the store once, by a read that is small, so that the bandwidth of the way does not
+   * count, and that comes after others, so that no connection has to be opened for it.
+   */
+  private async measure(): Promise<void> {
+    if (this.storeRoundTripMs !== undefined) return;
+    const sentAt = performance.now();
+    const key = hostKey(this.self.host);
+    const entry = await this.store.read(key, StorePurpose.Register, MEASURE_TIMEOUT_MS);
+    if (entry.isErr()) {
+      this.log.info('store-way-not-measured', { error: entry.error.message });
+      return;
+    }
+    this.storeRoundTripMs = Math.round(performance.now() - sentAt);
+  }
+
   /** Removes the entry; only when this host uses no primary any more. */
   async remove(): Promise<void> {
     if (!this.isListed) return;
--- a/packages/gateway/src/control/store/store-documents.ts
+++ b/packages/gateway/src/control/store/store-documents.ts
@@ -33,6 +33,7 @@
   port: count,
   incarnation: count,
   linkMbps: z.number().nonnegative().default(0),
+  storeRoundTripMs: z.number().nonnegative().optional(),
 });
 
 const dutyRecordSchema = z.object({
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -25,6 +25,11 @@
   readonly incarnation: number;
   /** Bandwidth of the host's link, megabits a second; hosts with much of it serve the others. */
   readonly linkMbps: number;
+  /**
+   * Round trip of the host's first small read of the store, milliseconds; told only where zones lie in several
+   * regions, and only if the read was answered.
+   */
+  readonly storeRoundTripMs?: number | undefined;
 }
 
 /** Parts of the board that listeners can watch. */
--- a/packages/gateway/src/knowledge/relay-order.ts
+++ b/packages/gateway/src/knowledge/relay-order.ts
@@ -2,17 +2,17 @@
  * Who gets the store's news from whom: the first host of one zone reads the store, the first hosts of the
  * other zones ask it, and the rest of each zone asks its first host. The next ones in a zone's order
  * stand in for the first, later ones only if all before them fail. Hosts with wide links come first.
+ *
+ * Between regions news cross once: the first host of one zone of each other region asks the reader, and the
+ * first hosts of that region's other zones ask it in turn. The reader stands in the region nearest to the store.
  */
 import type { AzId, HostId } from '@gladespool/coordination';
-import { rankCandidates } from '@gladespool/coordination';
+import { rankCandidates, rankZones, zoneToAsk } from '@gladespool/coordination';
 import type { GatewayBoard, HostEntry } from './board.js';
 
 /** Part of the zone's widest link from which a host counts as one of those with a wide link. */
 const WIDE_SHARE = 0.5;
 
-/** Key by which zones are ranked for reading the store. */
-const READER_RANK_KEY = 'reader';
-
 /** The order as one host sees it. */
 export class RelayOrder {
   /** The listed hosts that the order was made of; it is made anew once the board holds others. */
@@ -45,16 +45,16 @@
 
   /**
    * The host to ask for news: the zone's first host, or on that host the first one of the zone that
-   * reads the store. Undefined where this host reads it itself, also while it is not listed.
+   * passes the news on to this one. Undefined where this host reads the store itself, also while it is
+   * not listed.
    */
   get parent(): HostEntry | undefined {
     const { host } = this.board;
     if (!this.board.hosts.has(host)) return undefined;
     const [first] = this.hosts;
     if (first?.host !== host) return first;
-    const [readers] = this.zones;
-    const reader = readers === undefined ? undefined : this.hostsOf(readers)[0];
-    return reader?.host === host ? undefined : reader;
+    const asked = zoneToAsk(this.board.az, this.zones, this.board.topology);
+    return asked === undefined ? undefined : this.hostsOf(asked)[0];
   }
 
   private refresh(): void {
@@ -62,8 +62,7 @@
     if (this.orderedFrom === board.hosts) return;
     this.orderedFrom = board.hosts;
     this.orders = new Map();
-    const zones = [...new Set([...board.hosts.values()].map((entry) => entry.az))];
-    this.zones = rankCandidates(READER_RANK_KEY, zones);
+    this.zones = rankZones([...board.hosts.values()], board.topology);
   }
 
   /** This host's place; 0 also while it is not listed, since nobody reads the store for it then. */
--- /dev/null
+++ b/packages/gateway/tests/acting-hosts.steps.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { AzId, HostId, SeenDuty } from '@gladespool/coordination';
+import {
+  azId,
+  DEFAULT_FAILOVER,
+  groupId,
+  hostId,
+  ONE_REGION,
+  regionId,
+  Topology,
+  upstreamId,
+} from '@gladespool/coordination';
+import type { HostEntry, UpstreamEntry } from '../src/index.js';
+import { GatewayBoard, ReportedRole } from '../src/index.js';
+import { ActingHosts } from '../src/control/promotion/acting-hosts.js';
+
+interface ActingWorld {
+  topology: Topology;
+  entries: readonly HostEntry[];
+  upstreams: readonly AzId[];
+  duty: SeenDuty | undefined;
+  /** The board and the order of one host, which lives on while things change. */
+  board: GatewayBoard;
+  acting: ActingHosts;
+}
+
+const GROUP = groupId('g');
+const NOW = 1000;
+
+function upstreamsIn(zones: readonly AzId[]): GatewayBoard['upstreams'] {
+  const entries = zones.map((az, index): UpstreamEntry => {
+    const id = upstreamId(`u${index}`);
+    const role = ReportedRole.Replica;
+    const place = { az, address: '127.0.0.1', port: 1 };
+    return { ...place, id, group: GROUP, role, slots: 1, draining: false };
+  });
+  return new Map(entries.map((entry) => [entry.id, entry]));
+}
+
+/** What a host sees. */
+function boardOf(world: ActingWorld, self: HostEntry, topology = world.topology): GatewayBoard {
+  const board = new GatewayBoard(self.host, self.az, topology);
+  board.putHosts(new Map(world.entries.map((entry) => [entry.host, entry])));
+  board.putUpstreams(upstreamsIn(world.upstreams));
+  return board;
+}
+
+function actingOn(world: ActingWorld, board: GatewayBoard): ActingHosts {
+  const view = {
+    get seenDuty(): SeenDuty | undefined {
+      return world.duty;
+    },
+  };
+  return new ActingHosts({ board, view, rules: DEFAULT_FAILOVER });
+}
+
+Given(
+  '{int} hosts of zones {string}, and a group with upstreams in zones {string}',
+  function (this: ActingWorld, count: number, regions: string, upstreams: string) {
+    const told = regions.split(',').map((each) => each.split(':') as [string, string]);
+    this.topology = new Topology(new Map(told.map(([az, region]) => [azId(az), regionId(region)])));
+    this.entries = Array.from({ length: count }, (_, index): HostEntry => {
+      const [az] = told[index % told.length] ?? [''];
+      const place = { az: azId(az), address: '127.0.0.1', port: index + 1 };
+      return { ...place, host: hostId(`h${index}`), incarnation: 1, linkMbps: 20 };
+    });
+    this.upstreams = upstreams.split(',').map(azId);
+    const [self] = this.entries;
+    assert.ok(self);
+    this.board = boardOf(this, self);
+    this.acting = actingOn(this, this.board);
+    // What is asked for once must not be kept for ever.
+    this.acting.order(GROUP, NOW);
+  },
+);
+
+When('nobody holds the duty to call', function (this: ActingWorld) {
+  this.duty = undefined;
+});
+
+When(
+  'a host of region {string} holds the duty to call',
+  function (this: ActingWorld, name: string) {
+    const { topology } = this;
+    const holder = this.entries.find(({ az }) => topology.regionOf(az) === regionId(name));
+    assert.ok(holder);
+    this.duty = { holder: holder.host, incarnation: 1, fence: 1, seenAt: NOW };
+  },
+);
+
+When(
+  "the group's upstreams are in zones {string} then",
+  function (this: ActingWorld, zones: string) {
+    this.board.putUpstreams(upstreamsIn(zones.split(',').map(azId)));
+  },
+);
+
+Then(
+  'the first {int} to act are of regions {string}',
+  function (this: ActingWorld, count: number, regions: string) {
+    const first = this.acting.order(GROUP, NOW).slice(0, count);
+    const expected = regions.split(',');
+    for (const [index, host] of first.entries()) {
+      const az = this.board.hosts.get(host)?.az;
+      assert.ok(az);
+      if (expected[index] !== '?') assert.equal(this.topology.regionOf(az), expected[index]);
+    }
+  },
+);
+
+Then('they act in the same order as where no regions are told', function (this: ActingWorld) {
+  const [self] = this.entries;
+  assert.ok(self);
+  const untold = actingOn(this, boardOf(this, self, ONE_REGION));
+  assert.deepEqual(this.acting.order(GROUP, NOW), untold.order(GROUP, NOW));
+});
+
+Then('each host has another place, and all of them know the order', function (this: ActingWorld) {
+  const order = this.acting.order(GROUP, NOW);
+  const places = this.entries.map((entry): [HostId, number] => {
+    const acting = actingOn(this, boardOf(this, entry));
+    return [entry.host, acting.places(NOW)(GROUP)];
+  });
+  assert.deepEqual(
+    new Map(places),
+    new Map(this.entries.map(({ host }) => [host, order.indexOf(host)])),
+  );
+  assert.equal(new Set(order).size, this.entries.length);
+});
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -2,7 +2,7 @@
  * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
+import type { AzId, Topology, UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -81,6 +81,15 @@
   /** Oldest data that reads may show, milliseconds; 0 for reads of the primary. */
   maxStalenessMs = 0;
 
+  /** Regions of the zones; undefined where none are told. */
+  topology: Topology | undefined;
+
+  /** Time that hosts of a zone need to read one key of the store, milliseconds; 0 where it is not told. */
+  readonly roundTripsMs = new Map<AzId, number>();
+
+  /** Time between two pings of the host that follows in the list, milliseconds. */
+  pingMs = RULES.retirement.pingMs;
+
   /** Starts `count` hosts and waits until each may use the primary. */
   async start(count: number): Promise<void> {
     this.putCatalog();
@@ -150,18 +159,21 @@
   /** Adds a host whose reads of the whole store take `fullReadMs`. */
   async addHost(index: number, fullReadMs = 0): Promise<void> {
     const store = new FakeStoreClient(this.store);
+    const az = azId(`z${index % 3}`);
     store.fullReadMs = fullReadMs;
+    store.roundTripMs = this.roundTripsMs.get(az) ?? 0;
     const driver = new FakeDriver(this.group);
     const metrics = new HostMetrics();
     const gateway = new GatewayHost({
       self: {
         host: hostId(`h${index}`),
-        az: azId(`z${index % 3}`),
+        az,
         address: LOOPBACK,
         port: await freePort(),
         incarnation: index + 1,
         linkMbps: 100,
       },
+      ...(this.topology && { topology: this.topology }),
       callers: { address: LOOPBACK, port: 0 },
       store,
       documents: { read: (key, text) => readDocument(key, text, this) },
@@ -172,7 +184,7 @@
       },
       peerKey: Buffer.from('test'),
       seeds: [],
-      rules: RULES,
+      rules: { ...RULES, retirement: { ...RULES.retirement, pingMs: this.pingMs } },
       metrics,
       seed: index,
     });
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -51,6 +51,10 @@
   reads = 0;
   /** Time that a read of everything takes, milliseconds. */
   fullReadMs = 0;
+  /** Time that a read of one key takes, milliseconds. */
+  roundTripMs = 0;
+  /** Reads of one key that are not answered, from now on. */
+  loseReads = 0;
 
   constructor(private readonly store: FakeStore) {}
 
@@ -66,12 +70,15 @@
     return ok({ items, revision: this.store.revision });
   }
 
-  read(key: string): Promise<Result<StoreEntry, GladespoolError>> {
+  async read(key: string): Promise<Result<StoreEntry, GladespoolError>> {
     this.reads += 1;
-    if (this.away) return Promise.resolve(err(AWAY));
+    if (this.roundTripMs > 0) await pause(this.roundTripMs, undefined, { ref: false });
+    const isLost = this.loseReads > 0;
+    if (isLost) this.loseReads -= 1;
+    if (this.away || isLost) return err(AWAY);
     const item = this.store.items.get(key);
     const revision = item === undefined ? 0 : this.store.revision;
-    return Promise.resolve(ok({ item, revision }));
+    return ok({ item, revision });
   }
 
   async watch(
--- a/packages/gateway/tests/first-proof.feature
+++ b/packages/gateway/tests/first-proof.feature
@@ -20,3 +20,14 @@
     When a host reads the store and lists itself
     And it is taken off the list
     Then it lists itself again with its next reads, and holds a proof of then
+
+  Scenario: The read by which a host of several regions measures its way to the store is not answered
+    Given a store that lists no host, in a deployment of two regions
+    When a host reads the store and lists itself, and its measuring read is lost
+    Then it is listed, and holds a proof without reading again
+    And it tells no round trip to the store
+
+  Scenario: A host of several regions begins to stop while it measures its way to the store
+    Given a store that lists no host, in a deployment of two regions
+    When a host reads the store and begins to stop while it measures its way there
+    Then the store lists no host
--- a/packages/gateway/tests/first-proof.steps.ts
+++ b/packages/gateway/tests/first-proof.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { azId, hostId, lapseRules } from '@gladespool/coordination';
+import { azId, hostId, lapseRules, ONE_REGION, regionId, Topology } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
 import { GatewayBoard } from '../src/knowledge/board.js';
 import { DEFAULT_PROOFS, ProofKeeper } from '../src/control/proofs/proof-keeper.js';
@@ -14,6 +14,7 @@
 interface ProofWorld {
   store: FakeStore;
   board: GatewayBoard;
+  client: FakeStoreClient;
   keeper: ProofKeeper;
   registrar: Registrar;
   follower: StoreFollower;
@@ -22,6 +23,7 @@
 
 const POLL_MS = 2;
 const SERVES_ON_MS = 1000;
+const MEASURED_MS = 20;
 
 const SELF = {
   host: hostId('h1'),
@@ -32,10 +34,17 @@
   linkMbps: 1000,
 };
 
-function createHost(world: ProofWorld): void {
+const TWO_REGIONS = new Topology(
+  new Map([
+    [SELF.az, regionId('r1')],
+    [azId('z2'), regionId('r2')],
+  ]),
+);
+
+function createHost(world: ProofWorld, topology = ONE_REGION): void {
   const self = SELF;
   const log = createLogger('test');
-  const board = new GatewayBoard(self.host, self.az);
+  const board = new GatewayBoard(self.host, self.az, topology);
   const store = new FakeStoreClient(world.store);
   const documents = { read: () => undefined };
   const view = new StoreView(board, documents, log, performance.now(), lapseRules(SERVES_ON_MS));
@@ -44,6 +53,7 @@
   const registrar = new Registrar(self, board, store, log);
   const rules = DEFAULT_PROOFS;
   world.board = board;
+  world.client = store;
   world.registrar = registrar;
   world.follower = follower;
   world.keeper = new ProofKeeper({ self, board, store, view, follower, registrar, rules, log });
@@ -54,6 +64,11 @@
   createHost(this);
 });
 
+Given('a store that lists no host, in a deployment of two regions', function (this: ProofWorld) {
+  this.store = new FakeStore();
+  createHost(this, TWO_REGIONS);
+});
+
 When('a host reads the store and lists itself', async function (this: ProofWorld) {
   await this.follower.catchUp();
   await this.keeper.register();
@@ -78,6 +93,37 @@
   },
 );
 
+When(
+  'a host reads the store and lists itself, and its measuring read is lost',
+  async function (this: ProofWorld) {
+    await this.follower.catchUp();
+    this.client.loseReads = 1;
+    await this.keeper.register();
+    assert.equal(this.client.loseReads, 0);
+  },
+);
+
+When(
+  'a host reads the store and begins to stop while it measures its way there',
+  async function (this: ProofWorld) {
+    await this.follower.catchUp();
+    this.client.roundTripMs = MEASURED_MS;
+    const registering = this.keeper.register();
+    this.board.draining = true;
+    await registering;
+  },
+);
+
+Then('the store lists no host', function (this: ProofWorld) {
+  assert.equal(this.store.items.has(hostKey(SELF.host)), false);
+});
+
+Then('it tells no round trip to the store', function (this: ProofWorld) {
+  const entry = this.board.hosts.get(SELF.host);
+  assert.ok(entry);
+  assert.equal(entry.storeRoundTripMs, undefined);
+});
+
 When('it is taken off the list', function (this: ProofWorld) {
   this.store.remove(hostKey(SELF.host));
   this.provenBefore = this.board.provenSince;
--- a/packages/gateway/tests/host-round.feature
+++ b/packages/gateway/tests/host-round.feature
@@ -31,3 +31,24 @@
       | 3     | 3     | none                                       | 8    | everybody                                      |
       | 5     | 39    | none                                       | 10   | the others' questions wait at the first of each |
       | 5     | 39    | the first two of another zone, known to it | 10   | the next ones of that zone                     |
+
+  Scenario Outline: Few links are used to another region
+    Given a fleet of 4 zones in <regions> regions with <hosts> hosts each, of which <silent> do not answer
+    When host 0 asks all others
+    Then <answered> hosts have answered, each once
+    And host 0 has sent at most <sent> frames, and has used links to <links> hosts of other regions
+
+    Examples:
+      | regions | hosts | silent                                     | answered | sent | links | why                                |
+      | 2       | 12    | none                                       | 47       | 31   | 4     | two of each zone there, twice      |
+      | 2       | 12    | the first host of another zone             | 46       | 31   | 4     | the second one asks the zone       |
+      | 2       | 12    | the first two of another zone, known to it | 45       | 31   | 4     | the next ones ask the zone         |
+      | 2       | 12    | another zone                               | 35       | 31   | 4     | its hosts count as silent          |
+      | 2       | 4     | none                                       | 15       | 15   | 4     | half of the links                  |
+      | 2       | 3     | none                                       | 11       | 11   | 6     | each is asked directly             |
+      | 1       | 12    | none                                       | 47       | 47   | 0     | one region: each is asked directly |
+
+  Scenario: News of a new primary cross to few hosts of another region
+    Given a fleet of 4 zones in 2 regions with 12 hosts each, of which none do not answer
+    When host 0 tells the others of a changed record
+    Then 27 hosts were told, at least one of each zone
--- a/packages/gateway/tests/host-round.steps.ts
+++ b/packages/gateway/tests/host-round.steps.ts
@@ -1,7 +1,16 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { HostId } from '@gladespool/coordination';
-import { azId, gladespoolError, hostId, Step } from '@gladespool/coordination';
+import {
+  azId,
+  Distance,
+  gladespoolError,
+  hostId,
+  ONE_REGION,
+  regionId,
+  Step,
+  Topology,
+} from '@gladespool/coordination';
 import type { PeerAddress, PeerLink } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -12,12 +21,15 @@
 import { HostRound } from '../src/control/hosts/host-round.js';
 
 interface RoundWorld {
+  topology: Topology;
   listed: ReadonlyMap<HostId, HostEntry>;
   rounds: Map<HostId, HostRound>;
   silent: Set<HostId>;
   /** Whether the hosts that don't answer are known for it. */
   silentIsKnown: boolean;
   sent: number;
+  /** Hosts to which the asking host has sent. */
+  sentTo: Set<HostId>;
   answers: RoundAnswer[];
   told: HostId[];
 }
@@ -42,13 +54,15 @@
 }
 
 function callsOf(world: RoundWorld, self: HostId): HostRoundOptions['calls'] {
-  const count = (): void => {
-    if (self === ASKER) world.sent += 1;
+  const count = (peer: PeerAddress): void => {
+    if (self !== ASKER) return;
+    world.sent += 1;
+    world.sentTo.add(hostId(peer.host));
   };
   const silent = (peer: PeerAddress): boolean => world.silent.has(hostId(peer.host));
   return {
     ask: (peer, build, timeoutMs) => {
-      count();
+      count(peer);
       build(1);
       if (!silent(peer)) return Promise.resolve(ok({ kind: FrameKind.RevokeReply, id: 1 }));
       return new Promise((resolve) => {
@@ -58,7 +72,7 @@
       });
     },
     tell: (peer, frame) => {
-      count();
+      count(peer);
       const to = hostId(peer.host);
       if (frame.kind === FrameKind.StoreNews) world.told.push(to);
       if (!silent(peer)) world.rounds.get(to)?.onFrame(linkTo(world, to, self), frame);
@@ -69,7 +83,7 @@
 }
 
 function roundOf(world: RoundWorld, entry: HostEntry): HostRound {
-  const board = new GatewayBoard(entry.host, entry.az);
+  const board = new GatewayBoard(entry.host, entry.az, world.topology);
   board.putHosts(world.listed);
   return new HostRound({ board, order: new RelayOrder(board), calls: callsOf(world, entry.host) });
 }
@@ -94,18 +108,35 @@
   }
 }
 
+/** A fleet in which the hosts that a table's words stand for don't answer. */
+function createFleet(world: RoundWorld, zones: number, hosts: number, words: string): void {
+  const entries = Array.from({ length: zones * hosts }, (_, index) => entryOf(index, zones));
+  world.listed = new Map(entries.map((entry) => [entry.host, entry]));
+  world.silent = new Set(silentHosts(world, words));
+  world.silentIsKnown = words.endsWith('known to it');
+  world.sent = 0;
+  world.sentTo = new Set();
+  world.answers = [];
+  world.told = [];
+  world.rounds = new Map(entries.map((entry) => [entry.host, roundOf(world, entry)]));
+}
+
 Given(
   /^a fleet of (\d+) zones with (\d+) hosts each, of which (.*) do not answer$/,
   function (this: RoundWorld, zones: string, hosts: string, words: string) {
-    const length = Number(zones) * Number(hosts);
-    const entries = Array.from({ length }, (_, index) => entryOf(index, Number(zones)));
-    this.listed = new Map(entries.map((entry) => [entry.host, entry]));
-    this.silent = new Set(silentHosts(this, words));
-    this.silentIsKnown = words.endsWith('known to it');
-    this.sent = 0;
-    this.answers = [];
-    this.told = [];
-    this.rounds = new Map(entries.map((entry) => [entry.host, roundOf(this, entry)]));
+    this.topology = ONE_REGION;
+    createFleet(this, Number(zones), Number(hosts), words);
+  },
+);
+
+Given(
+  /^a fleet of (\d+) zones in (\d+) regions with (\d+) hosts each, of which (.*) do not answer$/,
+  function (this: RoundWorld, zones: string, regions: string, hosts: string, words: string) {
+    const names = Array.from({ length: Number(zones) }, (_, index) => index);
+    this.topology = new Topology(
+      new Map(names.map((zone) => [azId(`z${zone}`), regionId(`r${zone % Number(regions)}`)])),
+    );
+    createFleet(this, Number(zones), Number(hosts), words);
   },
 );
 
@@ -126,6 +157,20 @@
   assert.ok(this.sent <= count, `${this.sent} frames`);
 });
 
+Then(
+  'host 0 has sent at most {int} frames, and has used links to {int} hosts of other regions',
+  function (this: RoundWorld, frames: number, links: number) {
+    assert.ok(this.sent <= frames, `${this.sent} frames`);
+    const own = this.listed.get(ASKER)?.az;
+    assert.ok(own);
+    const far = [...this.sentTo].filter((host) => {
+      const az = this.listed.get(host)?.az;
+      return az !== undefined && this.topology.distance(own, az) === Distance.OtherRegion;
+    });
+    assert.equal(far.length, links);
+  },
+);
+
 When('host 0 tells the others of a changed record', function (this: RoundWorld) {
   this.rounds.get(ASKER)?.tellAll({ kind: FrameKind.StoreNews, items: [] });
 });
--- a/packages/gateway/tests/relay-order.steps.ts
+++ b/packages/gateway/tests/relay-order.steps.ts
@@ -1,12 +1,23 @@
 import assert from 'node:assert/strict';
-import { Given, Then } from '@cucumber/cucumber';
-import type { HostId } from '@gladespool/coordination';
-import { azId, hostId } from '@gladespool/coordination';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { AzId, HostId, RegionId } from '@gladespool/coordination';
+import {
+  azId,
+  hostId,
+  ONE_REGION,
+  regionId,
+  SeededRandom,
+  Topology,
+} from '@gladespool/coordination';
 import type { HostEntry } from '../src/index.js';
 import { GatewayBoard, RelayOrder } from '../src/index.js';
 
 interface OrderWorld {
   listed: ReadonlyMap<HostId, HostEntry>;
+  /** Undefined where no regions are told. */
+  topology?: Topology;
+  /** Deployments that a property is checked on. */
+  lists: readonly OrderWorld[];
 }
 
 const NARROW_MBPS = 20;
@@ -29,7 +40,7 @@
 
 /** The order as a host sees it. */
 function orderOn(world: OrderWorld, entry: HostEntry): RelayOrder {
-  const board = new GatewayBoard(entry.host, entry.az);
+  const board = new GatewayBoard(entry.host, entry.az, world.topology ?? ONE_REGION);
   board.putHosts(world.listed);
   return new RelayOrder(board);
 }
@@ -90,3 +101,118 @@
     assert.equal(orderOn(this, entry).hosts[0]?.linkMbps, WIDE_MBPS);
   }
 });
+
+/** Reads "zone:region,…". */
+function topologyOf(zones: string): Topology {
+  const told = zones.split(',').map((zone) => zone.split(':'));
+  const placed = told.filter(([, region]) => region !== '');
+  return new Topology(
+    new Map(placed.map(([az, region]) => [azId(az ?? ''), regionId(region ?? '')] as const)),
+  );
+}
+
+/** Round trips told by the hosts of a zone, by the first letter of its name. */
+function roundTripsOf(az: string, roundTrips: string): readonly number[] {
+  const told = roundTrips.split(',').find((each) => each.startsWith(`${az.charAt(0)}=`));
+  return told?.slice(2).split('/').map(Number) ?? [];
+}
+
+Given(
+  'zones {string} of {int} hosts that took {string} ms to read the store',
+  function (this: OrderWorld, zones: string, hosts: number, roundTrips: string) {
+    this.topology = topologyOf(zones);
+    const names = zones.split(',').map((zone) => zone.split(':')[0] ?? '');
+    const entries = names.flatMap((az) => {
+      const told = roundTripsOf(az, roundTrips);
+      return Array.from({ length: hosts }, (_, index): HostEntry => ({
+        ...entryOf(index, 1, NARROW_MBPS),
+        host: hostId(`${az}-${index}`),
+        az: azId(az),
+        storeRoundTripMs: told[index % Math.max(1, told.length)],
+      }));
+    });
+    this.listed = list(entries);
+  },
+);
+
+function firstOf(world: OrderWorld, az: string): HostId | undefined {
+  const [entry] = world.listed.values();
+  assert.ok(entry);
+  return orderOn(world, entry).hostsOf(azId(az))[0]?.host;
+}
+
+When('the first host of zone {word} is off the list', function (this: OrderWorld, az: string) {
+  const first = firstOf(this, az);
+  this.listed = list([...this.listed.values()].filter(({ host }) => host !== first));
+});
+
+When('every host of zone {word} is off the list', function (this: OrderWorld, az: string) {
+  this.listed = list([...this.listed.values()].filter((entry) => entry.az !== az));
+});
+
+Then(
+  'the first hosts of the zones ask those of {string}, and the rest of each zone asks its first',
+  function (this: OrderWorld, asked: string) {
+    const ways = new Map(asked.split(',').map((way) => way.split('>') as [string, string]));
+    assert.equal(ways.size, new Set([...this.listed.values()].map(({ az }) => az)).size);
+    for (const [entry, parent] of parents(this)) {
+      const first = firstOf(this, entry.az);
+      const way = ways.get(entry.az) ?? '';
+      const ofOtherZone = way === '-' ? undefined : firstOf(this, way);
+      assert.equal(parent?.host, entry.host === first ? ofOtherZone : first, entry.host);
+    }
+  },
+);
+
+const PROPERTY_SEED = 1;
+const MOST_ROUND_TRIP_MS = 100;
+
+/** A deployment of any hosts in given regions. */
+function anyList(random: SeededRandom, zones: number, regions: number, most: number): OrderWorld {
+  const below = (bound: number): number => random.integer(0, bound - 1);
+  const names = Array.from({ length: zones }, (_, index) => azId(`z${index}`));
+  const told = names.map((az, index): [AzId, RegionId] => [az, regionId(`r${index % regions}`)]);
+  const entries = names.flatMap((az) =>
+    Array.from({ length: 1 + below(most) }, (_, index): HostEntry => ({
+      ...entryOf(index, 1, below(WIDE_MBPS)),
+      host: hostId(`${az}-${index}`),
+      az,
+      storeRoundTripMs: below(2) === 0 ? undefined : below(MOST_ROUND_TRIP_MS),
+    })),
+  );
+  return { listed: list(entries), topology: new Topology(new Map(told)), lists: [] };
+}
+
+Given(
+  '{int} lists of {int} zones in {int} regions, of 1 to {int} hosts each with any round trips',
+  function (this: OrderWorld, count: number, zones: number, regions: number, hosts: number) {
+    const random = new SeededRandom(PROPERTY_SEED);
+    this.lists = Array.from({ length: count }, () => anyList(random, zones, regions, hosts));
+  },
+);
+
+/** Regions on the way of a host to the reader, one for each time that the way enters one. */
+function regionsOnWay(world: OrderWorld, entry: HostEntry): readonly (RegionId | undefined)[] {
+  const entered: (RegionId | undefined)[] = [];
+  for (let at: HostEntry | undefined = entry; at !== undefined; at = orderOn(world, at).parent) {
+    const region = world.topology?.regionOf(at.az);
+    if (entered.at(-1) !== region) entered.push(region);
+    assert.ok(entered.length <= world.listed.size, 'the way does not end');
+  }
+  return entered;
+}
+
+Then(
+  "every host's way to the reader enters no region twice, and one host of each other region asks over a border",
+  function (this: OrderWorld) {
+    for (const world of this.lists) {
+      const ways = [...world.listed.values()].map((entry) => regionsOnWay(world, entry));
+      assert.ok(ways.every((way) => way.length <= 2));
+      assert.equal(new Set(ways.map((way) => way.at(-1))).size, 1);
+      const crossing = parents(world).filter(([entry, parent]) => {
+        return parent && world.topology?.regionOf(parent.az) !== world.topology?.regionOf(entry.az);
+      });
+      assert.equal(crossing.length, (world.topology?.regions.length ?? 0) - 1);
+    }
+  },
+);
