--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -79,12 +79,14 @@
   readonly draining: boolean;
   /** Whether its zone is evacuated; missing counts as not. */
   readonly evacuated?: boolean;
+  /** Whether it stands in the region of the former primary. */
+  readonly isNear: boolean;
 }
 
 /**
  * The upstream that becomes primary: one that already leads, under a term that nobody is ahead of,
- * else the one that has received most. Leaving ones only if there is no other, those of evacuated
- * zones never.
+ * else the one that has received most, among equals one of the region where the primary was. Leaving
+ * ones only if there is no other, those of evacuated zones never.
  */
 export function chooseSuccessor(
   reports: readonly SuccessorReport[],
@@ -150,7 +152,10 @@
 }
 
 function byReceived(a: SuccessorReport, b: SuccessorReport): number {
-  return comparePositions(b.received, a.received) || (a.id < b.id ? -1 : 1);
+  const byPosition = comparePositions(b.received, a.received);
+  if (byPosition !== 0) return byPosition;
+  if (a.isNear !== b.isNear) return a.isNear ? -1 : 1;
+  return a.id < b.id ? -1 : 1;
 }
 
 /** The duty record as seen by a host. */
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -41,3 +41,4 @@
 export * from './places/topology.js';
 export * from './places/evacuation.js';
 export * from './places/bound-regions.js';
+export * from './places/region-order.js';
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -2,8 +2,13 @@
  * Finds the upstream that follows a group's primary, and tells before a planned change whether there is one.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
-import { chooseCoveringSuccessor, isSameBirth, keepsFormer } from '@gladespool/coordination';
+import type { AzId, PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
+import {
+  chooseCoveringSuccessor,
+  Distance,
+  isSameBirth,
+  keepsFormer,
+} from '@gladespool/coordination';
 import type { UpstreamEntry } from '../../model/catalog.js';
 import type { PromotionContext } from './promotion-context.js';
 import type { PromotionLog } from './promotion-log.js';
@@ -107,8 +112,9 @@
 
   private async reports(former: PrimaryRecord): Promise<readonly SuccessorReport[]> {
     const { board } = this.ctx;
+    const formerAz = board.upstreams.get(former.primary)?.az;
     const members = board.upstreamsOf(former.group).filter((entry) => this.matters(entry, former));
-    const found = await Promise.all(members.map((entry) => this.report(entry)));
+    const found = await Promise.all(members.map((entry) => this.report(entry, formerAz)));
     return found.filter((report) => report !== undefined);
   }
 
@@ -118,13 +124,23 @@
     return entry.id === former.primary || this.syncReplicasOf(former) > 0;
   }
 
-  private async report(entry: UpstreamEntry): Promise<SuccessorReport | undefined> {
+  private async report(
+    entry: UpstreamEntry,
+    formerAz: AzId | undefined,
+  ): Promise<SuccessorReport | undefined> {
     const { board, probe } = this.ctx;
     const { id, born, group, draining } = entry;
     const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
     if (result.kind !== 'status') return undefined;
     const evacuated = board.evacuations.has(entry.az);
-    return { ...result.status, id, born, draining, evacuated };
+    const isNear = this.isNear(formerAz, entry.az);
+    return { ...result.status, id, born, draining, evacuated, isNear };
+  }
+
+  /** Whether a zone lies in the region where the primary was; all are alike once its entry is gone. */
+  private isNear(formerAz: AzId | undefined, az: AzId): boolean {
+    if (formerAz === undefined) return true;
+    return this.ctx.board.topology.distance(formerAz, az) !== Distance.OtherRegion;
   }
 }
 
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -2,7 +2,13 @@
  * A few gateway hosts in one process: real peer links on loopback, everything else in memory.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { RegionId, Topology, UpstreamId, WorkspaceLimit } from '@gladespool/coordination';
+import type {
+  AzId,
+  RegionId,
+  Topology,
+  UpstreamId,
+  WorkspaceLimit,
+} from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -100,6 +106,7 @@
 
   /** Upstreams of the group, in zones z0, z1 and so on. */
   upstreams = 3;
+
   /** Replicas that must have received a commit before it is confirmed. */
   syncReplicas = 0;
 
@@ -115,6 +122,12 @@
   /** The same for the workspace of the callers' key, where there is one. */
   workspaceRegions: readonly RegionId[] | undefined;
 
+  /** Time that hosts of a zone need to read one key of the store, milliseconds; 0 where it is not told. */
+  readonly roundTripsMs = new Map<AzId, number>();
+
+  /** Time between two pings of the host that follows in the list, milliseconds. */
+  pingMs = RULES.retirement.pingMs;
+
   /** Starts `count` hosts and waits until each may use the primary. */
   async start(count: number): Promise<void> {
     this.putCatalog();
@@ -185,13 +198,15 @@
   /** Adds a host whose reads of the whole store take `fullReadMs`. */
   async addHost(index: number, fullReadMs = 0): Promise<void> {
     const store = new FakeStoreClient(this.store);
+    const az = azId(`z${index % 3}`);
     store.fullReadMs = fullReadMs;
+    store.roundTripMs = this.roundTripsMs.get(az) ?? 0;
     const driver = new FakeDriver(this.group);
     const metrics = new HostMetrics();
     const gateway = new GatewayHost({
       self: {
         host: hostId(`h${index}`),
-        az: azId(`z${index % 3}`),
+        az,
         address: LOOPBACK,
         port: await freePort(),
         incarnation: index + 1,
@@ -207,7 +222,11 @@
       },
       peerKey: Buffer.from('test'),
       seeds: [],
-      rules: { ...RULES, evacuationMs: this.evacuationMs },
+      rules: {
+        ...RULES,
+        evacuationMs: this.evacuationMs,
+        retirement: { ...RULES.retirement, pingMs: this.pingMs },
+      },
       topology: this.topology,
       metrics,
       seed: index,
