fix(gateway): a primary that accepts more connections than it serves in time is kept for 1.5 s

Ruled out: a longer time for opening a connection (a dead primary would be noticed as much later); no suspicion after a start (a primary that died with the hosts would stay). Change: the driver tells by the error's step how far the opening got (connect, start, admission); an upstream that accepts and does not start sessions counts as failing only after 1.5 s; a host asked about it meanwhile says neither. The probe no longer looks for a word in an error's text.

--- a/packages/coordination/src/model/errors.ts
+++ b/packages/coordination/src/model/errors.ts
@@ -14,6 +14,10 @@
   PeerHandshake = 'peer-handshake',
   PeerExchange = 'peer-exchange',
   UpstreamConnect = 'upstream-connect',
+  /** The connection was accepted, and the session not started in time. */
+  UpstreamStart = 'upstream-start',
+  /** The upstream has as many connections as it allows. */
+  UpstreamAdmission = 'upstream-admission',
   UpstreamExchange = 'upstream-exchange',
   UpstreamStatus = 'upstream-status',
   Acknowledge = 'acknowledge',
--- a/packages/gateway/src/control/promotion/primary-monitor.ts
+++ b/packages/gateway/src/control/promotion/primary-monitor.ts
@@ -38,7 +38,7 @@
 
 /** Reach of the primaries from this host. */
 export class PrimaryMonitor {
-  private readonly probing = new Map<GroupId, Promise<boolean>>();
+  private readonly probing = new Map<GroupId, Promise<boolean | undefined>>();
 
   constructor(private readonly options: PrimaryMonitorOptions) {}
 
@@ -61,8 +61,11 @@
     return since === undefined ? 0 : now - since;
   }
 
-  /** Whether this host reaches the primary of the group, probed if that is not clear. */
-  async reaches(group: GroupId): Promise<boolean> {
+  /**
+   * Whether this host reaches the primary of the group, probed if that is not clear; undefined while the
+   * primary accepts connections and serves none.
+   */
+  async reaches(group: GroupId): Promise<boolean | undefined> {
     const health = this.healthOf(group);
     const { freshMs } = this.options.rules;
     const now = performance.now();
@@ -76,7 +79,7 @@
     return record && this.options.home(group).slot(record.primary)?.health;
   }
 
-  private probe(group: GroupId): Promise<boolean> {
+  private probe(group: GroupId): Promise<boolean | undefined> {
     const running = this.probing.get(group);
     if (running !== undefined) return running;
     const started = this.probeOnce(group);
@@ -85,7 +88,7 @@
     return started;
   }
 
-  private async probeOnce(group: GroupId): Promise<boolean> {
+  private async probeOnce(group: GroupId): Promise<boolean | undefined> {
     const { board, home, probe, rules } = this.options;
     const record = board.record(group);
     const slot = record && home(group).slot(record.primary);
@@ -94,9 +97,14 @@
     const floor = home(group).primaryFloor(slot.entry.id);
     const result = await probe.ask(slot.entry, group, rules.probeTimeoutMs);
     const now = performance.now();
+    const { health } = slot;
+    if (result.kind === 'unserved') {
+      health.noteUnserved(now);
+      return health.failingSince === undefined ? undefined : false;
+    }
     const reached = leads(result) && !home(group).hasLostLog(slot.entry.id, floor, toldBy(result));
-    if (reached) slot.health.noteAlive(now);
-    else slot.health.noteFailure(now, startedAt - rules.quietMs);
+    if (reached) health.noteAlive(now);
+    else health.noteFailure(now, startedAt - rules.quietMs);
     return reached;
   }
 }
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -267,7 +267,8 @@
     this.leaveToOther(link.host as HostId, groupId(ask.group));
     if (this.options.context.view.revision === 0) return;
     const reaches = await this.options.monitor.reaches(groupId(ask.group));
-    link.send({ kind: FrameKind.ReachReply, id: ask.id, reaches });
+    const answer = { kind: FrameKind.ReachReply, id: ask.id } as const;
+    link.send(reaches === undefined ? answer : { ...answer, reaches });
   }
 
   /** A host that acts before this one and asks about a primary is left to act. */
--- a/packages/gateway/src/home/upstream-health.ts
+++ b/packages/gateway/src/home/upstream-health.ts
@@ -15,6 +15,12 @@
 /** Time for which an upstream is avoided that shed a statement, milliseconds: one usual answer. */
 const BUSY_AVOID_MS = 30;
 
+/**
+ * Time for which an upstream may accept connections without serving them before that counts as a failure,
+ * milliseconds: longer than it takes to serve those of a whole fleet that comes back at once.
+ */
+const UNSERVED_MS = 1500;
+
 /** Health of one upstream as one home sees it. */
 export class UpstreamHealth {
   /** Statements of this home that are at the upstream. */
@@ -30,6 +36,8 @@
   /** Local time of the latest failure. */
   lastFailureAt = Number.NEGATIVE_INFINITY;
   private failures = 0;
+  /** Local time since which it has accepted connections and served none; undefined otherwise. */
+  private unservedSince: number | undefined;
 
   /** Notes an answer and the time that it took. */
   noteAnswer(now: number, tookMs: number): void {
@@ -41,6 +49,7 @@
   noteAlive(now: number): void {
     this.lastAnswerAt = now;
     this.failingSince = undefined;
+    this.unservedSince = undefined;
     this.failures = 0;
   }
 
@@ -53,6 +62,13 @@
     this.avoidUntil = Math.max(this.avoidUntil, now + avoidMs);
   }
 
+  /** Notes that a connection was accepted and not served in time; many may have come at once. */
+  noteUnserved(now: number): void {
+    this.unservedSince ??= now;
+    if (now - this.unservedSince >= UNSERVED_MS) this.noteFailure(now, this.unservedSince);
+    else this.avoidUntil = Math.max(this.avoidUntil, now + FIRST_AVOID_MS);
+  }
+
   /** Notes that a replica lacked the position that a read needs. */
   noteLagging(now: number): void {
     this.avoidUntil = Math.max(this.avoidUntil, now + LAGGING_AVOID_MS);
--- a/packages/gateway/src/home/upstream-probe.ts
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -3,7 +3,7 @@
  * connection does not pass for a dead upstream.
  */
 import type { GroupId, UpstreamId } from '@gladespool/coordination';
-import { isSameUpstream, UpstreamFault } from '@gladespool/coordination';
+import { isSameUpstream, Step, UpstreamFault } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamDriver, UpstreamStatus, UpstreamWire } from '../model/upstream-wire.js';
 
@@ -12,6 +12,8 @@
   | { readonly kind: 'status'; readonly status: UpstreamStatus }
   /** It answers, but gave no status. */
   | { readonly kind: 'alive' }
+  /** It accepted the connection and did not serve it in time. */
+  | { readonly kind: 'unserved' }
   | { readonly kind: 'silent' };
 
 /** Time after which an unused connection is closed, milliseconds: they count against the budget. */
@@ -39,8 +41,7 @@
     if (held !== undefined) return this.askOn(held, entry, timeoutMs);
     const startedAt = performance.now();
     const wire = await this.driver.connect(entry, group, timeoutMs, undefined);
-    if (wire.isErr())
-      return { kind: wire.error.message.includes('OVERLOADED') ? 'alive' : 'silent' };
+    if (wire.isErr()) return { kind: kindOf(wire.error.step) };
     this.onConnected();
     const leftMs = Math.max(1, timeoutMs - (performance.now() - startedAt));
     return this.askOn(wire.value, entry, leftMs);
@@ -93,3 +94,9 @@
     this.channels.set(id, { wire, entry, timer });
   }
 }
+
+/** What a connection tells that could not be opened. */
+function kindOf(failed: Step): 'alive' | 'unserved' | 'silent' {
+  if (failed === Step.UpstreamAdmission) return 'alive';
+  return failed === Step.UpstreamStart ? 'unserved' : 'silent';
+}
--- a/packages/gateway/src/home/upstream-slot.ts
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -46,7 +46,7 @@
       (workspace) => this.connect(workspace),
       options.limits,
       (error) => {
-        this.health.noteFailure(performance.now());
+        this.noteRefused(error, performance.now());
         options.onConnectFailure(error);
       },
     );
@@ -102,6 +102,11 @@
     this.pool.stop();
   }
 
+  private noteRefused({ step }: GladespoolError, now: number): void {
+    if (step === Step.UpstreamStart) this.health.noteUnserved(now);
+    else this.health.noteFailure(now);
+  }
+
   private async connect(
     workspace: WorkspaceId | undefined,
   ): Promise<Result<PreparedConnection, GladespoolError>> {
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -29,3 +29,13 @@
     Then another upstream becomes the primary under one fence
     When that one dies as well
     Then the third upstream becomes the primary, called for by the same host
+
+  Scenario: A primary that is busy with the connections of a whole fleet is kept
+    Given 3 hosts that serve a group
+    When the primary accepts connections and serves none for 1000 ms
+    Then no promotion is called for, and every host writes there
+
+  Scenario: A primary that hangs is replaced
+    Given 3 hosts that serve a group
+    When the primary accepts connections and serves none from now on
+    Then another upstream becomes the primary under one fence
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -36,6 +36,41 @@
   killPrimary(this);
 });
 
+When(
+  'the primary accepts connections and serves none for {int} ms',
+  async function (this: ActionWorld, ms: number) {
+    const { hosts } = this.deployment;
+    for (const { driver } of hosts) driver.unserved.add(FORMER);
+    const until = performance.now() + ms;
+    while (performance.now() < until) {
+      await Promise.all(hosts.map((each) => this.deployment.run(each, 'WRITE x 1')));
+      await pause(10);
+    }
+    for (const { driver } of hosts) driver.unserved.delete(FORMER);
+  },
+);
+
+When('the primary accepts connections and serves none from now on', function (this: ActionWorld) {
+  for (const { driver } of this.deployment.hosts) driver.unserved.add(FORMER);
+});
+
+Then(
+  'no promotion is called for, and every host writes there',
+  { timeout: 20_000 },
+  async function (this: ActionWorld) {
+    const { hosts, group } = this.deployment;
+    for (const each of hosts) {
+      await this.deployment.until(() => each.gateway.board.record(GROUP)?.primary === FORMER);
+      let written = false;
+      while (!written) {
+        const outcome = await this.deployment.run(each, 'WRITE x 2');
+        written = outcome.kind === 'completed';
+      }
+    }
+    assert.equal(group.promotions.length, 0);
+  },
+);
+
 When('host {int} misses the primary', function (this: ActionWorld, index: number) {
   host(this, index).driver.unreachable.add(FORMER);
 });
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -84,6 +84,8 @@
   readonly unreachable = new Set<UpstreamId>();
   /** Upstreams to which connections were asked for. */
   readonly connected = new Set<UpstreamId>();
+  /** Upstreams that accept new connections and start no session. */
+  readonly unserved = new Set<UpstreamId>();
 
   constructor(private readonly group: FakeGroup) {}
 
@@ -99,7 +101,8 @@
       return ok(new FakeWire(this.group, upstream, workspace, () => this.misses(upstream)));
     }
     await pause(Math.min(timeoutMs, SILENCE_MS));
-    return err(gladespoolError({ step: Step.UpstreamConnect, peer: entry.id }, 'silent'));
+    const step = this.unserved.has(entry.id) ? Step.UpstreamStart : Step.UpstreamConnect;
+    return err(gladespoolError({ step, peer: entry.id }, 'silent'));
   }
 
   readStatus(row: string): UpstreamStatus {
@@ -107,7 +110,7 @@
   }
 
   private misses(upstream: FakeUpstream): boolean {
-    return upstream.dead || this.unreachable.has(upstream.id);
+    return upstream.dead || this.unreachable.has(upstream.id) || this.unserved.has(upstream.id);
   }
 }
 
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -363,7 +363,12 @@
   }),
   z.object({ kind: z.literal(FrameKind.HoldReply), id }),
   z.object({ kind: z.literal(FrameKind.ReachAsk), id, group: z.string(), epoch: count }),
-  z.object({ kind: z.literal(FrameKind.ReachReply), id, reaches: z.boolean() }),
+  z.object({
+    kind: z.literal(FrameKind.ReachReply),
+    id,
+    /** Missing while the primary accepts connections of the sender and serves none. */
+    reaches: z.boolean().optional(),
+  }),
   z.object({ kind: z.literal(FrameKind.PingAsk), id }),
   z.object({ kind: z.literal(FrameKind.PingReply), id }),
   /** Asks whether the receiver reaches a host that is silent to the sender. */
