feat: homes stand near the upstreams where zones lie in several regions or connections serve one workspace each

Cause: each home of six zones had two connections to an upstream, held by far transactions for round trips of 40 ms; with 79 workspaces a home of a zone had 21 connections, so most operations opened one. Ruled out: BEGIN and the first statement sent to the upstream together (a refused BEGIN would let the statement run outside a transaction); a status query at each home for marks (takes a slot each time). Change: near-homes.ts plans homes in the zones of a group's upstreams, most connections to those of the upstream's own zone; work for the primary goes to homes near it; a transaction's first statement travels with its opening; marks of a primary are passed on to homes that do not work on it; hosts that have just started open no connections in place of homes. Reads prefer the own zone, then the own region. Switched on by zones in several regions, or by workspaces in the configuration that outnumber a home's connections.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -42,3 +42,4 @@
 export * from './places/evacuation.js';
 export * from './places/bound-regions.js';
 export * from './places/region-order.js';
+export * from './places/near-homes.js';
--- a/packages/coordination/src/load/connection-share.ts
+++ b/packages/coordination/src/load/connection-share.ts
@@ -57,6 +57,11 @@
   readonly connectionsPerHome: number;
   /** Whether connections serve one workspace each, and are too few for all at once. */
   readonly isBound: boolean;
+  /**
+   * Connections to an upstream, by its zone, that a home may hold, by the home's zone; missing where all
+   * homes hold as many.
+   */
+  readonly shares?: ReadonlyMap<AzId, ReadonlyMap<AzId, number>>;
 }
 
 /** Plans the homes of a group from the hosts that live, by zone; every host computes the same plan. */
@@ -71,6 +76,22 @@
   return planBound(group, zones, room, rules);
 }
 
+/** Connections to one upstream that the homes of a group may hold together. */
+export function usableConnections(room: UpstreamRoom, rules: ShareRules = DEFAULT_SHARES): number {
+  const allowed = Math.floor(room.connections * rules.usableShare);
+  return Math.min(allowed, room.slots * rules.perSlot);
+}
+
+/** Connections that may be held beyond those, for homes that seldom need them. */
+export function spareConnections(room: UpstreamRoom, rules: ShareRules = DEFAULT_SHARES): number {
+  return Math.floor(room.connections * rules.usableShare) - usableConnections(room, rules);
+}
+
+/** Connections to one upstream that the homes may hold together where each serves one workspace. */
+export function boundConnections(room: UpstreamRoom, rules: ShareRules = DEFAULT_SHARES): number {
+  return Math.floor(room.connections * rules.boundShare);
+}
+
 /** Homes of every zone for the callers of that zone. */
 function planShared(
   group: GroupId,
@@ -78,8 +99,7 @@
   room: UpstreamRoom,
   rules: ShareRules,
 ): HomePlan {
-  const allowed = Math.floor(room.connections * rules.usableShare);
-  const usable = Math.min(allowed, room.slots * rules.perSlot);
+  const usable = usableConnections(room, rules);
   const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
   const homes = homesOfZones(group, zones, perZone);
   return { homes, connectionsPerHome: partOf(usable, homes), isBound: false };
@@ -93,7 +113,7 @@
   rules: ShareRules,
 ): HomePlan {
   const homes = homesOfZones(group, zones, 1);
-  const usable = Math.floor(room.connections * rules.boundShare);
+  const usable = boundConnections(room, rules);
   return { homes, connectionsPerHome: partOf(usable, homes), isBound: true };
 }
 
--- a/packages/coordination/src/reads/upstream-choice.ts
+++ b/packages/coordination/src/reads/upstream-choice.ts
@@ -1,10 +1,11 @@
 /**
- * Which upstream serves a read: one of the own zone that serves it in comfort, else the one with the
- * least expected time; the primary at a surcharge. Where connections serve one workspace each, one goes
+ * Which upstream serves a read: the nearest that serves it in comfort, else the one with the least
+ * expected time; the primary at a surcharge. Where connections serve one workspace each, one goes
  * first that has a free connection of the read's workspace, and next one that has room for another.
  */
 import type { UpstreamId } from '../model/ids.js';
 import type { RandomSource } from '../model/random.js';
+import { Distance } from '../places/topology.js';
 
 /** What a home has for a workspace at an upstream. */
 export enum Reuse {
@@ -20,8 +21,8 @@
 export interface UpstreamLoad {
   readonly id: UpstreamId;
   readonly isPrimary: boolean;
-  /** Whether it is in the zone of the choosing host. */
-  readonly isNear: boolean;
+  /** Distance from the zone of the choosing host. */
+  readonly distance: Distance;
   /** Statements of this home that are at the upstream or wait for a connection to it. */
   readonly inFlight: number;
   /** Moving average of the time of an answer, milliseconds. */
@@ -45,7 +46,8 @@
 
 /**
  * Upstream for a read of an operation with the given target latency (milliseconds), among those not
- * to be avoided: the fastest of the own zone if that is comfortable, else the fastest of all. If all
+ * to be avoided: the fastest of the own zone if that is comfortable, else of the own region, else the
+ * fastest of all. If all
  * are to be avoided, the one whose time of avoidance ends first.
  */
 export function chooseUpstream(
@@ -58,8 +60,10 @@
   if (open.length === 0) return leastBy(loads, (load) => load.avoidUntil);
   const comfortMs = targetLatencyMs * COMFORT_SHARE;
   const comfortable = open.filter((load) => expectedMs(load) <= comfortMs);
-  const near = reusable(comfortable).filter((load) => load.isNear);
-  const candidates = [near, reusable(comfortable), open].find((loads) => loads.length > 0) ?? [];
+  const within = (most: Distance): readonly UpstreamLoad[] =>
+    reusable(comfortable).filter((load) => load.distance <= most);
+  const choices = [within(Distance.SameZone), within(Distance.SameRegion), reusable(comfortable)];
+  const candidates = choices.find((loads) => loads.length > 0) ?? open;
   return leastBy(candidates, (load) => expectedMs(load) * (1 + SPREAD * random.unit()));
 }
 
--- a/packages/coordination/tests/reads-and-room.steps.ts
+++ b/packages/coordination/tests/reads-and-room.steps.ts
@@ -2,6 +2,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { AzId, HomePlan, HostId, Position, UpstreamLoad, UpstreamRoom } from '../src/index.js';
 import {
+  Distance,
   azId,
   chooseUpstream,
   groupId,
@@ -62,7 +63,7 @@
     return {
       id: upstreamId(id ?? ''),
       isPrimary: role === 'primary',
-      isNear: place === 'near',
+      distance: place === 'near' ? Distance.SameZone : Distance.SameRegion,
       inFlight: Number(inFlight),
       meanMs: Number(meanMs),
       avoidUntil: Number(avoidUntil ?? '0'),
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -166,10 +166,12 @@
   }
 
   private async runInside(id: string, work: Work, now: number): Promise<Outcome> {
-    const opened = await this.pin(id, now);
+    const isFirst = this.open?.pinned === undefined;
+    const opened = await this.pin(id, now, work);
     if (opened.kind === 'failed') return this.fail(opened.outcome);
+    const { pinned } = opened;
     const step = { id, work, values: this.values, arrivedAt: now };
-    const outcome = await opened.pinned.run(step);
+    const outcome = (isFirst ? pinned.first : undefined) ?? (await pinned.run(step));
     return outcome.kind === 'completed' ? outcome : this.fail(outcome);
   }
 
@@ -185,12 +187,13 @@
   }
 
   /** The transaction at an upstream, opened there if it is not yet. */
-  private async pin(id: string, now: number): Promise<Pinning> {
+  private async pin(id: string, now: number, first?: Work): Promise<Pinning> {
     const { open } = this;
     if (open === undefined) return notPinned(refused(RefusalReason.TransactionLost));
     if (open.pinned !== undefined) return { kind: 'pinned', pinned: open.pinned };
     const { place, readOnly, beganAt } = open;
-    const job = { ...this.jobAt(place), id, readOnly, beganAt, arrivedAt: now };
+    const times = { beganAt, arrivedAt: now };
+    const job = { ...this.jobAt(place), id, readOnly, ...times, ...(first && { first }) };
     const opened = await this.context.executor.begin(job);
     if (opened.isErr()) {
       this.giveBack(place);
--- a/packages/gateway/src/forward/forward-service.ts
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -7,9 +7,10 @@
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { ForwardOperation, FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard } from '../knowledge/board.js';
-import type { Executor, OpenTransaction } from '../home/job.js';
+import type { Executor, OpenTransaction, StepJob } from '../home/job.js';
 import type { Outcome } from '../model/outcome.js';
 import { refused } from '../model/outcome.js';
+import type { Work } from '../model/statement.js';
 import { decodeJob, decodeStep, decodeWork, encodeReply } from './forward-frames.js';
 
 type ForwardAsk = FrameOf<FrameKind.ForwardAsk>;
@@ -67,17 +68,10 @@
         if (ask.route === undefined || work === undefined) return misuse();
         return served(await this.executor.run({ ...decodeJob(ask, ask.route, now), work }));
       case ForwardOperation.Begin:
-        return this.begin(link, ask, now);
-      case ForwardOperation.Step: {
-        const held = this.held.get(ask.transaction);
-        if (held === undefined) return served(refused(RefusalReason.TransactionLost));
+        return this.begin(link, ask, work, now);
+      case ForwardOperation.Step:
         if (work === undefined) return misuse();
-        clearTimeout(held.idleTimer);
-        const outcome = await held.transaction.run(decodeStep(ask, work, now));
-        if (outcome.kind !== 'completed') this.held.delete(ask.transaction);
-        else this.watchIdle(ask.transaction, held);
-        return served(outcome);
-      }
+        return served(await this.step(ask.transaction, decodeStep(ask, work, now)));
       case ForwardOperation.Commit: {
         const held = this.held.get(ask.transaction);
         if (held === undefined) return served(refused(RefusalReason.TransactionLost));
@@ -88,7 +82,13 @@
     }
   }
 
-  private async begin(link: PeerLink, ask: ForwardAsk, now: number): Promise<Served> {
+  /** Opens a transaction and runs the statement that came with the question, if any. */
+  private async begin(
+    link: PeerLink,
+    ask: ForwardAsk,
+    first: Work | undefined,
+    now: number,
+  ): Promise<Served> {
     if (ask.route === undefined) return misuse();
     const job = { ...decodeJob(ask, ask.route, now), readOnly: ask.readOnly };
     const opened = await this.executor.begin(job);
@@ -99,7 +99,19 @@
     this.held.set(handle, held);
     this.watchIdle(handle, held);
     if (!link.ready) this.rollBack(handle);
-    return { handle, outcome: undefined };
+    if (first === undefined) return { handle, outcome: undefined };
+    return { handle, outcome: await this.step(handle, decodeStep(ask, first, now)) };
+  }
+
+  /** Runs one statement of an open transaction. */
+  private async step(handle: number, step: StepJob): Promise<Outcome> {
+    const held = this.held.get(handle);
+    if (held === undefined) return refused(RefusalReason.TransactionLost);
+    clearTimeout(held.idleTimer);
+    const outcome = await held.transaction.run(step);
+    if (outcome.kind !== 'completed') this.held.delete(handle);
+    else this.watchIdle(handle, held);
+    return outcome;
   }
 
   private watchIdle(handle: number, held: HeldTransaction): void {
--- a/packages/gateway/src/forward/remote-executor.ts
+++ b/packages/gateway/src/forward/remote-executor.ts
@@ -30,7 +30,7 @@
 /** Work on one other host. */
 export class RemoteExecutor {
   constructor(
-    private readonly calls: PeerCalls,
+    private readonly calls: Pick<PeerCalls, 'ask' | 'tell'>,
     private readonly peer: PeerAddress,
   ) {}
 
@@ -51,12 +51,14 @@
     const fields = {
       ...askOf(ForwardOperation.Begin, job, performance.now()),
       readOnly: job.readOnly,
+      ...(job.first && { work: encodeWork(job.first) }),
     };
     const reply = await this.ask(fields, timeLeft(job));
     if (reply.isErr()) return err(refused(RefusalReason.PeerUnreachable));
+    const { transaction } = reply.value;
     const outcome = decodeOutcome(reply.value.outcome);
-    if (outcome !== undefined) return err(outcome);
-    return ok(new RemoteTransaction(this, job, reply.value.transaction));
+    if (transaction === 0) return err(outcome ?? refused(RefusalReason.PeerLost));
+    return ok(new RemoteTransaction(this, job, transaction, outcome));
   }
 
   /** Asks the other host. */
@@ -82,14 +84,19 @@
 
 /** A transaction that is open on another host. */
 class RemoteTransaction implements OpenTransaction {
+  readonly first?: Outcome;
   private over = false;
-  private wrote = false;
+  private wrote: boolean;
 
   constructor(
     private readonly executor: RemoteExecutor,
     private readonly begin: BeginJob,
     private readonly handle: number,
-  ) {}
+    first: Outcome | undefined,
+  ) {
+    this.wrote = begin.first !== undefined && accessOf(begin.first) === Access.Write;
+    if (first !== undefined) this.first = first;
+  }
 
   async run(step: StepJob): Promise<Outcome> {
     if (accessOf(step.work) === Access.Write) this.wrote = true;
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -19,7 +19,7 @@
 import type { GatewayBoard } from '../knowledge/board.js';
 import type { PeerCalls } from '../peering/peer-calls.js';
 import type { BeginJob, Executor, Job, OpenTransaction, StatementJob } from '../home/job.js';
-import type { LocalExecutor } from '../home/local-executor.js';
+import type { GroupHome } from '../home/group-home.js';
 import type { Outcome } from '../model/outcome.js';
 import { accessOf } from '../model/statement.js';
 import type { HomeDirectory } from '../knowledge/home-directory.js';
@@ -29,26 +29,39 @@
 /** What the routing works with. */
 export interface RoutedExecutorOptions {
   readonly board: GatewayBoard;
-  readonly local: LocalExecutor;
+  readonly local: Executor;
+  readonly home: (group: GroupId) => GroupHome;
   readonly calls: PeerCalls;
   readonly directory: HomeDirectory;
   readonly reach: ReachNotes;
   readonly metrics: HostMetrics;
   readonly log: Logger;
+  /** Local time at which this host started. */
+  readonly startedAt: number;
 }
 
 /** Other hosts asked at most, before this host tries itself and again after it. */
 const MAX_DETOURS = 2;
+/** Time after its start for which a host leaves connections to homes, milliseconds: homes open theirs in one. */
+const LEAVE_TO_HOMES_MS = 1500;
 
 /** Work that may be tried on one host after another. */
 interface Attempt<Value> {
   readonly job: Job;
-  readonly needsPrimary: boolean;
-  on(executor: LocalExecutor | RemoteExecutor): Promise<Value>;
+  /** Whether the primary alone can run it. */
+  readonly onlyPrimary: boolean;
+  on(executor: Executor): Promise<Value>;
   /** How an attempt ended; undefined when it opened a transaction. */
   outcomeOf(value: Value): Outcome | undefined;
 }
 
+/** How the last attempt on another host ended. */
+interface Tried<Value> {
+  readonly value: Value;
+  /** Whether no other host could do better. */
+  readonly isFinal: boolean;
+}
+
 /** Executor that knows the other hosts. */
 export class RoutedExecutor implements Executor {
   constructor(private readonly options: RoutedExecutorOptions) {}
@@ -56,7 +69,7 @@
   run(job: StatementJob): Promise<Outcome> {
     return this.route({
       job,
-      needsPrimary: accessOf(job.work) === Access.Write || this.readsPrimary(job),
+      onlyPrimary: accessOf(job.work) === Access.Write || readsOnlyPrimary(job),
       on: (executor) => executor.run(job),
       outcomeOf: (outcome) => outcome,
     });
@@ -65,7 +78,7 @@
   begin(job: BeginJob): Promise<Result<OpenTransaction, Outcome>> {
     return this.route({
       job,
-      needsPrimary: !job.readOnly || this.readsPrimary(job),
+      onlyPrimary: !job.readOnly || readsOnlyPrimary(job),
       on: (executor) => executor.begin(job),
       outcomeOf: (opened) => (opened.isErr() ? opened.error : undefined),
     });
@@ -73,19 +86,34 @@
 
   /** Tries hosts in turn as long as the work has certainly not run and another could do better. */
   private async route<Value>(attempt: Attempt<Value>): Promise<Value> {
-    const { job, needsPrimary } = attempt;
+    const { job } = attempt;
     const { group } = job.route;
     const now = performance.now();
-    const detours = this.reachable(job, this.detours(job, needsPrimary, now), now);
+    const needsPrimary = attempt.onlyPrimary || this.lacksMark(job);
+    const detours = this.reachable(job, this.detours(attempt, needsPrimary, now), now);
     const first = await this.runElsewhere(attempt, detours);
-    if (first !== undefined) return first;
+    if (first?.isFinal === true) return first.value;
+    if (first !== undefined && this.leavesToHomes(group, now)) return first.value;
     const own = await attempt.on(this.options.local);
     const outcome = attempt.outcomeOf(own);
     if (outcome === undefined || !couldGoElsewhere(outcome)) return own;
     const { reason } = outcome.refusal;
     const later = performance.now();
     const helpers = this.reachable(job, this.helpers(group, needsPrimary, reason, later), later);
-    return (await this.runElsewhere(attempt, helpers)) ?? own;
+    const last = await this.runElsewhere(attempt, helpers);
+    return last?.isFinal === true ? last.value : own;
+  }
+
+  /**
+   * Whether this host, which is no home and has just started, opens no connection of its own where homes
+   * stand near the upstreams. After a loss of all hosts each of them would open some, and an upstream that
+   * serves so many at once serves none in time: 98 attempts on six primaries ran out of time within two
+   * seconds, and nothing was served for three (61 hosts, killed at once).
+   */
+  private leavesToHomes(group: GroupId, now: number): boolean {
+    const { directory, startedAt } = this.options;
+    if (now - startedAt >= LEAVE_TO_HOMES_MS) return false;
+    return directory.plan(group).shares !== undefined && !directory.isHome(group);
   }
 
   /**
@@ -105,18 +133,20 @@
     return entry !== undefined && isPermitted(entry.az, regions, board.topology);
   }
 
-  /** Tries `peers` in turn; undefined when none of them ran the work. */
+  /** Tries `peers` in turn until one of them ran the work; undefined when there are none. */
   private async runElsewhere<Value>(
     attempt: Attempt<Value>,
     peers: readonly PeerAddress[],
-  ): Promise<Value | undefined> {
+  ): Promise<Tried<Value> | undefined> {
+    let last: Tried<Value> | undefined;
     for (const peer of peers) {
       const value = await attempt.on(new RemoteExecutor(this.options.calls, peer));
       const outcome = attempt.outcomeOf(value);
-      if (outcome === undefined || !couldGoElsewhere(outcome)) return value;
+      if (outcome === undefined || !couldGoElsewhere(outcome)) return { value, isFinal: true };
       this.noteFailed(attempt.job, peer, outcome.refusal.reason);
+      last = { value, isFinal: false };
     }
-    return undefined;
+    return last;
   }
 
   /**
@@ -154,17 +184,22 @@
   }
 
   /** Other hosts to ask first, the best one first; none when this host does it itself. */
-  private detours(job: Job, needsPrimary: boolean, now: number): readonly PeerAddress[] {
+  private detours(
+    { job, onlyPrimary }: Pick<Attempt<unknown>, 'job' | 'onlyPrimary'>,
+    needsPrimary: boolean,
+    now: number,
+  ): readonly PeerAddress[] {
+    const { directory } = this.options;
     const { group } = job.route;
     const reaching = needsPrimary ? this.reachingPrimary(group, now) : [];
     if (reaching.length > 0) return this.addresses(reaching);
-    return this.addresses(this.options.directory.homesBefore(group, job.workspace));
+    return this.addresses(directory.homesBefore(group, job.workspace, onlyPrimary));
   }
 
   /** Hosts that are known to reach the primary while this one misses it. */
   private reachingPrimary(group: GroupId, now: number): readonly HostId[] {
-    const { reach, local } = this.options;
-    const home = local.home(group);
+    const { reach } = this.options;
+    const home = this.options.home(group);
     return home.missesPrimary(now) ? reach.reaching(group, home.record?.epoch, now) : [];
   }
 
@@ -173,24 +208,35 @@
     return hosts.map((host) => board.hosts.get(host)).filter((entry) => entry !== undefined);
   }
 
-  private readsPrimary(job: Job): boolean {
-    if (job.route.consistency === Consistency.Primary) return true;
-    const { marks } = this.options.local.home(job.route.group);
+  /** Whether this host knows no position behind which a replica could run the read. */
+  private lacksMark(job: Job): boolean {
+    const { marks } = this.options.home(job.route.group);
     return marks.oldestSince(job.beganAt - job.route.maxStalenessMs) === undefined;
   }
 }
 
+function readsOnlyPrimary({ route }: Job): boolean {
+  return route.consistency === Consistency.Primary;
+}
+
 /** Refusals by which an upstream or its queue is known to be full: another host would only add to that. */
 const FULL: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.ExpectedWait,
   RefusalReason.QueueFull,
   RefusalReason.DeadlineBeforeRun,
 ]);
+/** Refusals that the operators ask for, which every host gives alike. */
+const ORDERED: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.ZoneEvacuated,
+  RefusalReason.NoPermittedRegion,
+]);
 
 /** Whether the work has certainly not run, for a reason that another host may not have. */
 function couldGoElsewhere(
   outcome: Outcome,
 ): outcome is Extract<Outcome, { readonly kind: 'refused' }> {
-  if (outcome.kind !== 'refused' || FULL.has(outcome.refusal.reason)) return false;
+  if (outcome.kind !== 'refused') return false;
+  const { reason } = outcome.refusal;
+  if (FULL.has(reason) || ORDERED.has(reason)) return false;
   return ranOf(outcome.refusal) === Ran.No;
 }
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -2,7 +2,7 @@
  * One gateway host: callers, homes and control around the board. Protocols and the platform come in
  * through interfaces.
  */
-import type { Topology } from '@gladespool/coordination';
+import type { GroupId, Topology } from '@gladespool/coordination';
 import { SeededRandom } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { createLogger } from '@gladespool/observability';
@@ -21,12 +21,15 @@
 import { ForwardService } from './forward/forward-service.js';
 import { HomeDirectory } from './knowledge/home-directory.js';
 import { ReachNotes } from './knowledge/reach-notes.js';
+import { MarkedExecutor, MarkExchange } from './forward/mark-exchange.js';
 import { RoutedExecutor } from './forward/routed-executor.js';
 import type { GatewayRules } from './gateway-rules.js';
 import { AllowanceKeeper } from './limits/allowance-keeper.js';
 import { KeeperDirectory } from './knowledge/keeper-directory.js';
 import type { OperationLimits } from './limits/operation-limits.js';
 import { FleetLimits } from './limits/operation-limits.js';
+import type { GroupHome } from './home/group-home.js';
+import type { Executor } from './home/job.js';
 import { LocalExecutor } from './home/local-executor.js';
 import { PromotionPace } from './knowledge/promotion-pace.js';
 import type { UpstreamDriver } from './model/upstream-wire.js';
@@ -87,8 +90,9 @@
       directory: this.directory,
       home: (group) => this.executor.home(group),
     });
-    this.control.network.addHandler(new ForwardService(this.executor, this.board));
-    this.routing = this.createRouting();
+    const local = this.createMarked();
+    this.control.network.addHandler(new ForwardService(local, this.board));
+    this.routing = this.createRouting(local);
     this.limits = this.createLimits();
     this.callers = this.createCallers();
     this.isolation = this.createIsolationGuard();
@@ -152,16 +156,28 @@
     });
   }
 
-  private createRouting(): RoutedExecutor {
+  /** This host's homes; they learn of primaries from homes near these. */
+  private createMarked(): Executor {
+    const { board, directory, executor, control } = this;
+    const { calls, network } = control;
+    const home = (group: GroupId): GroupHome => executor.home(group);
+    const marks = new MarkExchange({ board, directory, calls, home });
+    network.addHandler(marks);
+    return new MarkedExecutor(executor, marks);
+  }
+
+  private createRouting(local: Executor): RoutedExecutor {
     const { self, metrics } = this.options;
     return new RoutedExecutor({
       board: this.board,
-      local: this.executor,
+      local,
+      home: (group) => this.executor.home(group),
       calls: this.control.calls,
       directory: this.directory,
       reach: this.reach,
       metrics,
       log: createLogger('forward', { host: self.host }),
+      startedAt: performance.now(),
     });
   }
 
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -17,6 +17,7 @@
 import {
   answerCounts,
   chooseUpstream,
+  connectionsOf,
   expectedGapEnd,
   hasAuthority,
   hasGoneBack,
@@ -29,6 +30,7 @@
 } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { BirthEvidence } from '@gladespool/observability';
+import type { PoolLimits } from '@gladespool/pool';
 import type { GatewayBoard } from '../knowledge/board.js';
 import type { WriteHolds } from '../knowledge/write-holds.js';
 import type { HomeDirectory } from '../knowledge/home-directory.js';
@@ -189,6 +191,13 @@
     return true;
   }
 
+  /** Notes where the primary stood at `takenAt` as another host saw it under `record`. */
+  noteToldMark(record: PrimaryRecord, takenAt: number, position: Position, now: number): void {
+    if (!this.answerCounts(record, now)) return;
+    this.marks.startEpoch(record.epoch);
+    this.marks.add({ sentAt: takenAt, position });
+  }
+
   /** The slot of an upstream; undefined when it is not registered. */
   slot(id: UpstreamId): UpstreamSlot | undefined {
     const entry = this.context.board.upstreams.get(id);
@@ -218,7 +227,7 @@
       return {
         id: entry.id,
         isPrimary: entry.id === primary,
-        isNear: entry.az === board.az,
+        distance: board.topology.distance(board.az, entry.az),
         inFlight: slot?.load ?? 0,
         meanMs: slot?.health.meanMs ?? 0,
         reuse: slot?.reuseFor(job.workspace) ?? Reuse.Room,
@@ -234,7 +243,8 @@
     const { board } = this.context;
     for (const [id, held] of [...this.slots]) {
       if (board.upstreams.has(id)) {
-        this.slot(id)?.resize(this.limits());
+        const slot = this.slot(id);
+        slot?.resize(this.limitsFor(slot.entry));
         continue;
       }
       held.stop();
@@ -276,7 +286,7 @@
     return new UpstreamSlot(entry, {
       group: this.group,
       driver,
-      limits: this.limits(),
+      limits: this.limitsFor(entry),
       connectTimeoutMs: rules.connectTimeoutMs,
       floor: () => this.primaryFloor(entry.id),
       hasLostLog: (floor, told) => this.hasLostLog(entry.id, floor, told),
@@ -302,10 +312,12 @@
     });
   }
 
-  private limits(): { readonly maxConnections: number; readonly maxWaiting: number } {
-    const { directory, rules } = this.context;
-    const { connectionsPerHome } = directory.plan(this.group);
-    const maxConnections = directory.isHome(this.group) ? connectionsPerHome : FALLBACK_CONNECTIONS;
+  private limitsFor(entry: UpstreamEntry): PoolLimits {
+    const { board, directory, rules } = this.context;
+    const plan = directory.plan(this.group);
+    const maxConnections = directory.isHome(this.group)
+      ? connectionsOf(plan, board.az, entry.az)
+      : FALLBACK_CONNECTIONS;
     return { maxConnections, maxWaiting: rules.maxWaiting };
   }
 }
--- a/packages/gateway/src/home/job.ts
+++ b/packages/gateway/src/home/job.ts
@@ -34,6 +34,8 @@
 /** The begin of a transaction. */
 export interface BeginJob extends Job {
   readonly readOnly: boolean;
+  /** First statement; a host that is asked to begin runs it along with that, which saves a round trip. */
+  readonly first?: Work;
 }
 
 /** One statement inside a transaction. */
@@ -46,6 +48,8 @@
 
 /** An open transaction, bound to one upstream connection. */
 export interface OpenTransaction {
+  /** Outcome of the first statement, where that was run with the begin. */
+  readonly first?: Outcome;
   /** Runs one statement; after any outcome but `completed` the transaction is over. */
   run(step: StepJob): Promise<Outcome>;
   commit(id: string, arrivedAt: number): Promise<Outcome>;
--- a/packages/gateway/src/knowledge/home-directory.ts
+++ b/packages/gateway/src/knowledge/home-directory.ts
@@ -3,13 +3,24 @@
  */
 import type {
   AzId,
+  Distance,
   GroupId,
   HomePlan,
   HostId,
   UpstreamRoom,
   WorkspaceId,
 } from '@gladespool/coordination';
-import { homesOfWorkspace, hostsByZone, planHomes, rankCandidates } from '@gladespool/coordination';
+import {
+  boundConnections,
+  homesNear,
+  homesOfWorkspace,
+  hostsByZone,
+  planHomes,
+  planNearHomes,
+  rankCandidates,
+  spareConnections,
+  usableConnections,
+} from '@gladespool/coordination';
 import type { GatewayBoard } from './board.js';
 import { BoardSection } from './board.js';
 
@@ -35,11 +46,28 @@
   plan(group: GroupId): HomePlan {
     const held = this.plans.get(group);
     if (held !== undefined) return held;
-    const plan = planHomes(group, this.zones, this.room(group));
+    const plan = this.makePlan(group);
     this.plans.set(group, plan);
     return plan;
   }
 
+  /**
+   * Homes stand near the upstreams where zones lie in several regions, and where connections serve one
+   * workspace each; else each zone has its own.
+   */
+  private makePlan(group: GroupId): HomePlan {
+    const { topology } = this.board;
+    const room = this.room(group);
+    const even = planHomes(group, this.zones, room);
+    const upstreamZones = new Set(this.board.upstreamsOf(group).map((entry) => entry.az));
+    const { isBound } = even;
+    if (upstreamZones.size === 0 || !(isBound || topology.isSpread)) return even;
+    const usable = isBound ? boundConnections(room) : usableConnections(room);
+    const farUsable = isBound ? 0 : spareConnections(room);
+    const near = { group, upstreamZones, usable, farUsable, isBound };
+    return planNearHomes(near, this.zones, topology);
+  }
+
   private room(group: GroupId): UpstreamRoom {
     const connections = this.board.catalog?.groups.get(group)?.connectionsPerUpstream ?? 1;
     const slots = this.board.upstreamsOf(group).map((entry) => entry.slots);
@@ -51,23 +79,56 @@
   isHome(group: GroupId): boolean {
     const { board } = this;
     if (!board.hosts.has(board.host)) return true;
-    return this.plan(group).homes.get(board.az)?.includes(board.host) ?? true;
+    const plan = this.plan(group);
+    return plan.homes.get(board.az)?.includes(board.host) ?? plan.shares === undefined;
   }
 
   /**
    * Homes to ask for a workspace's work before this host does it itself, in order; none when it is a home.
    * Where connections are bound to workspaces, a host that is no home has hardly any of them, so homes of
    * other zones come before it.
+   *
+   * @param onlyPrimary whether the primary alone can run it
    */
-  homesBefore(group: GroupId, workspace: WorkspaceId | undefined): readonly HostId[] {
-    if (this.isHome(group)) return [];
+  homesBefore(
+    group: GroupId,
+    workspace: WorkspaceId | undefined,
+    onlyPrimary: boolean,
+  ): readonly HostId[] {
     const plan = this.plan(group);
+    if (plan.shares !== undefined) {
+      return onlyPrimary ? this.homesOfPrimary(group) : this.homesNearer(plan, this.board.az);
+    }
+    if (this.isHome(group)) return [];
     const near = this.homesFor(group, this.board.host);
     if (workspace === undefined || !plan.isBound) return near;
     const all = homesOfWorkspace(plan, group, workspace);
     return [...near, ...all.filter((host) => !near.includes(host))];
   }
 
+  /** Homes in the order in which this host asks them for work that only the primary does. */
+  homesOfPrimary(group: GroupId): readonly HostId[] {
+    const { board } = this;
+    const plan = this.plan(group);
+    const record = board.record(group);
+    const primary = record && board.upstreams.get(record.primary);
+    return primary === undefined ? [] : this.homesNearer(plan, primary.az);
+  }
+
+  /** Homes that are nearer to `az` than this host, or as near if this host is none. */
+  private homesNearer(plan: HomePlan, az: AzId): readonly HostId[] {
+    const { host, topology } = this.board;
+    const homes = homesNear(plan, az, host, topology);
+    const distanceOf = (home: HostId): Distance => this.distance(home, az);
+    if (!homes.includes(host)) return homes;
+    return homes.filter((home) => distanceOf(home) < distanceOf(host));
+  }
+
+  private distance(host: HostId, az: AzId): Distance {
+    const { hosts, topology } = this.board;
+    return topology.distance(hosts.get(host)?.az ?? az, az);
+  }
+
   /** Homes of the own zone in the order in which `host` asks them, so that hosts spread over them. */
   homesFor(group: GroupId, host: HostId): readonly HostId[] {
     const homes = this.plan(group).homes.get(this.board.az) ?? [];
--- a/packages/gateway/tests/bound-regions-in-action.steps.ts
+++ b/packages/gateway/tests/bound-regions-in-action.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { AzId, GladespoolError, RegionId } from '@gladespool/coordination';
+import type { AzId, GladespoolError, GroupId, RegionId } from '@gladespool/coordination';
 import {
   Access,
   azId,
@@ -20,7 +20,7 @@
 import fc from 'fast-check';
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
-import type { BeginJob, Outcome, UpstreamDriver, UpstreamEntry } from '../src/index.js';
+import type { BeginJob, GroupHome, Outcome, UpstreamDriver, UpstreamEntry } from '../src/index.js';
 import { GatewayBoard, LocalExecutor, ReportedRole } from '../src/index.js';
 import { decodeJob } from '../src/forward/forward-frames.js';
 import { RemoteExecutor } from '../src/forward/remote-executor.js';
@@ -156,7 +156,10 @@
   const { directory, reach, metrics, log } = context;
   reach.put(GROUP, 1, [...board.hosts.keys()].slice(1), now);
   const calls = failingCalls(asked);
-  const routed = new RoutedExecutor({ board, local, calls, directory, reach, metrics, log });
+  const home = (group: GroupId): GroupHome => local.home(group);
+  const startedAt = Number.NEGATIVE_INFINITY;
+  const shared = { board, local, home, calls, directory, reach, metrics, log };
+  const routed = new RoutedExecutor({ ...shared, startedAt });
   const job = jobOf(deal, now);
   if (deal.work.startsWith('begin')) {
     await routed.begin(job);
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -55,6 +55,8 @@
   RenewReply = 'renew-reply',
   AllowanceAsk = 'allowance-ask',
   AllowanceReply = 'allowance-reply',
+  MarkAsk = 'mark-ask',
+  MarkReply = 'mark-reply',
   ForwardAsk = 'forward-ask',
   ForwardReply = 'forward-reply',
   ForwardRollback = 'forward-rollback',
@@ -399,6 +401,14 @@
     /** When the next operation will be granted, milliseconds from now. */
     retryAfterMs: count,
   }),
+  /** Asks where a group's primary stood of late, as the receiver saw it under `epoch`. */
+  z.object({ kind: z.literal(FrameKind.MarkAsk), id, group: z.string(), epoch: count }),
+  z.object({
+    kind: z.literal(FrameKind.MarkReply),
+    id,
+    /** Missing where the receiver has none of that epoch. */
+    mark: z.object({ position: positionSchema, ageMs: z.number().nonnegative() }).optional(),
+  }),
   z.object({
     kind: z.literal(FrameKind.ForwardAsk),
     id,
@@ -426,6 +436,7 @@
     id,
     /** Handle of the transaction that a begin opened; else 0. */
     transaction: count,
+    /** Of the statement; of a begin that failed, or of the statement that came with it. */
     outcome: forwardOutcomeSchema.optional(),
   }),
   z.object({ kind: z.literal(FrameKind.ForwardRollback), transaction: count }),
