--- a/packages/gateway/tests/begin-with-statement.steps.ts
+++ b/packages/gateway/tests/begin-with-statement.steps.ts
@@ -119,7 +119,9 @@
 Given(
   'a host that forwards to a home whose statements end as {string}',
   function (this: BeginWorld, end: string) {
-    this.home = new FakeHome(ENDS[end] as Outcome);
+    const outcome = ENDS[end];
+    assert.ok(outcome);
+    this.home = new FakeHome(outcome);
     this.asked = 0;
     this.isSilent = false;
     const service = new ForwardService(this.home, new GatewayBoard(hostId('home'), azId('z')));
