refactor: names and comments that a reader new to the project stumbled on

Change: isNearUpstreams, noteLostLog, isBehindChoice, lastInUseAt, mayBeSameBirth, isInFormerRegion, answerOrLoss and others; comments; the exclusions' predicate reused. No decision changes.

--- a/packages/coordination/src/authority/authority.ts
+++ b/packages/coordination/src/authority/authority.ts
@@ -9,7 +9,7 @@
  * more than half as well, so one host at least answers both, and it answers the renewal first.
  */
 import type { Birth } from '../membership/upstream-identity.js';
-import { isSameBirth } from '../membership/upstream-identity.js';
+import { mayBeSameBirth } from '../membership/upstream-identity.js';
 import type { PrimaryRecord } from './primary-record.js';
 import { RecordPhase } from './primary-record.js';
 
@@ -51,7 +51,7 @@
  */
 export function hasAuthority(view: AuthorityView, now: number, rules: AuthorityRules): boolean {
   if (view.record?.phase !== RecordPhase.Serving) return false;
-  if (!isSameBirth(view.record.born, view.primaryBorn)) return false;
+  if (!mayBeSameBirth(view.record.born, view.primaryBorn)) return false;
   return !isIsolated(view.provedAt, now, rules);
 }
 
--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -80,7 +80,7 @@
   /** Whether its zone is evacuated; missing counts as not. */
   readonly evacuated?: boolean;
   /** Whether it stands in the region of the former primary. */
-  readonly isNear: boolean;
+  readonly isInFormerRegion: boolean;
 }
 
 /**
@@ -154,7 +154,7 @@
 function byReceived(a: SuccessorReport, b: SuccessorReport): number {
   const byPosition = comparePositions(b.received, a.received);
   if (byPosition !== 0) return byPosition;
-  if (a.isNear !== b.isNear) return a.isNear ? -1 : 1;
+  if (a.isInFormerRegion !== b.isInFormerRegion) return a.isInFormerRegion ? -1 : 1;
   return a.id < b.id ? -1 : 1;
 }
 
--- a/packages/coordination/src/authority/renewal-order.ts
+++ b/packages/coordination/src/authority/renewal-order.ts
@@ -20,7 +20,7 @@
 const FIRST_AT_MS = 650;
 /**
  * By how much earlier hosts of several regions ask, milliseconds: a link to another region takes three round
- * trips to open, and the question and the passing on one and a half more. Ages there reach 450.
+ * trips to open, and the question and the passing on one and a half more.
  */
 const FAR_LEAD_MS = 100;
 /** Added for each zone before, milliseconds: a round and its passing on take about as long. */
--- a/packages/coordination/src/load/connection-share.ts
+++ b/packages/coordination/src/load/connection-share.ts
@@ -57,9 +57,11 @@
   readonly connectionsPerHome: number;
   /** Whether connections serve one workspace each, and are too few for all at once. */
   readonly isBound: boolean;
+  /** Whether homes stand only in the zones of the upstreams, and other hosts forward to them. */
+  readonly isNearUpstreams: boolean;
   /**
-   * Connections to an upstream, by its zone, that a home may hold, by the home's zone; missing where all
-   * homes hold as many.
+   * Connections that one home may hold to one upstream: by the upstream's zone, then by the home's. Missing
+   * where every home holds `connectionsPerHome`.
    */
   readonly shares?: ReadonlyMap<AzId, ReadonlyMap<AzId, number>>;
 }
@@ -78,13 +80,16 @@
 
 /** Connections to one upstream that the homes of a group may hold together. */
 export function usableConnections(room: UpstreamRoom, rules: ShareRules = DEFAULT_SHARES): number {
-  const allowed = Math.floor(room.connections * rules.usableShare);
-  return Math.min(allowed, room.slots * rules.perSlot);
+  return Math.min(allowedConnections(room, rules), room.slots * rules.perSlot);
 }
 
-/** Connections that may be held beyond those, for homes that seldom need them. */
+/** Connections that may be held beyond `usableConnections`, for homes that seldom need them. */
 export function spareConnections(room: UpstreamRoom, rules: ShareRules = DEFAULT_SHARES): number {
-  return Math.floor(room.connections * rules.usableShare) - usableConnections(room, rules);
+  return allowedConnections(room, rules) - usableConnections(room, rules);
+}
+
+function allowedConnections(room: UpstreamRoom, rules: ShareRules): number {
+  return Math.floor(room.connections * rules.usableShare);
 }
 
 /** Connections to one upstream that the homes may hold together where each serves one workspace. */
@@ -102,7 +107,12 @@
   const usable = usableConnections(room, rules);
   const perZone = Math.max(1, Math.floor(usable / (Math.max(1, zones.size) * rules.leastPerHome)));
   const homes = homesOfZones(group, zones, perZone);
-  return { homes, connectionsPerHome: partOf(usable, homes), isBound: false };
+  return {
+    homes,
+    connectionsPerHome: partOf(usable, homes),
+    isBound: false,
+    isNearUpstreams: false,
+  };
 }
 
 /** One home in each zone, which has a connection of a workspace more often than each of several would. */
@@ -114,7 +124,12 @@
 ): HomePlan {
   const homes = homesOfZones(group, zones, 1);
   const usable = boundConnections(room, rules);
-  return { homes, connectionsPerHome: partOf(usable, homes), isBound: true };
+  return {
+    homes,
+    connectionsPerHome: partOf(usable, homes),
+    isBound: true,
+    isNearUpstreams: false,
+  };
 }
 
 /** Homes of a group in all zones, in an order of the workspace's own. */
--- a/packages/coordination/src/membership/upstream-identity.ts
+++ b/packages/coordination/src/membership/upstream-identity.ts
@@ -14,16 +14,16 @@
 }
 
 /**
- * Whether two births are those of one process. They are compared for equality only: clocks may be wrong,
+ * Whether two births may be those of one process. They are compared for equality only: clocks may be wrong,
  * so a later process may tell an earlier birth. A birth that is not told contradicts none.
  */
-export function isSameBirth(known: Birth, told: Birth): boolean {
+export function mayBeSameBirth(known: Birth, told: Birth): boolean {
   return known === undefined || told === undefined || known === told;
 }
 
 /** Whether two entries tell of the same upstream. */
-export function isSameUpstream(known: UpstreamIdentity, told: UpstreamIdentity): boolean {
-  return known.id === told.id && isSameBirth(known.born, told.born);
+export function mayBeSameUpstream(known: UpstreamIdentity, told: UpstreamIdentity): boolean {
+  return known.id === told.id && mayBeSameBirth(known.born, told.born);
 }
 
 /**
--- a/packages/coordination/src/places/evacuation.ts
+++ b/packages/coordination/src/places/evacuation.ts
@@ -19,26 +19,26 @@
  * planned change takes well under half of that time; the rest covers hosts that learn of the request
  * late and statements that are on their way.
  */
-export const LEAVING_SHARE = 0.5;
+const EVACUATION_LEAVING_SHARE = 0.5;
 
 /**
  * Stage of a zone's evacuation at `now`.
  *
- * @param inUseAt latest local time at which the zone was surely not evacuated; undefined while it is not
+ * @param lastInUseAt latest local time at which the zone was surely not evacuated; undefined while it is not
  * @param evacuationMs time after the request within which all work has to end, milliseconds
  */
 export function evacuationStage(
-  inUseAt: number | undefined,
+  lastInUseAt: number | undefined,
   now: number,
   evacuationMs: number,
 ): EvacuationStage {
-  if (inUseAt === undefined) return EvacuationStage.None;
-  const isLeaving = now - inUseAt < evacuationMs * LEAVING_SHARE;
+  if (lastInUseAt === undefined) return EvacuationStage.None;
+  const isLeaving = now - lastInUseAt < evacuationMs * EVACUATION_LEAVING_SHARE;
   return isLeaving ? EvacuationStage.Leaving : EvacuationStage.Over;
 }
 
 /**
- * Whether an upstream takes new work. A primary does so until it is replaced, but only where it can be.
+ * Whether an upstream takes new work. While its zone is being left, only a primary that another one can replace does.
  *
  * @param isReplaceablePrimary whether it is the primary of a group with upstreams in other zones
  */
--- a/packages/coordination/src/places/near-homes.ts
+++ b/packages/coordination/src/places/near-homes.ts
@@ -40,7 +40,8 @@
   readonly usable: number;
   /**
    * Further ones for homes of other regions. While the replicas of a region are behind, its homes read at
-   * the far primary: with two connections each 0.6 % of a calm day's requests were refused for want of one.
+   * the far primary: with two connections each, 0.6 % of all
+   * requests were refused for want of one (one minute, 61 hosts, two of 18 replicas behind for 6 s).
    */
   readonly farUsable: number;
   /** Whether connections serve one workspace each. */
@@ -60,7 +61,13 @@
     if (upstreamZones.has(az)) homes.set(az, homesOf(group, hosts, perZone));
   }
   const shares = new Map([...upstreamZones].map((az) => [az, sharesOf(az, homes, topology, near)]));
-  return { homes, connectionsPerHome: LEAST_FAR_CONNECTIONS, isBound, shares };
+  return {
+    homes,
+    connectionsPerHome: LEAST_FAR_CONNECTIONS,
+    isBound,
+    isNearUpstreams: true,
+    shares,
+  };
 }
 
 /** Connections to an upstream of `az` that a home of each zone may hold. */
--- a/packages/coordination/src/places/region-order.ts
+++ b/packages/coordination/src/places/region-order.ts
@@ -33,7 +33,7 @@
 }
 
 /**
- * The zones of the hosts, that first whose first host reads the store. Zones of one region stand
+ * The zones of the hosts; the first host of the first zone reads the store. Zones of one region stand
  * together, the region nearest to the store first.
  */
 export function rankZones(hosts: readonly PlacedHost[], topology: Topology): readonly AzId[] {
--- a/packages/coordination/src/reads/upstream-choice.ts
+++ b/packages/coordination/src/reads/upstream-choice.ts
@@ -47,8 +47,7 @@
 /**
  * Upstream for a read of an operation with the given target latency (milliseconds), among those not
  * to be avoided: the fastest of the own zone if that is comfortable, else of the own region, else the
- * fastest of all. If all
- * are to be avoided, the one whose time of avoidance ends first.
+ * fastest of all. If all are to be avoided, the one whose time of avoidance ends first.
  */
 export function chooseUpstream(
   loads: readonly UpstreamLoad[],
--- a/packages/coordination/tests/evacuation.steps.ts
+++ b/packages/coordination/tests/evacuation.steps.ts
@@ -54,7 +54,7 @@
       term: 1,
       received: { term: 1, offset: Number(offset) },
       draining: false,
-      isNear: true,
+      isInFormerRegion: true,
       evacuated: state === 'evacuated',
     };
   });
--- a/packages/coordination/tests/failover.steps.ts
+++ b/packages/coordination/tests/failover.steps.ts
@@ -49,7 +49,7 @@
       term: term ?? 0,
       received: { term: term ?? 0, offset: offset ?? 0 },
       draining: marks.includes('draining'),
-      isNear: marks.includes('near'),
+      isInFormerRegion: marks.includes('near'),
     };
   });
 });
--- a/packages/coordination/tests/upstream-identity.steps.ts
+++ b/packages/coordination/tests/upstream-identity.steps.ts
@@ -7,7 +7,7 @@
   hasAuthority,
   hasGoneBack,
   hostId,
-  isSameUpstream,
+  mayBeSameUpstream,
   MarkLog,
   RecordPhase,
   upstreamId,
@@ -48,7 +48,7 @@
   /^it is (the same|another) upstream, which (may|may not) be used as the primary$/,
   function (this: IdentityWorld, which: string, may: string) {
     assert.ok(this.known);
-    assert.equal(isSameUpstream(this.known, this.told), which === 'the same');
+    assert.equal(mayBeSameUpstream(this.known, this.told), which === 'the same');
     const record: PrimaryRecord = {
       group: groupId('g'),
       epoch: 1,
--- a/packages/gateway/src/control/promotion/primary-monitor.ts
+++ b/packages/gateway/src/control/promotion/primary-monitor.ts
@@ -102,15 +102,16 @@
       health.noteUnserved(now);
       return health.failingSince === undefined ? undefined : false;
     }
-    const reached = leads(result) && !home(group).hasLostLog(slot.entry.id, floor, toldBy(result));
+    const reached =
+      answersAsPrimary(result) && !home(group).noteLostLog(slot.entry.id, floor, toldBy(result));
     if (reached) health.noteAlive(now);
     else health.noteFailure(now, startedAt - rules.quietMs);
     return reached;
   }
 }
 
-/** Whether the upstream answered, and not as a replica. */
-function leads(result: ProbeResult): boolean {
+/** Whether the upstream answered and did not say that it is a replica; an overloaded one tells no role. */
+function answersAsPrimary(result: ProbeResult): boolean {
   return result.kind === 'alive' || (result.kind === 'status' && result.status.isPrimary);
 }
 
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -11,7 +11,7 @@
 } from '@gladespool/coordination';
 import {
   isMajority,
-  isSameUpstream,
+  mayBeSameUpstream,
   servingRecord,
   silentHostFreeAt,
 } from '@gladespool/coordination';
@@ -247,7 +247,7 @@
       if (entry === undefined) return false;
       const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
       const leads = result.kind === 'status' && result.status.isPrimary;
-      if (leads && hasLostLog(successor, entry, result.status)) return false;
+      if (leads && isBehindChoice(successor, entry, result.status)) return false;
       if (leads && (successor.isPrimary || result.status.term > successor.term)) return true;
       await pause(POLL_MS);
     }
@@ -257,7 +257,7 @@
   /** The entry of an upstream; undefined when it has none, or tells of another one that started since. */
   private entryOf(upstream: UpstreamIdentity): UpstreamEntry | undefined {
     const entry = this.ctx.board.upstreams.get(upstream.id);
-    return entry !== undefined && isSameUpstream(upstream, entry) ? entry : undefined;
+    return entry !== undefined && mayBeSameUpstream(upstream, entry) ? entry : undefined;
   }
 
   /** Ends the change with a new primary. */
@@ -301,7 +301,7 @@
  * Whether a successor has started anew before its new entry was read: it holds less than when it was chosen.
  * Only upstreams that tell their births start anew under their ids.
  */
-function hasLostLog(
+function isBehindChoice(
   chosen: SuccessorReport,
   entry: UpstreamIdentity,
   status: UpstreamStatus,
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -7,7 +7,7 @@
   groupId,
   isAnyInUse,
   isGivenUp,
-  isSameBirth,
+  mayBeSameBirth,
   judgeSuspicion,
   RecordPhase,
   recordRank,
@@ -140,7 +140,7 @@
     const entry = this.options.context.board.upstreams.get(record.primary);
     if (entry === undefined) return unlistedPrimary(state, now);
     state.unlistedSince = undefined;
-    if (!isSameBirth(record.born, entry.born)) return this.primaryBornAnew(record, state, now);
+    if (!mayBeSameBirth(record.born, entry.born)) return this.primaryBornAnew(record, state, now);
     state.bornAnewSince = undefined;
     if (entry.draining) return this.failingPrimary(record, now) ?? drainingPrimary(state, now);
     state.drainingSince = undefined;
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -6,7 +6,7 @@
 import {
   chooseCoveringSuccessor,
   Distance,
-  isSameBirth,
+  mayBeSameBirth,
   keepsFormer,
 } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../../model/catalog.js';
@@ -94,7 +94,7 @@
   ): Comparison {
     const chosen = this.choose(former, reports, confirming);
     const held = reports.find(
-      ({ id, born }) => id === former.primary && isSameBirth(former.born, born),
+      ({ id, born }) => id === former.primary && mayBeSameBirth(former.born, born),
     );
     return { chosen, held };
   }
@@ -133,12 +133,12 @@
     const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
     if (result.kind !== 'status') return undefined;
     const evacuated = board.evacuations.has(entry.az);
-    const isNear = this.isNear(formerAz, entry.az);
-    return { ...result.status, id, born, draining, evacuated, isNear };
+    const isInFormerRegion = this.isInFormerRegion(formerAz, entry.az);
+    return { ...result.status, id, born, draining, evacuated, isInFormerRegion };
   }
 
   /** Whether a zone lies in the region where the primary was; all are alike once its entry is gone. */
-  private isNear(formerAz: AzId | undefined, az: AzId): boolean {
+  private isInFormerRegion(formerAz: AzId | undefined, az: AzId): boolean {
     if (formerAz === undefined) return true;
     return this.ctx.board.topology.distance(formerAz, az) !== Distance.OtherRegion;
   }
@@ -152,7 +152,7 @@
   former: PrimaryRecord,
   reports: readonly SuccessorReport[],
 ): SuccessorReport | undefined {
-  return reports.find(({ born }) => !isSameBirth(former.born, born));
+  return reports.find(({ born }) => !mayBeSameBirth(former.born, born));
 }
 
 /**
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -16,7 +16,7 @@
 export class BoardPublisher {
   private readonly lapsed: LapsedUpstreams;
   /** Evacuated zones, with the latest local time at which they were surely in use. */
-  private readonly evacuatedSince = new Map<AzId, number>();
+  private readonly lastInUseAt = new Map<AzId, number>();
   /** Sections of the board that no longer show what is held. */
   private readonly outdated = new Set<BoardSection>();
 
@@ -61,7 +61,7 @@
     return this.lapsed.entry(id);
   }
 
-  /** Takes it that a document was removed at `revision`. */
+  /** Notes that a document was removed at `revision`. */
   takeRemoval(document: HeldDocument, revision: number, now: number): void {
     const section = SECTIONS.get(document.kind);
     if (section !== undefined) this.outdated.add(section);
@@ -70,7 +70,7 @@
   }
 
   /**
-   * Takes it that the newest version of a key can't be read. A configuration stays in force as it was; an upstream
+   * Notes that the newest version of a key can't be read. A configuration stays in force as it was; an upstream
    * counts as one whose entry has vanished; a host stays listed; nobody uses a primary that is in doubt.
    */
   takeUnreadable(
@@ -85,7 +85,7 @@
     if (group !== undefined) this.doubtRecord(group, revision);
   }
 
-  /** Takes it that a version of a key that could not be read was removed, or replaced by one that can. */
+  /** Notes that a version of a key that could not be read was removed, or replaced by one that can. */
   takeUnreadableEnd(key: string): void {
     if (hostOfKey(key) !== undefined) this.outdated.add(BoardSection.Hosts);
   }
@@ -105,7 +105,7 @@
       this.board.putHosts(this.hosts(), this.unknownHosts());
     }
     if (this.outdated.has(BoardSection.Evacuations)) {
-      this.board.putEvacuations(new Map(this.evacuatedSince));
+      this.board.putEvacuations(new Map(this.lastInUseAt));
     }
     this.outdated.clear();
   }
@@ -132,14 +132,14 @@
    * that has not heard of the store for long, must not take it for new.
    */
   private evacuate(az: AzId, revision: number, now: number): void {
-    if (this.evacuatedSince.has(az)) return;
+    if (this.lastInUseAt.has(az)) return;
     const inUseAt = Math.min(now, this.board.catalogConfirmedAt);
-    this.evacuatedSince.set(az, inUseAt);
+    this.lastInUseAt.set(az, inUseAt);
     this.log.info('zone-evacuated', { az, revision, at_most_ms: Math.round(now - inUseAt) });
   }
 
   private endEvacuation(az: AzId, revision: number): void {
-    this.evacuatedSince.delete(az);
+    this.lastInUseAt.delete(az);
     this.log.info('evacuation-ended', { az, revision });
   }
 
--- a/packages/gateway/src/control/store/document-reader.ts
+++ b/packages/gateway/src/control/store/document-reader.ts
@@ -48,12 +48,12 @@
     verdict: DocumentVerdict,
     reading: DocumentReading<StoreDocument>,
   ): void {
-    const place = { key: key.slice(0, MAX_TOLD_CHARS), revision };
+    const logged = { key: key.slice(0, MAX_TOLD_CHARS), revision };
     if (reading.verdict === DocumentVerdict.Unreadable) {
-      const error = reading.place.slice(0, MAX_TOLD_CHARS);
-      this.log.warn('store-document-unreadable', { ...place, place: error });
+      const place = reading.place.slice(0, MAX_TOLD_CHARS);
+      this.log.warn('store-document-unreadable', { ...logged, place });
     }
-    if (verdict === DocumentVerdict.NoConcern) this.log.trace('store-key-ignored', place);
-    if (verdict === DocumentVerdict.Unconfigured) this.log.info('upstream-unconfigured', place);
+    if (verdict === DocumentVerdict.NoConcern) this.log.trace('store-key-ignored', logged);
+    if (verdict === DocumentVerdict.Unconfigured) this.log.info('upstream-unconfigured', logged);
   }
 }
--- a/packages/gateway/src/control/store/held-documents.ts
+++ b/packages/gateway/src/control/store/held-documents.ts
@@ -12,7 +12,7 @@
 /** A document with the key's version that it was read from. */
 export type HeldDocument = StoreDocument & { readonly item: StoreItem };
 
-/** Characters of a text that can't be read up to which it is kept as it is; a longer one is not, nor passed on. */
+/** Longest unreadable text that is kept, characters; a longer one is kept and passed on as an empty one. */
 const MAX_KEPT_CHARS = 4096;
 
 /** Documents by key, with the newest revisions heard of. */
@@ -24,7 +24,7 @@
   /** Revision of the latest change of a document that is none of the gateway's own. */
   foreignNewest = 0;
   private readonly held = new Map<string, HeldDocument>();
-  /** Versions that can't be read; of the gateway's own documents the last readable one is held as well. */
+  /** Newest versions that can't be read; the last readable one stays in `held`, except an upstream's. */
   private readonly unreadable = new Map<string, StoreItem>();
 
   /** All documents held. */
--- a/packages/gateway/src/control/store/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -12,7 +12,7 @@
 const WRITE_TIMEOUT_MS = 1500;
 
 /**
- * Longest time for the read that measures the way to the store, milliseconds: far above the way to another
+ * Longest time for the read that measures the round trip to the store, milliseconds: far above the way to another
  * region; callers of a host that starts wait meanwhile.
  */
 const MEASURE_TIMEOUT_MS = 300;
@@ -76,7 +76,7 @@
   }
 
   /**
-   * Measures the way to the store once, by a read that is small, so that the bandwidth of the way does not
+   * Measures the round trip to the store once, by a read that is small, so that the bandwidth of the way does not
    * count, and that comes after others, so that no connection has to be opened for it.
    */
   private async measure(): Promise<void> {
@@ -85,7 +85,7 @@
     const key = hostKey(this.self.host);
     const entry = await this.store.read(key, StorePurpose.Register, MEASURE_TIMEOUT_MS);
     if (entry.isErr()) {
-      this.log.info('store-way-not-measured', { error: entry.error.message });
+      this.log.info('store-round-trip-not-measured', { error: entry.error.message });
       return;
     }
     this.storeRoundTripMs = Math.round(performance.now() - sentAt);
--- a/packages/gateway/src/forward/mark-exchange.ts
+++ b/packages/gateway/src/forward/mark-exchange.ts
@@ -7,13 +7,13 @@
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
+import type { Result } from 'neverthrow';
 import type { GroupHome } from '../home/group-home.js';
 import type { BeginJob, Executor, Job, OpenTransaction, StatementJob } from '../home/job.js';
 import type { GatewayBoard } from '../knowledge/board.js';
 import type { HomeDirectory } from '../knowledge/home-directory.js';
 import type { Outcome } from '../model/outcome.js';
 import type { PeerCalls } from '../peering/peer-calls.js';
-import type { Result } from 'neverthrow';
 
 /** What the exchange works with. */
 export interface MarkExchangeOptions {
@@ -44,13 +44,13 @@
   keepFresh({ route }: Job, now: number): void {
     const { directory, home } = this.options;
     if (route.consistency === Consistency.Primary || this.fetching.has(route.group)) return;
-    if (directory.plan(route.group).shares === undefined) return;
+    if (!directory.plan(route.group).isNearUpstreams) return;
     const { marks } = home(route.group);
     const { group, maxStalenessMs } = route;
     const newestAt = marks.newest?.sentAt ?? Number.NEGATIVE_INFINITY;
     const askedAt = this.askedAt.get(group) ?? Number.NEGATIVE_INFINITY;
     const isDue = now - newestAt > maxStalenessMs * FETCH_SHARE && now - askedAt > FETCH_PAUSE_MS;
-    if (isDue) void this.fetch(group);
+    if (isDue) void this.fetchMark(group);
   }
 
   onFrame(link: PeerLink, frame: Frame): void {
@@ -66,7 +66,7 @@
     // A question that was lost with the link ends without an answer; the next read asks again.
   }
 
-  private async fetch(group: GroupId): Promise<void> {
+  private async fetchMark(group: GroupId): Promise<void> {
     const { board, directory, calls, home } = this.options;
     const record = board.record(group);
     const [nearest] = directory.homesOfPrimary(group);
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -20,6 +20,7 @@
 import type { PeerCalls } from '../peering/peer-calls.js';
 import type { BeginJob, Executor, Job, OpenTransaction, StatementJob } from '../home/job.js';
 import type { GroupHome } from '../home/group-home.js';
+import { isExclusion } from '../home/upstream-exclusion.js';
 import type { Outcome } from '../model/outcome.js';
 import { accessOf } from '../model/statement.js';
 import type { HomeDirectory } from '../knowledge/home-directory.js';
@@ -42,7 +43,7 @@
 
 /** Other hosts asked at most, before this host tries itself and again after it. */
 const MAX_DETOURS = 2;
-/** Time after its start for which a host leaves connections to homes, milliseconds: homes open theirs in one. */
+/** Time after its start for which a host leaves connections to homes, milliseconds: enough for these to open theirs. */
 const LEAVE_TO_HOMES_MS = 1500;
 
 /** Work that may be tried on one host after another. */
@@ -89,8 +90,8 @@
     const { job } = attempt;
     const { group } = job.route;
     const now = performance.now();
-    const needsPrimary = attempt.onlyPrimary || this.lacksMark(job);
-    const detours = this.reachable(job, this.detours(attempt, needsPrimary, now), now);
+    const goesToPrimary = attempt.onlyPrimary || this.lacksMark(job);
+    const detours = this.reachable(job, this.detours(attempt, goesToPrimary, now), now);
     const first = await this.runElsewhere(attempt, detours);
     if (first?.isFinal === true) return first.value;
     if (first !== undefined && this.leavesToHomes(group, now)) return first.value;
@@ -99,7 +100,7 @@
     if (outcome === undefined || !couldGoElsewhere(outcome)) return own;
     const { reason } = outcome.refusal;
     const later = performance.now();
-    const helpers = this.reachable(job, this.helpers(group, needsPrimary, reason, later), later);
+    const helpers = this.reachable(job, this.helpers(group, goesToPrimary, reason, later), later);
     const last = await this.runElsewhere(attempt, helpers);
     return last?.isFinal === true ? last.value : own;
   }
@@ -113,7 +114,7 @@
   private leavesToHomes(group: GroupId, now: number): boolean {
     const { directory, startedAt } = this.options;
     if (now - startedAt >= LEAVE_TO_HOMES_MS) return false;
-    return directory.plan(group).shares !== undefined && !directory.isHome(group);
+    return directory.plan(group).isNearUpstreams && !directory.isHome(group);
   }
 
   /**
@@ -133,7 +134,7 @@
     return entry !== undefined && isPermitted(entry.az, regions, board.topology);
   }
 
-  /** Tries `peers` in turn until one of them ran the work; undefined when there are none. */
+  /** Tries `peers` in turn until the work may have run or no other host could do better; undefined for none. */
   private async runElsewhere<Value>(
     attempt: Attempt<Value>,
     peers: readonly PeerAddress[],
@@ -156,15 +157,15 @@
    */
   private helpers(
     group: GroupId,
-    needsPrimary: boolean,
+    goesToPrimary: boolean,
     reason: RefusalReason,
     now: number,
   ): readonly PeerAddress[] {
     const { directory } = this.options;
-    const reaching = needsPrimary ? this.reachingPrimary(group, now) : [];
+    const reaching = goesToPrimary ? this.reachingPrimary(group, now) : [];
     if (reaching.length > 0) return this.addresses(reaching);
     if (reason !== RefusalReason.UpstreamUnreachable) return [];
-    // A host that is no home has asked those of its zone already.
+    // A host that is no home has asked homes already, before it tried itself.
     const near = directory.isHome(group) ? this.homesOfZone(group) : [];
     return this.addresses([...near, ...directory.homesElsewhere(group, this.options.board.host)]);
   }
@@ -186,12 +187,12 @@
   /** Other hosts to ask first, the best one first; none when this host does it itself. */
   private detours(
     { job, onlyPrimary }: Pick<Attempt<unknown>, 'job' | 'onlyPrimary'>,
-    needsPrimary: boolean,
+    goesToPrimary: boolean,
     now: number,
   ): readonly PeerAddress[] {
     const { directory } = this.options;
     const { group } = job.route;
-    const reaching = needsPrimary ? this.reachingPrimary(group, now) : [];
+    const reaching = goesToPrimary ? this.reachingPrimary(group, now) : [];
     if (reaching.length > 0) return this.addresses(reaching);
     return this.addresses(directory.homesBefore(group, job.workspace, onlyPrimary));
   }
@@ -225,11 +226,6 @@
   RefusalReason.QueueFull,
   RefusalReason.DeadlineBeforeRun,
 ]);
-/** Refusals that the operators ask for, which every host gives alike. */
-const ORDERED: ReadonlySet<RefusalReason> = new Set([
-  RefusalReason.ZoneEvacuated,
-  RefusalReason.NoPermittedRegion,
-]);
 
 /** Whether the work has certainly not run, for a reason that another host may not have. */
 function couldGoElsewhere(
@@ -237,6 +233,6 @@
 ): outcome is Extract<Outcome, { readonly kind: 'refused' }> {
   if (outcome.kind !== 'refused') return false;
   const { reason } = outcome.refusal;
-  if (FULL.has(reason) || ORDERED.has(reason)) return false;
+  if (FULL.has(reason) || isExclusion(reason)) return false;
   return ranOf(outcome.refusal) === Ran.No;
 }
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -58,6 +58,7 @@
   const leased = await slot.acquire(priority, now, waitMs, job.workspace);
   if (leased.isErr()) return err(leased.error);
   const lease = leased.value;
+  // The wait for a connection may have outlasted the time that an evacuation leaves.
   const excludedMeanwhile = exclusionOf(home, slot.entry, job, performance.now());
   if (excludedMeanwhile !== undefined) {
     lease.release();
@@ -89,7 +90,7 @@
   const told = await lease.connection.exchange(command, Math.max(LEAST_EXCHANGE_MS, timeoutMs));
   slot.health.inFlight -= 1;
   const now = performance.now();
-  const answer = creditable(home, borrowed, told, floor);
+  const answer = answerOrLoss(home, borrowed, told, floor);
   noteAnswer(slot, answer, now, now - sentAt);
   const fromPrimary = record?.primary === slot.entry.id;
   if (fromPrimary) home.noteMark(record, sentAt, answer, now);
@@ -101,14 +102,14 @@
  * The answer, or a loss in its place if the upstream no longer holds what it held when it was asked: what
  * it says then counts as little as silence.
  */
-function creditable(
+function answerOrLoss(
   home: GroupHome,
   { lease, slot }: Borrowed,
   answer: UpstreamAnswer,
   floor: Position | undefined,
 ): UpstreamAnswer {
   if (answer.kind === 'lost') return answer;
-  if (!home.hasLostLog(slot.entry.id, floor, answer.position)) return answer;
+  if (!home.noteLostLog(slot.entry.id, floor, answer.position)) return answer;
   lease.connection.close();
   return { kind: 'lost', loss: WireLoss.Closed };
 }
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -21,7 +21,7 @@
   expectedGapEnd,
   hasAuthority,
   hasGoneBack,
-  isSameUpstream,
+  mayBeSameUpstream,
   MarkLog,
   Priority,
   refuse,
@@ -176,8 +176,8 @@
     return tellsBirth ? marks.highest : undefined;
   }
 
-  /** Whether an upstream has told a position behind its floor; it has then started anew, and this is told. */
-  hasLostLog(id: UpstreamId, floor: Position | undefined, told: Position | undefined): boolean {
+  /** Whether an upstream has told a position behind `floor`, so that it has lost its log; if so, counts and logs it. */
+  noteLostLog(id: UpstreamId, floor: Position | undefined, told: Position | undefined): boolean {
     if (!hasGoneBack(floor, told)) return false;
     const { metrics, log } = this.context;
     metrics.upstreamsBornAnew.inc({ evidence: BirthEvidence.Position });
@@ -270,7 +270,7 @@
   /** Drops what is held of an upstream that is at another address, or is another one under its id. */
   private retire(held: UpstreamSlot, told: UpstreamEntry): void {
     held.stop();
-    if (isSameUpstream(held.entry, told)) return;
+    if (mayBeSameUpstream(held.entry, told)) return;
     const { metrics, log } = this.context;
     metrics.upstreamsBornAnew.inc({ evidence: BirthEvidence.Entry });
     log.info('upstream-born-anew', {
@@ -289,7 +289,7 @@
       limits: this.limitsFor(entry),
       connectTimeoutMs: rules.connectTimeoutMs,
       floor: () => this.primaryFloor(entry.id),
-      hasLostLog: (floor, told) => this.hasLostLog(entry.id, floor, told),
+      noteLostLog: (floor, told) => this.noteLostLog(entry.id, floor, told),
       onConnected: () => {
         metrics.upstreamConnections.inc();
       },
@@ -331,5 +331,5 @@
 /** Whether what is held of an upstream serves its newer entry as well. */
 function isSameSlot(held: UpstreamEntry, told: UpstreamEntry): boolean {
   const sameAddress = held.address === told.address && held.port === told.port;
-  return sameAddress && isSameUpstream(held, told);
+  return sameAddress && mayBeSameUpstream(held, told);
 }
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -43,13 +43,15 @@
   const isFresh = (entry: UpstreamEntry): boolean => !tried.has(entry.id);
   // A primary that is leaving still has every commit, and leads until it is replaced.
   const isPrimary = (entry: UpstreamEntry): boolean => entry.id === primary && authority;
+  const isUsable = (entry: UpstreamEntry): boolean =>
+    exclusionOf(home, entry, job, now) === undefined;
   const choose = (passes: (entry: UpstreamEntry) => boolean): UpstreamEntry | undefined =>
-    home.choose((any) => exclusionOf(home, any, job, now) === undefined && passes(any), job, now);
+    home.choose((candidate) => isUsable(candidate) && passes(candidate), job, now);
   const entry =
-    choose((any) => isAllowed(any) && isFresh(any)) ??
-    choose((any) => isPrimary(any) && isFresh(any)) ??
+    choose((candidate) => isAllowed(candidate) && isFresh(candidate)) ??
+    choose((candidate) => isPrimary(candidate) && isFresh(candidate)) ??
     choose(isAllowed) ??
-    choose((any) => any.id !== primary);
+    choose((candidate) => candidate.id !== primary);
   if (entry === undefined) return err(refuseRead(home, job, now));
   return ok({ entry, after, needsAuthority: false });
 }
--- a/packages/gateway/src/home/upstream-exclusion.ts
+++ b/packages/gateway/src/home/upstream-exclusion.ts
@@ -79,7 +79,7 @@
   return { ...refusal, retryAfterMs: home.spreadReturn(retryAfterMsOf(refusal)) };
 }
 
-/** Whether a reason is one of these exclusions. */
+/** Whether a reason is an exclusion, which every host finds alike, so that no other could do better. */
 export function isExclusion(reason: RefusalReason): reason is Exclusion {
   return reason === RefusalReason.ZoneEvacuated || reason === RefusalReason.NoPermittedRegion;
 }
--- a/packages/gateway/src/home/upstream-probe.ts
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -3,7 +3,7 @@
  * connection does not pass for a dead upstream.
  */
 import type { GroupId, UpstreamId } from '@gladespool/coordination';
-import { isSameUpstream, Step, UpstreamFault } from '@gladespool/coordination';
+import { mayBeSameUpstream, Step, UpstreamFault } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamDriver, UpstreamStatus, UpstreamWire } from '../model/upstream-wire.js';
 
@@ -76,7 +76,7 @@
     if (channel === undefined) return undefined;
     clearTimeout(channel.timer);
     this.channels.delete(entry.id);
-    if (!isSameUpstream(channel.entry, entry)) channel.wire.close();
+    if (!mayBeSameUpstream(channel.entry, entry)) channel.wire.close();
     return channel.wire.usable ? channel.wire : undefined;
   }
 
--- a/packages/gateway/src/home/upstream-slot.ts
+++ b/packages/gateway/src/home/upstream-slot.ts
@@ -28,7 +28,7 @@
   /** Position that the upstream must have reached by now; undefined where nothing is known. */
   readonly floor: () => Position | undefined;
   /** Whether the upstream has told a position behind the floor, and thus lost what it held. */
-  readonly hasLostLog: (floor: Position | undefined, told: Position | undefined) => boolean;
+  readonly noteLostLog: (floor: Position | undefined, told: Position | undefined) => boolean;
   readonly onConnected: () => void;
   readonly onConnectFailure: (error: GladespoolError) => void;
 }
@@ -110,12 +110,12 @@
   private async connect(
     workspace: WorkspaceId | undefined,
   ): Promise<Result<PreparedConnection, GladespoolError>> {
-    const { driver, group, connectTimeoutMs, hasLostLog, onConnected } = this.options;
+    const { driver, group, connectTimeoutMs, noteLostLog, onConnected } = this.options;
     const floor = this.options.floor();
     const wire = await driver.connect(this.entry, group, connectTimeoutMs, workspace);
     if (wire.isErr()) return err(wire.error);
     onConnected();
-    if (hasLostLog(floor, wire.value.greeting)) {
+    if (noteLostLog(floor, wire.value.greeting)) {
       wire.value.close();
       const place = { step: Step.UpstreamConnect, peer: this.entry.id };
       return err(gladespoolError(place, 'the upstream has lost what it held'));
--- a/packages/gateway/src/knowledge/home-directory.ts
+++ b/packages/gateway/src/knowledge/home-directory.ts
@@ -80,11 +80,12 @@
     const { board } = this;
     if (!board.hosts.has(board.host)) return true;
     const plan = this.plan(group);
-    return plan.homes.get(board.az)?.includes(board.host) ?? plan.shares === undefined;
+    return plan.homes.get(board.az)?.includes(board.host) ?? !plan.isNearUpstreams;
   }
 
   /**
-   * Homes to ask for a workspace's work before this host does it itself, in order; none when it is a home.
+   * Homes to ask for a workspace's work before this host does it itself, in order. A home asks
+   * none, except where homes stand near the upstreams: there it asks those nearer to the work.
    * Where connections are bound to workspaces, a host that is no home has hardly any of them, so homes of
    * other zones come before it.
    *
@@ -96,7 +97,7 @@
     onlyPrimary: boolean,
   ): readonly HostId[] {
     const plan = this.plan(group);
-    if (plan.shares !== undefined) {
+    if (plan.isNearUpstreams) {
       return onlyPrimary ? this.homesOfPrimary(group) : this.homesNearer(plan, this.board.az);
     }
     if (this.isHome(group)) return [];
@@ -115,7 +116,7 @@
     return primary === undefined ? [] : this.homesNearer(plan, primary.az);
   }
 
-  /** Homes that are nearer to `az` than this host, or as near if this host is none. */
+  /** Homes in order of distance from `az`: all of them if this host is none, else only those nearer than it. */
   private homesNearer(plan: HomePlan, az: AzId): readonly HostId[] {
     const { host, topology } = this.board;
     const homes = homesNear(plan, az, host, topology);
