refactor(gateway): what the change wrote twice or could derive stands once

Cause: a last reading of the whole change: marks were added in two places alike; whether a group has an upstream in use was worked out twice; the hosts of a publication and the upstreams of a configuration were collected twice; a plan told by a field what its shares tell already.

--- a/packages/coordination/src/load/connection-share.ts
+++ b/packages/coordination/src/load/connection-share.ts
@@ -57,8 +57,6 @@
   readonly connectionsPerHome: number;
   /** Whether connections serve one workspace each, and are too few for all at once. */
   readonly isBound: boolean;
-  /** Whether homes stand only in the zones of the upstreams, and other hosts forward to them. */
-  readonly isNearUpstreams: boolean;
   /**
    * Connections that one home may hold to one upstream: by the upstream's zone, then by the home's. Missing
    * where every home holds `connectionsPerHome`.
@@ -111,7 +109,6 @@
     homes,
     connectionsPerHome: partOf(usable, homes),
     isBound: false,
-    isNearUpstreams: false,
   };
 }
 
@@ -128,7 +125,6 @@
     homes,
     connectionsPerHome: partOf(usable, homes),
     isBound: true,
-    isNearUpstreams: false,
   };
 }
 
--- a/packages/coordination/src/places/evacuation.ts
+++ b/packages/coordination/src/places/evacuation.ts
@@ -2,7 +2,6 @@
  * Evacuation of an availability zone: which work its upstreams still take while the operators want
  * them out of use, counted from when the request may have been stored.
  */
-import type { AzId } from '../model/ids.js';
 
 /** How far the evacuation of a zone has come on one host. */
 export enum EvacuationStage {
@@ -52,11 +51,3 @@
       return false;
   }
 }
-
-/** Whether one of the zones at least is not evacuated. */
-export function isAnyInUse(
-  zones: readonly AzId[],
-  evacuations: ReadonlyMap<AzId, unknown>,
-): boolean {
-  return zones.some((az) => !evacuations.has(az));
-}
--- a/packages/coordination/src/places/near-homes.ts
+++ b/packages/coordination/src/places/near-homes.ts
@@ -40,8 +40,8 @@
   readonly usable: number;
   /**
    * Further ones for homes of other regions. While the replicas of a region are behind, its homes read at
-   * the far primary: with two connections each, 0.6 % of all
-   * requests were refused for want of one (one minute, 61 hosts, two of 18 replicas behind for 6 s).
+   * the far primary: with two connections each, 0.6 % of all requests were refused for want of one (one
+   * minute, 61 hosts, two of 18 replicas behind for 6 s).
    */
   readonly farUsable: number;
   /** Whether connections serve one workspace each. */
@@ -65,7 +65,6 @@
     homes,
     connectionsPerHome: LEAST_FAR_CONNECTIONS,
     isBound,
-    isNearUpstreams: true,
     shares,
   };
 }
@@ -92,6 +91,11 @@
   return shares;
 }
 
+/** Whether homes stand only in the zones of the upstreams, and other hosts forward to them. */
+export function isNearUpstreams(plan: HomePlan): boolean {
+  return plan.shares !== undefined;
+}
+
 /** Connections to an upstream of `upstreamAz` that a home in `homeAz` may hold. */
 export function connectionsOf(plan: HomePlan, homeAz: AzId, upstreamAz: AzId): number {
   return plan.shares?.get(upstreamAz)?.get(homeAz) ?? plan.connectionsPerHome;
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -5,7 +5,6 @@
 import {
   FailoverVerdict,
   groupId,
-  isAnyInUse,
   isGivenUp,
   mayBeSameBirth,
   judgeSuspicion,
@@ -154,9 +153,7 @@
   /** Whether a primary's zone is evacuated and another upstream could follow it. */
   private mustLeaveZone({ az, group }: UpstreamEntry): boolean {
     const { board } = this.options.context;
-    if (!board.evacuations.has(az)) return false;
-    const zones = board.upstreamsOf(group).map((entry) => entry.az);
-    return isAnyInUse(zones, board.evacuations);
+    return board.evacuations.has(az) && board.hasUpstreamInUse(group);
   }
 
   /** An own claim has stalled once its attempt is over, be it that of this host's former process. */
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -102,7 +102,8 @@
   publish(): void {
     if (this.outdated.has(BoardSection.Upstreams)) this.board.putUpstreams(this.upstreams());
     if (this.outdated.has(BoardSection.Hosts)) {
-      this.board.putHosts(this.hosts(), this.unknownHosts());
+      const hosts = this.hosts();
+      this.board.putHosts(hosts, this.unknownHosts(hosts));
     }
     if (this.outdated.has(BoardSection.Evacuations)) {
       this.board.putEvacuations(new Map(this.lastInUseAt));
@@ -112,11 +113,11 @@
 
   /** A catalog that names other groups than the one before can change which upstreams are used. */
   private takeCatalog(catalog: Catalog, revision: number): void {
-    const wasUsed = this.upstreams();
     if (!this.board.putCatalog(catalog)) return;
     this.log.info('catalog-in-force', { version: catalog.version, revision });
     const used = this.upstreams();
-    const isSame = used.size === wasUsed.size && [...used.keys()].every((id) => wasUsed.has(id));
+    const shown = this.board.upstreams;
+    const isSame = used.size === shown.size && [...used.keys()].every((id) => shown.has(id));
     if (!isSame) this.outdated.add(BoardSection.Upstreams);
   }
 
@@ -174,8 +175,7 @@
   }
 
   /** Hosts that are listed by an entry that can't be read, and of which this host knows no former one. */
-  private unknownHosts(): ReadonlySet<HostId> {
-    const known = this.hosts();
+  private unknownHosts(known: ReadonlyMap<HostId, HostEntry>): ReadonlySet<HostId> {
     const listed = this.documents.unreadableKeys.map(hostOfKey);
     return new Set(listed.filter((host) => host !== undefined).filter((host) => !known.has(host)));
   }
--- a/packages/gateway/src/forward/mark-exchange.ts
+++ b/packages/gateway/src/forward/mark-exchange.ts
@@ -2,8 +2,8 @@
  * Fetches marks of a primary from homes that work for it. Where callers' work on the primary is done by
  * homes near it, the homes of other zones see none of its answers, and their reads would have to ask it.
  */
-import type { GroupId, Position } from '@gladespool/coordination';
-import { Consistency, groupId } from '@gladespool/coordination';
+import type { GroupId } from '@gladespool/coordination';
+import { Consistency, groupId, isNearUpstreams } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -43,11 +43,10 @@
   /** Fetches a mark for reads like `job` where the newest one held is too old at `now`. */
   keepFresh({ route }: Job, now: number): void {
     const { directory, home } = this.options;
-    if (route.consistency === Consistency.Primary || this.fetching.has(route.group)) return;
-    if (!directory.plan(route.group).isNearUpstreams) return;
-    const { marks } = home(route.group);
-    const { group, maxStalenessMs } = route;
-    const newestAt = marks.newest?.sentAt ?? Number.NEGATIVE_INFINITY;
+    const { group, consistency, maxStalenessMs } = route;
+    if (consistency === Consistency.Primary || this.fetching.has(group)) return;
+    if (!isNearUpstreams(directory.plan(group))) return;
+    const newestAt = home(group).marks.newest?.sentAt ?? Number.NEGATIVE_INFINITY;
     const askedAt = this.askedAt.get(group) ?? Number.NEGATIVE_INFINITY;
     const isDue = now - newestAt > maxStalenessMs * FETCH_SHARE && now - askedAt > FETCH_PAUSE_MS;
     if (isDue) void this.fetchMark(group);
@@ -86,9 +85,8 @@
     if (answer.isErr() || answer.value.kind !== FrameKind.MarkReply) return;
     const { mark } = answer.value;
     if (mark === undefined) return;
-    const position: Position = mark.position;
     // The question was sent no later than it arrived, so the age counted from then is never too small.
-    home(group).noteToldMark(record, sentAt - mark.ageMs, position, performance.now());
+    home(group).addMark(record, sentAt - mark.ageMs, mark.position, performance.now());
   }
 }
 
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -7,6 +7,7 @@
 import {
   Access,
   Consistency,
+  isNearUpstreams,
   isPermitted,
   Ran,
   ranOf,
@@ -114,7 +115,7 @@
   private leavesToHomes(group: GroupId, now: number): boolean {
     const { directory, startedAt } = this.options;
     if (now - startedAt >= LEAVE_TO_HOMES_MS) return false;
-    return directory.plan(group).isNearUpstreams && !directory.isHome(group);
+    return isNearUpstreams(directory.plan(group)) && !directory.isHome(group);
   }
 
   /**
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -157,12 +157,17 @@
     return answerCounts(sentUnder, board.authority(this.group), now, rules.authority);
   }
 
-  /** Notes where the primary stood, if its answer counts. */
+  /** Notes where the primary stood by an answer to a question sent at `sentAt`, if the answer counts. */
   noteMark(sentUnder: PrimaryRecord, sentAt: number, answer: UpstreamAnswer, now: number): void {
     if (answer.kind === 'lost' || answer.position === undefined) return;
-    if (!this.answerCounts(sentUnder, now)) return;
-    this.marks.startEpoch(sentUnder.epoch);
-    this.marks.add({ sentAt, position: answer.position });
+    this.addMark(sentUnder, sentAt, answer.position, now);
+  }
+
+  /** Adds a mark: where the primary stood at `takenAt`, as this host or another one saw it under `record`. */
+  addMark(record: PrimaryRecord, takenAt: number, position: Position, now: number): void {
+    if (!this.answerCounts(record, now)) return;
+    this.marks.startEpoch(record.epoch);
+    this.marks.add({ sentAt: takenAt, position });
   }
 
   /**
@@ -191,13 +196,6 @@
     return true;
   }
 
-  /** Notes where the primary stood at `takenAt` as another host saw it under `record`. */
-  noteToldMark(record: PrimaryRecord, takenAt: number, position: Position, now: number): void {
-    if (!this.answerCounts(record, now)) return;
-    this.marks.startEpoch(record.epoch);
-    this.marks.add({ sentAt: takenAt, position });
-  }
-
   /** The slot of an upstream; undefined when it is not registered. */
   slot(id: UpstreamId): UpstreamSlot | undefined {
     const entry = this.context.board.upstreams.get(id);
--- a/packages/gateway/src/home/upstream-exclusion.ts
+++ b/packages/gateway/src/home/upstream-exclusion.ts
@@ -6,7 +6,6 @@
 import {
   EvacuationStage,
   evacuationStage,
-  isAnyInUse,
   isPermitted,
   RecordPhase,
   refuse,
@@ -33,7 +32,7 @@
   const stage = stageOf(home, entry, now);
   if (stage === EvacuationStage.None) return undefined;
   const isPrimary = home.record?.primary === entry.id;
-  return takesNewWork(stage, isPrimary && isReplaceable(home))
+  return takesNewWork(stage, isPrimary && home.context.board.hasUpstreamInUse(home.group))
     ? undefined
     : RefusalReason.ZoneEvacuated;
 }
@@ -88,10 +87,3 @@
   const { board, evacuationMs } = home.context;
   return evacuationStage(board.evacuations.get(az), now, evacuationMs);
 }
-
-/** Whether another upstream may follow the primary of the group. */
-function isReplaceable({ context, group }: GroupHome): boolean {
-  const { board } = context;
-  const zones = board.upstreamsOf(group).map((entry) => entry.az);
-  return isAnyInUse(zones, board.evacuations);
-}
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -178,6 +178,11 @@
     return [...this.upstreams.values()].filter((entry) => entry.group === group);
   }
 
+  /** Whether a group has an upstream in a zone that is not evacuated. */
+  hasUpstreamInUse(group: GroupId): boolean {
+    return this.upstreamsOf(group).some(({ az }) => !this.evacuations.has(az));
+  }
+
   private notify(section: BoardSection): void {
     for (const listener of this.listeners.get(section) ?? []) listener();
   }
--- a/packages/gateway/src/knowledge/home-directory.ts
+++ b/packages/gateway/src/knowledge/home-directory.ts
@@ -15,6 +15,7 @@
   homesNear,
   homesOfWorkspace,
   hostsByZone,
+  isNearUpstreams,
   planHomes,
   planNearHomes,
   rankCandidates,
@@ -80,7 +81,7 @@
     const { board } = this;
     if (!board.hosts.has(board.host)) return true;
     const plan = this.plan(group);
-    return plan.homes.get(board.az)?.includes(board.host) ?? !plan.isNearUpstreams;
+    return plan.homes.get(board.az)?.includes(board.host) ?? !isNearUpstreams(plan);
   }
 
   /**
@@ -97,7 +98,7 @@
     onlyPrimary: boolean,
   ): readonly HostId[] {
     const plan = this.plan(group);
-    if (plan.isNearUpstreams) {
+    if (isNearUpstreams(plan)) {
       return onlyPrimary ? this.homesOfPrimary(group) : this.homesNearer(plan, this.board.az);
     }
     if (this.isHome(group)) return [];
--- a/packages/gateway/tests/work-near-upstreams.steps.ts
+++ b/packages/gateway/tests/work-near-upstreams.steps.ts
@@ -241,7 +241,7 @@
   'its proof has run out, and it is told a mark that is {int} ms old',
   function (this: NearWorld, ageMs: number) {
     const later = this.now + 10_000;
-    this.home.noteToldMark(RECORD, later - ageMs, { term: 1, offset: 2 }, later);
+    this.home.addMark(RECORD, later - ageMs, { term: 1, offset: 2 }, later);
   },
 );
 
