feat(gateway): log lines tell what a new primary holds, where its answers stand, and how old the proof was

Cause: the logs could not tell apart a new primary that answers before it has applied what it received, a call for a promotion that took effect late, and a proof that outlived a revocation. Ruled out: nothing yet. Change: promotion-took-effect tells term, received and applied position of the new primary; statement-ran tells the position at which an answer stood and, at the primary, the age of the proof.

--- a/packages/coordination/src/reads/position.ts
+++ b/packages/coordination/src/reads/position.ts
@@ -29,6 +29,11 @@
   return a.offset - b.offset;
 }
 
+/** A position as log lines show it: term, point, offset. */
+export function positionText({ term, offset }: Position): string {
+  return `${term}.${offset}`;
+}
+
 /** The higher of two positions in promotion order. */
 export function maxPosition(a: Position, b: Position): Position {
   return comparePositions(a, b) >= 0 ? a : b;
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -12,10 +12,12 @@
 import {
   isMajority,
   mayBeSameUpstream,
+  positionText,
   servingRecord,
   silentHostFreeAt,
 } from '@gladespool/coordination';
 import { FrameKind } from '@gladespool/protocol';
+import type { StatusResult } from '../../home/upstream-probe.js';
 import type { UpstreamEntry } from '../../model/catalog.js';
 import type { UpstreamStatus } from '../../model/upstream-wire.js';
 import { changeEnd, StorePurpose } from '../store/metadata-store.js';
@@ -248,12 +250,26 @@
       const result = await probe.ask(entry, group, STATUS_TIMEOUT_MS);
       const leads = result.kind === 'status' && result.status.isPrimary;
       if (leads && isBehindChoice(successor, entry, result.status)) return false;
-      if (leads && (successor.isPrimary || result.status.term > successor.term)) return true;
+      if (leads && (successor.isPrimary || result.status.term > successor.term)) {
+        this.noteEffect(successor, result);
+        return true;
+      }
       await pause(POLL_MS);
     }
     return false;
   }
 
+  /** Tells what the new primary holds, and how much of it its reads show already. */
+  private noteEffect({ id, isPrimary }: SuccessorReport, { status, applied }: StatusResult): void {
+    this.log.info('promotion-took-effect', {
+      upstream: id,
+      term: status.term,
+      received: positionText(status.received),
+      applied: applied && positionText(applied),
+      led_before: isPrimary,
+    });
+  }
+
   /** The entry of an upstream; undefined when it has none, or tells of another one that started since. */
   private entryOf(upstream: UpstreamIdentity): UpstreamEntry | undefined {
     const entry = this.ctx.board.upstreams.get(upstream.id);
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -3,7 +3,7 @@
  * seen.
  */
 import type { Position, PrimaryRecord } from '@gladespool/coordination';
-import { RefusalReason, UpstreamFault } from '@gladespool/coordination';
+import { positionText, RefusalReason, UpstreamFault } from '@gladespool/coordination';
 import { ServedBy } from '@gladespool/observability';
 import type { Lease } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
@@ -94,7 +94,7 @@
   noteAnswer(slot, answer, now, now - sentAt);
   const fromPrimary = record?.primary === slot.entry.id;
   if (fromPrimary) home.noteMark(record, sentAt, answer, now);
-  noteRun(home, borrowed, command, answer, now - sentAt);
+  noteRun(home, borrowed, command, answer, sentAt, now);
   return { answer, sentAt };
 }
 
@@ -114,13 +114,14 @@
   return { kind: 'lost', loss: WireLoss.Closed };
 }
 
-/** Counts and tells where a caller's statement ran, behind which position, under which record, and its end. */
+/** Counts and tells where a caller's statement ran, behind and at which position, under which record and proof, and its end. */
 function noteRun(
   home: GroupHome,
   borrowed: Borrowed,
   command: UpstreamCommand,
   answer: UpstreamAnswer,
-  tookMs: number,
+  sentAt: number,
+  now: number,
 ): void {
   if (!('id' in command)) return;
   const { record, slot } = borrowed;
@@ -136,9 +137,11 @@
     upstream: slot.entry.id,
     primary: isPrimary,
     epoch: record?.epoch,
-    after: after && `${after.term}.${after.offset}`,
+    after: after && positionText(after),
+    at: answer.kind === 'lost' ? undefined : answer.position && positionText(answer.position),
     end: endOf(answer),
-    ms: Math.round(tookMs),
+    ms: Math.round(now - sentAt),
+    proof_age_ms: isPrimary ? Math.round(now - home.context.board.provenSince) : undefined,
   });
 }
 
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -23,6 +23,7 @@
   hasGoneBack,
   mayBeSameUpstream,
   MarkLog,
+  positionText,
   Priority,
   refuse,
   RetryReason,
@@ -190,8 +191,8 @@
       group: this.group,
       upstream: id,
       epoch: this.record?.epoch,
-      floor: floor && `${floor.term}.${floor.offset}`,
-      told: told && `${told.term}.${told.offset}`,
+      floor: floor && positionText(floor),
+      told: told && positionText(told),
     });
     return true;
   }
--- a/packages/gateway/src/home/upstream-probe.ts
+++ b/packages/gateway/src/home/upstream-probe.ts
@@ -2,14 +2,22 @@
  * Asks upstreams for their status on connections of its own, so that a full pool or a dead pooled
  * connection does not pass for a dead upstream.
  */
-import type { GroupId, UpstreamId } from '@gladespool/coordination';
+import type { GroupId, Position, UpstreamId } from '@gladespool/coordination';
 import { mayBeSameUpstream, Step, UpstreamFault } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../model/catalog.js';
 import type { UpstreamDriver, UpstreamStatus, UpstreamWire } from '../model/upstream-wire.js';
 
+/** The status that an upstream told. */
+export interface StatusResult {
+  readonly kind: 'status';
+  readonly status: UpstreamStatus;
+  /** Position up to which its reads show the log; undefined if it did not tell. */
+  readonly applied: Position | undefined;
+}
+
 /** What a probe found. */
 export type ProbeResult =
-  | { readonly kind: 'status'; readonly status: UpstreamStatus }
+  | StatusResult
   /** It answers, but gave no status. */
   | { readonly kind: 'alive' }
   /** It accepted the connection and did not serve it in time. */
@@ -68,7 +76,8 @@
       return { kind: answer.fault === UpstreamFault.Misrouted ? 'silent' : 'alive' };
     }
     const status = this.driver.readStatus(answer.rows[0] ?? '');
-    return status === undefined ? { kind: 'alive' } : { kind: 'status', status };
+    if (status === undefined) return { kind: 'alive' };
+    return { kind: 'status', status, applied: answer.position };
   }
 
   private takeChannel(entry: UpstreamEntry): UpstreamWire | undefined {
