fix(gateway): a primary that shows itself that it leads no more is used no more, and followed

Cause: a proof tells what the record says, not who leads. A primary deposed by a promotion that the hosts did not know of refused writes, and that counted as a sign of life, so nobody suspected it; its reads, those of a replica by then, were taken for the primary's, for good. Ruled out: asking the other hosts (they read there and say that they reach it). Change: a refused write, a lost position or its own status voids the authority over the record's primary on that host (primary-lead.ts), and leads to a change without the others' agreement; reads and transactions at the primary run behind the furthest position that it has told under the record, so that one which has dropped commits refuses where it runs them. A counter and a warning tell of it. Commits that a deposed primary confirms before it notices are still lost: only a fence at the upstream could tell.

--- a/packages/gateway/src/control/promotion/primary-monitor.ts
+++ b/packages/gateway/src/control/promotion/primary-monitor.ts
@@ -2,11 +2,12 @@
  * Watches whether this host reaches the primaries: by the answers to callers' statements, and by
  * probes while these are missing.
  */
-import type { GroupId, Position } from '@gladespool/coordination';
+import type { GroupId, Position, PrimaryRecord } from '@gladespool/coordination';
+import { DepositionEvidence } from '@gladespool/observability';
 import type { GatewayBoard } from '../../knowledge/board.js';
 import type { GroupHome } from '../../home/group-home.js';
 import type { UpstreamHealth } from '../../home/upstream-health.js';
-import type { ProbeResult, UpstreamProbe } from '../../home/upstream-probe.js';
+import type { ProbeResult, StatusResult, UpstreamProbe } from '../../home/upstream-probe.js';
 
 /** Times of the monitor. */
 export interface MonitorRules {
@@ -51,7 +52,8 @@
       const quietMs = now - health.lastAnswerAt;
       const waiting = health.inFlight > 0 && quietMs > rules.quietMs;
       const idle = quietMs > rules.idleQuietMs && actsFirst(record.group);
-      if (waiting || idle || health.failingSince !== undefined) void this.probe(record.group);
+      const failing = health.failingSince ?? this.deposedSince(record.group);
+      if (waiting || idle || failing !== undefined) void this.probe(record.group);
     }
   }
 
@@ -61,6 +63,11 @@
     return since === undefined ? 0 : now - since;
   }
 
+  /** Since when the primary has shown this host that it leads no more; undefined while it leads. */
+  deposedSince(group: GroupId): number | undefined {
+    return this.options.home(group).deposedSince;
+  }
+
   /**
    * Whether this host reaches the primary of the group, probed if that is not clear; undefined while the
    * primary accepts connections and serves none.
@@ -69,6 +76,7 @@
     const health = this.healthOf(group);
     const { freshMs } = this.options.rules;
     const now = performance.now();
+    if (this.deposedSince(group) !== undefined) return false;
     if (now - (health?.lastAnswerAt ?? Number.NEGATIVE_INFINITY) < freshMs) return true;
     if (now - (health?.lastFailureAt ?? Number.NEGATIVE_INFINITY) < freshMs) return false;
     return this.probe(group);
@@ -92,12 +100,13 @@
     const { board, home, probe, rules } = this.options;
     const record = board.record(group);
     const slot = record && home(group).slot(record.primary);
-    if (slot === undefined) return false;
+    if (record === undefined || slot === undefined) return false;
     const startedAt = performance.now();
     const floor = home(group).primaryFloor(slot.entry.id);
     const result = await probe.ask(slot.entry, group, rules.probeTimeoutMs);
     const now = performance.now();
     const { health } = slot;
+    if (result.kind === 'status') noteLead(home(group), record, result, now);
     if (result.kind === 'unserved') {
       health.noteUnserved(now);
       return health.failingSince === undefined ? undefined : false;
@@ -115,6 +124,17 @@
   return result.kind === 'alive' || (result.kind === 'status' && result.status.isPrimary);
 }
 
+/** Notes what the primary of `record` says of its lead. */
+function noteLead(
+  home: GroupHome,
+  record: PrimaryRecord,
+  { status }: StatusResult,
+  now: number,
+): void {
+  if (status.isPrimary) home.noteLeads(record);
+  else home.noteDeposed(record, DepositionEvidence.Status, now);
+}
+
 function toldBy(result: ProbeResult): Position | undefined {
   return result.kind === 'status' ? result.status.received : undefined;
 }
--- a/packages/gateway/src/control/promotion/promotion-cause.ts
+++ b/packages/gateway/src/control/promotion/promotion-cause.ts
@@ -8,6 +8,8 @@
   Draining = 'draining',
   /** It has started anew under its id and holds none of the commits. */
   BornAnew = 'born-anew',
+  /** It has said itself that it leads no more; no other host need agree. */
+  Deposed = 'deposed',
   Evacuated = 'evacuated',
   Unlisted = 'unlisted',
   StalledClaim = 'stalled-claim',
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -149,6 +149,8 @@
     state.unlistedSince = undefined;
     if (!mayBeSameBirth(record.born, entry.born)) return this.primaryBornAnew(record, state, now);
     state.bornAnewSince = undefined;
+    const deposed = this.deposedPrimary(record, now);
+    if (deposed !== undefined) return deposed;
     if (entry.draining) return this.failingPrimary(record, now) ?? drainingPrimary(state, now);
     state.drainingSince = undefined;
     if (this.mustLeaveZone(entry)) {
@@ -176,6 +178,14 @@
     return now < since ? undefined : { cause, since };
   }
 
+  /** A primary that has said, and not taken back, that it leads no more. */
+  private deposedPrimary({ group }: PrimaryRecord, now: number): Occasion | undefined {
+    const deposedSince = this.options.monitor.deposedSince(group);
+    if (deposedSince === undefined) return undefined;
+    const since = deposedSince + this.options.context.rules.suspectAfterMs;
+    return now < since ? undefined : { cause: PromotionCause.Deposed, since };
+  }
+
   private failingPrimary(record: PrimaryRecord, now: number): Occasion | undefined {
     const { suspectAfterMs } = this.options.context.rules;
     const failedMs = this.options.monitor.failedMs(record.group, now);
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -3,8 +3,13 @@
  * seen.
  */
 import type { Position, PrimaryRecord } from '@gladespool/coordination';
-import { positionText, RefusalReason, UpstreamFault } from '@gladespool/coordination';
-import { ServedBy } from '@gladespool/observability';
+import {
+  comparePositions,
+  positionText,
+  RefusalReason,
+  UpstreamFault,
+} from '@gladespool/coordination';
+import { DepositionEvidence, ServedBy } from '@gladespool/observability';
 import type { Lease } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -15,6 +20,7 @@
 import { poolPriority } from './group-home.js';
 import type { Job } from './job.js';
 import type { PreparedConnection } from './prepared-connection.js';
+import type { ReadTarget } from './read-plan.js';
 import { exclusionOf } from './upstream-exclusion.js';
 import type { UpstreamSlot } from './upstream-slot.js';
 
@@ -86,6 +92,7 @@
   const { lease, slot, record } = borrowed;
   const sentAt = performance.now();
   const floor = home.primaryFloor(slot.entry.id);
+  const isBehindTold = isBehind(command, home.knownPosition(record));
   slot.health.inFlight += 1;
   const told = await lease.connection.exchange(command, Math.max(LEAST_EXCHANGE_MS, timeoutMs));
   slot.health.inFlight -= 1;
@@ -93,11 +100,48 @@
   const answer = answerOrLoss(home, borrowed, told, floor);
   noteAnswer(slot, answer, now, now - sentAt);
   const fromPrimary = record?.primary === slot.entry.id;
+  if (fromPrimary) noteLead(home, record, isBehindTold, answer, now);
   if (fromPrimary) home.noteMark(record, sentAt, answer, now);
   noteRun(home, borrowed, command, answer, sentAt, now);
   return { answer, sentAt };
 }
 
+/**
+ * Position that an upstream must hold for a read or a transaction: what its replicas have to show, or at the
+ * primary all that it has told under the record. One that was deposed and has dropped commits refuses then
+ * where it runs the statement, whatever the hosts believe.
+ */
+export function requiredPosition(
+  home: GroupHome,
+  { record }: Borrowed,
+  { after, needsAuthority }: ReadTarget,
+): Position | undefined {
+  return needsAuthority ? home.knownPosition(record) : after;
+}
+
+/** Whether a command runs only where all is held that the primary has `told`. */
+function isBehind(command: UpstreamCommand, told: Position | undefined): boolean {
+  const after = 'after' in command ? command.after : undefined;
+  return after !== undefined && told !== undefined && comparePositions(after, told) === 0;
+}
+
+/** Notes if the primary of `record` shows by its answer that it leads no more. */
+function noteLead(
+  home: GroupHome,
+  record: PrimaryRecord,
+  isBehindTold: boolean,
+  answer: UpstreamAnswer,
+  now: number,
+): void {
+  if (answer.kind !== 'faulted') return;
+  if (answer.fault === UpstreamFault.ReadOnly) {
+    home.noteDeposed(record, DepositionEvidence.ReadOnly, now);
+  }
+  if (answer.fault === UpstreamFault.Lagging && isBehindTold) {
+    home.noteDeposed(record, DepositionEvidence.Position, now);
+  }
+}
+
 /**
  * The answer, or a loss in its place if the upstream no longer holds what it held when it was asked: what
  * it says then counts as little as silence.
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -29,7 +29,7 @@
   RetryReason,
   Reuse,
 } from '@gladespool/coordination';
-import type { HostMetrics, Logger } from '@gladespool/observability';
+import type { DepositionEvidence, HostMetrics, Logger } from '@gladespool/observability';
 import { BirthEvidence } from '@gladespool/observability';
 import type { PoolLimits } from '@gladespool/pool';
 import type { GatewayBoard } from '../knowledge/board.js';
@@ -40,6 +40,7 @@
 import type { UpstreamAnswer, UpstreamDriver } from '../model/upstream-wire.js';
 import type { Job } from './job.js';
 import type { PromotionPace } from '../knowledge/promotion-pace.js';
+import { PrimaryLead } from './primary-lead.js';
 import { UpstreamSlot } from './upstream-slot.js';
 
 /** Longer than a connection that is lost and opened anew, milliseconds. */
@@ -96,6 +97,7 @@
   /** Transactions that are open on upstreams of the group. */
   readonly transactions = new Set<WatchedTransaction>();
   private readonly slots = new Map<UpstreamId, UpstreamSlot>();
+  private readonly lead = new PrimaryLead();
 
   constructor(
     readonly group: GroupId,
@@ -110,9 +112,29 @@
   /** Whether the primary of the record may be used at `now`. */
   hasAuthority(now: number): boolean {
     const { board, rules } = this.context;
+    if (this.deposedSince !== undefined) return false;
     return hasAuthority(board.authority(this.group), now, rules.authority);
   }
 
+  /** Local time since which the primary of the record has shown that it leads no more; undefined while it leads. */
+  get deposedSince(): number | undefined {
+    return this.lead.deniedSince(this.record);
+  }
+
+  /** Notes at `now` that the primary of `record` has shown that it leads no more. */
+  noteDeposed(record: PrimaryRecord, evidence: DepositionEvidence, now: number): void {
+    if (!this.lead.noteDenied(record, now)) return;
+    const { metrics, log } = this.context;
+    metrics.primariesDeposed.inc({ evidence });
+    const { group, primary, epoch } = record;
+    log.warn('primary-deposed', { group, upstream: primary, epoch, evidence });
+  }
+
+  /** Notes that the primary of `record` says that it leads. */
+  noteLeads(record: PrimaryRecord): void {
+    this.lead.noteLeads(record);
+  }
+
   /** Whether the primary has failed this host for so long that it is better asked by way of others. */
   missesPrimary(now: number): boolean {
     const { record } = this;
@@ -129,7 +151,7 @@
     const view = {
       unprovenSince: board.isIsolated(now, rules.authority) ? lapsedAt : undefined,
       claimedAt: pace.claimedAt(this.group),
-      failingSince: record && this.slot(record.primary)?.health.failingSince,
+      failingSince: this.deposedSince ?? (record && this.slot(record.primary)?.health.failingSince),
     };
     const { promotionMs } = pace;
     return expectedGapEnd(view, { promotionMs, ...rules.gap }, now);
@@ -155,6 +177,7 @@
   /** Whether an answer of the primary that arrived at `now` counts. */
   answerCounts(sentUnder: PrimaryRecord, now: number): boolean {
     const { board, rules } = this.context;
+    if (this.lead.deniedSince(sentUnder) !== undefined) return false;
     return answerCounts(sentUnder, board.authority(this.group), now, rules.authority);
   }
 
@@ -171,15 +194,20 @@
     this.marks.add({ sentAt: takenAt, position });
   }
 
+  /** Furthest position that the primary of `record` has told under it; undefined while it has told none. */
+  knownPosition(record: PrimaryRecord | undefined): Position | undefined {
+    return record?.epoch === this.marks.epochOfMarks ? this.marks.highest : undefined;
+  }
+
   /**
    * Position that an upstream had reached for sure when this is called, and is never behind again under
    * the record in force; undefined for all but the primary, and where upstreams tell no births.
    */
   primaryFloor(id: UpstreamId): Position | undefined {
-    const { record, marks } = this;
-    if (record?.primary !== id || record.epoch !== marks.epochOfMarks) return undefined;
+    const { record } = this;
+    if (record?.primary !== id) return undefined;
     const tellsBirth = this.context.board.upstreams.get(id)?.born !== undefined;
-    return tellsBirth ? marks.highest : undefined;
+    return tellsBirth ? this.knownPosition(record) : undefined;
   }
 
   /** Whether an upstream has told a position behind `floor`, so that it has lost its log; if so, counts and logs it. */
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -10,7 +10,7 @@
 import type { UpstreamAnswer } from '../model/upstream-wire.js';
 import { WireLoss } from '../model/upstream-wire.js';
 import type { Borrowed } from './exchange.js';
-import { borrow, send } from './exchange.js';
+import { borrow, requiredPosition, send } from './exchange.js';
 import type { GroupHome, WatchedTransaction } from './group-home.js';
 import type { BeginJob, OpenTransaction, StepJob } from './job.js';
 import type { ReadTarget } from './read-plan.js';
@@ -38,7 +38,7 @@
     return err(outcome);
   }
   const { lease, record } = borrowed.value;
-  const { after } = target;
+  const after = requiredPosition(home, borrowed.value, target);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
   const begin = { kind: 'begin', readOnly: job.readOnly, after } as const;
   const { answer } = await send(home, borrowed.value, begin, leftMs);
--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -7,7 +7,7 @@
 import type { Outcome } from '../model/outcome.js';
 import { refused } from '../model/outcome.js';
 import type { UpstreamAnswer } from '../model/upstream-wire.js';
-import { borrow, send } from './exchange.js';
+import { borrow, requiredPosition, send } from './exchange.js';
 import type { GroupHome } from './group-home.js';
 import type { StatementJob } from './job.js';
 import { awaitAuthority } from './await-authority.js';
@@ -80,7 +80,8 @@
   const borrowed = await borrow(home, slot, job, job.work);
   if (borrowed.isErr()) return withoutConnection(home, borrowed.error, target);
   const { lease, record } = borrowed.value;
-  const command = lease.connection.commandFor(job.work, job.id, target.after);
+  const after = requiredPosition(home, borrowed.value, target);
+  const command = lease.connection.commandFor(job.work, job.id, after);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
   const { answer } = await send(home, borrowed.value, command, leftMs * TRY_SHARE);
   if (answer.kind === 'faulted' && answer.fault === UpstreamFault.UnknownStatement) {
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -34,6 +34,16 @@
   Unreadable = 'unreadable',
 }
 
+/** What shows that the primary of a record leads no more. */
+export enum DepositionEvidence {
+  /** It refused to write. */
+  ReadOnly = 'read-only',
+  /** It lacks a position that it had told under the same record. */
+  Position = 'position',
+  /** Its status says so. */
+  Status = 'status',
+}
+
 /** What showed that an upstream has started anew under its id. */
 export enum BirthEvidence {
   /** Its entry tells another birth. */
@@ -129,6 +139,13 @@
     registers: [this.registry],
   });
 
+  readonly primariesDeposed = new Counter({
+    name: 'gladespool_primaries_deposed_total',
+    help: 'Primaries of the records that showed that they lead no more, by what showed it',
+    labelNames: ['evidence'],
+    registers: [this.registry],
+  });
+
   readonly storeCalls = new Counter({
     name: 'gladespool_store_calls_total',
     help: 'Calls to the metadata store, by purpose and result',
@@ -183,6 +200,8 @@
     for (const verdict of Object.values(DocumentVerdict)) this.storeDocuments.inc({ verdict }, 0);
     for (const evidence of Object.values(BirthEvidence))
       this.upstreamsBornAnew.inc({ evidence }, 0);
+    for (const evidence of Object.values(DepositionEvidence))
+      this.primariesDeposed.inc({ evidence }, 0);
     for (const fault of Object.values(CallerFault)) this.callerFaults.inc({ fault }, 0);
   }
 }
