fix(gateway): a proof by the word of hosts is passed on only with the claims that they told of

Cause: found by reading, looking for promises that outlive what they rest on: a host that renewed its proof by a majority took over the claims that came with the answers, but passed the proof on also to hosts which it could not tell what had changed, and these kept the former record under it. Ruled out: proofs of the store (nothing had changed after their revision when they were sent). Change: such an asker gets no proof of that kind.

--- a/packages/gateway/src/control/proofs/sync-answers.ts
+++ b/packages/gateway/src/control/proofs/sync-answers.ts
@@ -99,7 +99,9 @@
     const documentsAgeMs = arrivedAt - view.currentSince;
     if (Number.isFinite(documentsAgeMs)) reply.documentsAgeMs = documentsAgeMs;
     const proof = this.proofFor(ask, arrivedAt);
-    if (proof !== undefined) reply.proof = proof;
+    // The word of other hosts counts only together with the claims that they told of.
+    const isComplete = own !== undefined || proof?.isFromStore === true;
+    if (proof !== undefined && isComplete) reply.proof = proof;
     link.send(reply);
   }
 
--- a/packages/gateway/tests/sync-answers.feature
+++ b/packages/gateway/tests/sync-answers.feature
@@ -22,3 +22,14 @@
       | listed at revision 12 | none | 400 | nothing happens                       | 0       | with no proof             | no proof covers it yet             |
       | listed at revision 12 | none | 400 | a proof of 200 ms later is taken       | 1       | with a proof of -200 ms   | that is of revision 12             |
       | not listed            | none | 400 | 400 ms pass                           | 1       | with no proof             | it must not hold one               |
+
+  Scenario Outline: A question by a host whose documents are too old to tell what has changed since
+    Given a proof of revision 8 by the word of <whom>
+    When a host listed at revision 5 asks that holds the documents up to revision <held>
+    Then 1 answers were sent, <proof>
+
+    Examples:
+      | whom        | held | proof                  | why                                                       |
+      | the store   | 9    | with a proof of 100 ms | nothing had changed after revision 8 when it was sent     |
+      | other hosts | 9    | with no proof          | they may have told of a claim that this host does not get |
+      | other hosts | 12   | with a proof of 100 ms | it has the claim, or gets it with the answer              |
--- a/packages/gateway/tests/sync-answers.steps.ts
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -78,6 +78,29 @@
   },
 );
 
+Given(
+  /^a proof of revision 8 by the word of (the store|other hosts)$/,
+  function (this: AnswersWorld, whom: string) {
+    create(this, 5);
+    this.proof = { ...this.proof, revision: 8, isFromStore: whom === 'the store' };
+  },
+);
+
+When(
+  'a host listed at revision 5 asks that holds the documents up to revision {int}',
+  function (this: AnswersWorld, ownRevision: number) {
+    this.answers.onFrame(this.link, {
+      kind: FrameKind.SyncAsk,
+      id: 1,
+      host: ASKER,
+      incarnation: 1,
+      ownRevision,
+      heard: this.view.newest,
+      waitMs: 0,
+    });
+  },
+);
+
 function listOne(world: AnswersWorld): void {
   world.revision += 1;
   const item = hostItem('other', world.revision);
