--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -5,6 +5,7 @@
 import type { Birth } from '../membership/upstream-identity.js';
 import type { HostId, UpstreamId } from '../model/ids.js';
 import type { Position } from '../reads/position.js';
+import type { NamedSuccessor, PrimaryRecord } from './primary-record.js';
 import { comparePositions } from '../reads/position.js';
 
 /** Times of failover. */
@@ -151,6 +152,27 @@
   return chosen === undefined || chosen.received.offset < former.received.offset;
 }
 
+/** What a host knows of the upstream that a claim has named. */
+export interface NamedStanding {
+  /** Whether it has an entry, and has not started anew since it was named. */
+  readonly isThere: boolean;
+  readonly isEvacuated: boolean;
+  /** Whether the platform has refused to promote it. */
+  readonly isRefused: boolean;
+}
+
+/**
+ * The upstream that the claim after `claim` has to name as well. A call for it may take effect at any time, however
+ * long ago it was made or given up, so no other one is called for while it could.
+ */
+export function keptSuccessor(
+  claim: PrimaryRecord,
+  standing: NamedStanding,
+): NamedSuccessor | undefined {
+  const { isThere, isEvacuated, isRefused } = standing;
+  return isThere && !isEvacuated && !isRefused ? claim.successor : undefined;
+}
+
 function byReceived(a: SuccessorReport, b: SuccessorReport): number {
   const byPosition = comparePositions(b.received, a.received);
   if (byPosition !== 0) return byPosition;
--- a/packages/coordination/tests/authority.feature
+++ b/packages/coordination/tests/authority.feature
@@ -51,6 +51,19 @@
       | 2    | serving | doesn't acknowledge | a claim made of an outdated record               |
       | 1    | serving | doesn't acknowledge | it has not taken the claim                       |
 
+  Scenario Outline: Versions of a record follow one another
+    Given a host that holds epoch <held> in phase "<phase>"
+    Then epoch <next> in phase "<next phase>" <replaces> it
+
+    Examples:
+      | held | phase   | next | next phase | replaces         | why                                             |
+      | 1    | serving | 2    | claimed    | replaces         | another claim                                   |
+      | 2    | claimed | 2    | named      | replaces         | the claim names a successor before it calls     |
+      | 2    | named   | 2    | claimed    | doesn't replace  | an older version of the claim came late         |
+      | 2    | named   | 2    | serving    | replaces         | the named one serves                            |
+      | 2    | serving | 2    | named      | doesn't replace  | an older version of the claim came late         |
+      | 2    | named   | 3    | claimed    | replaces         | the claim was taken over                        |
+
   Scenario Outline: A host is taken off the list when nobody hears it for long
     Given <missing> of <listed> hosts miss a host and <reaching> reach it, for <silent> ms
     Then it is <verdict>
--- a/packages/coordination/tests/authority.steps.ts
+++ b/packages/coordination/tests/authority.steps.ts
@@ -9,7 +9,9 @@
   hostId,
   DEFAULT_RETIREMENT,
   isGivenUp,
+  isNewerRecord,
   mayRetire,
+  namedRecord,
   RecordPhase,
   renewalCounts,
   silentHostFreeAt,
@@ -33,6 +35,14 @@
   return { group, epoch, phase, primary: upstreamId('a'), holder: hostId('h') };
 }
 
+/** Version of a record by the words of the tables; a named claim has a successor. */
+function versionOf(epoch: number, words: string): PrimaryRecord {
+  if (words !== 'named') return recordOf(epoch, phaseOf(words));
+  const received = { term: 1, offset: 7 };
+  const successor = { id: upstreamId('b'), isPrimary: false, term: 1, received };
+  return namedRecord(recordOf(epoch, RecordPhase.Claimed), successor);
+}
+
 function phaseOf(text: string): RecordPhase {
   const phases = new Map<string, RecordPhase>(Object.values(RecordPhase).map((of) => [of, of]));
   const phase = phases.get(text);
@@ -97,7 +107,15 @@
 Given(
   'a host that holds epoch {int} in phase {string}',
   function (this: AuthorityWorld, epoch: number, phase: string) {
-    this.record = recordOf(epoch, phaseOf(phase));
+    this.record = versionOf(epoch, phase);
+  },
+);
+
+Then(
+  /^epoch (\d+) in phase "(\w+)" (replaces|doesn't replace) it$/,
+  function (this: AuthorityWorld, epoch: string, phase: string, replaces: string) {
+    const next = versionOf(Number(epoch), phase);
+    assert.equal(isNewerRecord(this.record, next), replaces === 'replaces');
   },
 );
 
--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -93,3 +93,16 @@
       | g/1/4  | 5999 | g,a,h | its window and the gap are not over             |
       | g/1/4  | 6000 | a,g,h | anybody may take the duty                       |
       | x/1/4  | 100  | a,g,h | the holder is not listed any more               |
+
+  Scenario Outline: Whoever takes a claim over calls for the upstream that it has named
+    Given a claim that has named <named>
+    And that upstream <standing>
+    Then the next claim names <next>
+
+    Examples:
+      | named   | standing                     | next    | why                                            |
+      | u1      | has its entry                | u1      | a call for it may still take effect            |
+      | nobody  | has its entry                | nobody  | no call was made                               |
+      | u1      | is gone                      | nobody  | one that does not run can't take the lead      |
+      | u1      | lies in an evacuated zone    | nobody  | operators want it out of use                   |
+      | u1      | was refused by the platform  | nobody  | it will not be promoted                        |
--- a/packages/coordination/tests/failover.steps.ts
+++ b/packages/coordination/tests/failover.steps.ts
@@ -1,15 +1,27 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { DutyClaim, HostId, ReachEvidence, SeenDuty, SuccessorReport } from '../src/index.js';
+import type {
+  DutyClaim,
+  HostId,
+  NamedStanding,
+  PrimaryRecord,
+  ReachEvidence,
+  SeenDuty,
+  SuccessorReport,
+} from '../src/index.js';
 import {
   actingOrder,
   chooseSuccessor,
   claimDuty,
   DEFAULT_FAILOVER,
+  groupId,
   hasEnoughReports,
   hostId,
   judgeSuspicion,
   keepsFormer,
+  keptSuccessor,
+  namedRecord,
+  RecordPhase,
   upstreamId,
 } from '../src/index.js';
 
@@ -22,6 +34,8 @@
   claim: DutyClaim;
   order: readonly HostId[];
   enough: boolean;
+  named: PrimaryRecord;
+  standing: NamedStanding;
 }
 
 Given(
@@ -126,3 +140,32 @@
 Then('they act in the order {string}', function (this: FailoverWorld, order: string) {
   assert.equal(this.order.join(','), order);
 });
+
+Given(/^a claim that has named (u1|nobody)$/, function (this: FailoverWorld, named: string) {
+  const claim: PrimaryRecord = {
+    group: groupId('g'),
+    epoch: 2,
+    phase: RecordPhase.Claimed,
+    primary: upstreamId('u0'),
+    holder: hostId('h'),
+  };
+  const received = { term: 1, offset: 7 };
+  const successor = { id: upstreamId(named), isPrimary: false, term: 1, received };
+  this.named = named === 'nobody' ? claim : namedRecord(claim, successor);
+});
+
+Given(
+  /^that upstream (has its entry|is gone|lies in an evacuated zone|was refused by the platform)$/,
+  function (this: FailoverWorld, standing: string) {
+    this.standing = {
+      isThere: standing !== 'is gone',
+      isEvacuated: standing === 'lies in an evacuated zone',
+      isRefused: standing === 'was refused by the platform',
+    };
+  },
+);
+
+Then(/^the next claim names (u1|nobody)$/, function (this: FailoverWorld, next: string) {
+  const kept = keptSuccessor(this.named, this.standing);
+  assert.equal(kept?.id ?? 'nobody', next);
+});
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -6,6 +6,7 @@
 import type { NamedSuccessor, PrimaryRecord, UpstreamIdentity } from '@gladespool/coordination';
 import {
   isMajority,
+  keptSuccessor,
   mayBeSameUpstream,
   namedRecord,
   RecordPhase,
@@ -158,17 +159,16 @@
     return undefined;
   }
 
-  /**
-   * The upstream that the claim before this one has named, if it may still follow. A call for it may take effect
-   * at any time, however long ago it was made, so no other one is called for while it could.
-   */
+  /** The upstream that the claim before this one has named, if this one has to name it as well. */
   private get keptSuccessor(): NamedSuccessor | undefined {
     const { board } = this.ctx;
     const { successor } = this.former;
-    if (successor === undefined || entryOf(board, successor) === undefined) return undefined;
-    if (isEvacuated(board, successor.id)) return undefined;
-    const isRefused = this.refused !== undefined && mayBeSameUpstream(this.refused, successor);
-    return isRefused ? undefined : successor;
+    if (successor === undefined) return undefined;
+    return keptSuccessor(this.former, {
+      isThere: entryOf(board, successor) !== undefined,
+      isEvacuated: isEvacuated(board, successor.id),
+      isRefused: this.refused !== undefined && mayBeSameUpstream(this.refused, successor),
+    });
   }
 
   /**
