fix(gateway): a host that does not see a named successor lead leaves the claim to others

Cause: with the successor fixed by the record, a host that alone did not reach it took its own stalled claim over again and again, so that no other host came to act. Ruled out: naming another upstream (the first may take the lead at any time). Change: after a second attempt for the same upstream without effect the host stands back until others could have called. Figures: three hosts, the caller cut off from the one it called for: another host names it within the 20 s of the scenario, and nobody else is called for; one refused by the platform is followed by the third.

--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -42,6 +42,8 @@
 const HELD_PUT_OFF_MS = 2000;
 /** Time for the answer of a host that held its writes for as long as it may, milliseconds. */
 const HOLD_ANSWER_MS = 100;
+/** Time left to other hosts to take a claim over once they may call, milliseconds: one promotion. */
+const OTHERS_TURN_MS = 1000;
 /** Time for choosing the successor, taken from the end of the wait for silent hosts, milliseconds. */
 const CHOICE_MS = 250;
 
@@ -88,7 +90,7 @@
     const named = await this.name(claim, successor);
     if (named === undefined) return false;
     if (!(await this.promote(named, successor))) return this.giveUp('not-promoted');
-    if (!(await this.lead.takesEffect(successor))) return this.giveUp('no-effect');
+    if (!(await this.lead.takesEffect(successor))) return this.leaveToOthers(claim);
     return this.publish(named, successor);
   }
 
@@ -248,6 +250,17 @@
     return end === CallEnd.Done;
   }
 
+  /**
+   * Ends an attempt whose successor was not seen to lead. Where it was named before already, it may be this host
+   * that does not reach it: the others get the time in which they may take the claim over.
+   */
+  private leaveToOthers(claim: RecordClaim): false {
+    const { dutyWindowMs, dutyGapMs } = this.ctx.rules;
+    const isRepeated = claim.record.successor !== undefined;
+    if (isRepeated) this.notBefore = claim.sentAt + dutyWindowMs + dutyGapMs + OTHERS_TURN_MS;
+    return this.giveUp('no-effect');
+  }
+
   /** Ends the change with a new primary. */
   private async publish(claim: RecordClaim, primary: UpstreamIdentity): Promise<boolean> {
     if (!(await this.nameServing(claim, primary))) return false;
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -39,3 +39,13 @@
     Given 3 hosts that serve a group
     When the primary accepts connections and serves none from now on
     Then another upstream becomes the primary under one fence
+
+  Scenario: The upstream called for goes out of the reach of the host that called
+    Given 3 hosts that serve a group
+    When the primary dies, and the host that calls for another one does not reach that one any more
+    Then the one called for serves, named by another host, and no other one was called for
+
+  Scenario: The platform refuses the upstream called for
+    Given 3 hosts that serve a group
+    When the primary dies, and the upstream first called for dies before the call
+    Then the third upstream serves
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -197,3 +197,60 @@
     }
   },
 );
+
+When(
+  'the primary dies, and the host that calls for another one does not reach that one any more',
+  function (this: ActionWorld) {
+    const { deployment } = this;
+    deployment.group.onPromotion = ({ holder, upstream }) => {
+      if (deployment.group.promotions.length > 1) return;
+      const caller = deployment.hosts.find(({ gateway }) => gateway.board.host === holder);
+      caller?.driver.unreachable.add(upstream);
+    };
+    killPrimary(this);
+  },
+);
+
+Then(
+  'the one called for serves, named by another host, and no other one was called for',
+  { timeout: 20_000 },
+  async function (this: ActionWorld) {
+    const { deployment } = this;
+    const { promotions } = deployment.group;
+    await deployment.until(() => serves(deployment, promotions[0]?.req.upstream));
+    const [first] = promotions;
+    const record = deployment.hosts[0]?.gateway.board.record(GROUP);
+    assert.notEqual(record?.holder, first?.req.holder);
+    const called = new Set(promotions.map(({ req }) => req.upstream));
+    assert.deepEqual([...called], [first?.req.upstream]);
+  },
+);
+
+When(
+  'the primary dies, and the upstream first called for dies before the call',
+  function (this: ActionWorld) {
+    const { group } = this.deployment;
+    group.onCall = (req) => {
+      if (this.firstCalled !== undefined) return;
+      this.firstCalled = req.upstream;
+      const upstream = group.upstreams.get(req.upstream);
+      if (upstream !== undefined) upstream.dead = true;
+    };
+    killPrimary(this);
+  },
+);
+
+Then('the third upstream serves', { timeout: 20_000 }, async function (this: ActionWorld) {
+  const { deployment } = this;
+  await deployment.until(() => this.firstCalled !== undefined);
+  const gone = new Set([FORMER, this.firstCalled]);
+  const third = [...deployment.group.upstreams.keys()].find((id) => !gone.has(id));
+  await deployment.until(() => serves(deployment, third));
+});
+
+/** Whether the first host holds that an upstream serves. */
+function serves(deployment: FakeDeployment, upstream: UpstreamId | undefined): boolean {
+  const record = deployment.hosts[0]?.gateway.board.record(GROUP);
+  const isServing = record?.phase === RecordPhase.Serving;
+  return upstream !== undefined && isServing && record.primary === upstream;
+}
--- a/packages/gateway/tests/fakes/action-world.ts
+++ b/packages/gateway/tests/fakes/action-world.ts
@@ -13,6 +13,8 @@
   deployment: FakeDeployment;
   former: UpstreamId;
   lastCountedAt: number;
+  /** The upstream that was first called for. */
+  firstCalled: UpstreamId | undefined;
   other: FakeHost;
   /** Outcomes of writes that go on until the primary has changed, a list for each host. */
   writing: readonly Promise<readonly Outcome[]>[];
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -49,7 +49,9 @@
 /** The upstreams of one group, and the platform that promotes them. */
 export class FakeGroup implements PromotionPort {
   readonly upstreams = new Map<UpstreamId, FakeUpstream>();
-  /** Called when a call for a promotion has arrived. */
+  /** Called when a call for a promotion arrives, before it is carried out or refused. */
+  onCall: (req: PromotionRequest) => void = () => undefined;
+  /** Called when a call for a promotion has arrived that is carried out. */
   onPromotion: (req: PromotionRequest) => void = () => undefined;
   /** Calls for promotions that arrived, with the time at which they did. */
   readonly promotions: { readonly req: PromotionRequest; readonly at: number }[] = [];
@@ -62,6 +64,7 @@
   }[] = [];
 
   promote(req: PromotionRequest): Promise<Result<PromotionAnswer, GladespoolError>> {
+    this.onCall(req);
     const chosen = this.upstreams.get(req.upstream);
     if (chosen === undefined || chosen.dead) return Promise.resolve(ok(PromotionAnswer.Refused));
     this.promotions.push({ req, at: performance.now() });
