fix(gateway): only the primary of the record in force can be deposed, and a refusal counts for one change

Cause: found by reading the change: a transaction left open over a planned change is refused at the former primary, which was warned of and counted as a deposed one, and could hide a real one; an upstream that the platform had refused in one change passed for refused in the next. Change: both are kept to the record and the change that they belong to; the line of a new primary's lead is written once.

--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -211,6 +211,7 @@
   private async act(record: PrimaryRecord, occasion: Occasion, state: GroupState): Promise<void> {
     state.busy = true;
     const { context } = this.options;
+    if (record.phase === RecordPhase.Serving) state.refused = undefined;
     const attempt = new PromotionAttempt(record, occasion.cause, context, state.refused);
     let done = false;
     try {
@@ -219,7 +220,7 @@
       done = agreed && (await attempt.run());
     } finally {
       state.busy = false;
-      state.refused = done ? undefined : attempt.refused;
+      state.refused = attempt.refused;
       const retryAt = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
       state.notBefore = Math.max(retryAt, attempt.notBefore);
     }
--- a/packages/gateway/src/control/promotion/successor-lead.ts
+++ b/packages/gateway/src/control/promotion/successor-lead.ts
@@ -78,14 +78,17 @@
   async takesEffect(successor: NamedSuccessor): Promise<boolean> {
     const { probe, board } = this.ctx;
     const until = performance.now() + EFFECT_MS;
+    let hasLed = false;
     while (performance.now() < until) {
       const entry = entryOf(board, successor);
       if (entry === undefined) return false;
       const result = await probe.ask(entry, this.group, STATUS_TIMEOUT_MS);
       if (result.kind === 'status' && result.status.isPrimary) {
         if (isBehindChoice(successor, entry, result.status)) return false;
-        if (hasTakenLead(successor, result.status)) this.noteEffect(successor, result);
-        if (hasTakenLead(successor, result.status) && showsAll(result)) return true;
+        const leads = hasTakenLead(successor, result.status);
+        if (leads && !hasLed) this.noteLead(successor, result);
+        if (leads && showsAll(result)) return true;
+        hasLed ||= leads;
       }
       await pause(POLL_MS);
     }
@@ -93,7 +96,7 @@
   }
 
   /** Tells what the new primary holds, and how much of it its reads show already. */
-  private noteEffect({ id, isPrimary }: NamedSuccessor, { status, applied }: StatusResult): void {
+  private noteLead({ id, isPrimary }: NamedSuccessor, { status, applied }: StatusResult): void {
     this.log.info('promotion-took-effect', {
       upstream: id,
       term: status.term,
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -121,9 +121,9 @@
     return this.lead.deniedSince(this.record);
   }
 
-  /** Notes at `now` that the primary of `record` has shown that it leads no more. */
+  /** Notes at `now` that the primary of `record` has shown that it leads no more; a former one need not lead. */
   noteDeposed(record: PrimaryRecord, evidence: DepositionEvidence, now: number): void {
-    if (!this.lead.noteDenied(record, now)) return;
+    if (record.epoch !== this.record?.epoch || !this.lead.noteDenied(record, now)) return;
     const { metrics, log } = this.context;
     metrics.primariesDeposed.inc({ evidence });
     const { group, primary, epoch } = record;
