fix(gateway): a former primary that a claim still names is not taken for a deposed one

Ruled out: the probe (it told the truth). Change: only the primary of a serving record in force can be deposed.

--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -25,6 +25,7 @@
   MarkLog,
   positionText,
   Priority,
+  RecordPhase,
   refuse,
   RetryReason,
   Reuse,
@@ -121,9 +122,11 @@
     return this.lead.deniedSince(this.record);
   }
 
-  /** Notes at `now` that the primary of `record` has shown that it leads no more; a former one need not lead. */
+  /** Notes at `now` that the primary of `record` has shown that it leads no more. */
   noteDeposed(record: PrimaryRecord, evidence: DepositionEvidence, now: number): void {
-    if (record.epoch !== this.record?.epoch || !this.lead.noteDenied(record, now)) return;
+    // A former primary, that a claim still names as well, need not lead.
+    const isInForce = record.epoch === this.record?.epoch && record.phase === RecordPhase.Serving;
+    if (!isInForce || !this.lead.noteDenied(record, now)) return;
     const { metrics, log } = this.context;
     metrics.primariesDeposed.inc({ evidence });
     const { group, primary, epoch } = record;
--- a/packages/gateway/tests/authority-in-action.feature
+++ b/packages/gateway/tests/authority-in-action.feature
@@ -49,3 +49,15 @@
     Given 3 hosts that serve a group
     When the primary dies, and the upstream first called for dies before the call
     Then the third upstream serves
+
+  Scenario: The new primary has still to apply what it received
+    Given 3 hosts that serve a group
+    When 5 writes are confirmed, and the primary dies
+    And whoever follows it needs 400 ms to apply the last 3 of them
+    Then it serves only once its reads show all of them
+
+  Scenario: Another upstream takes the lead while all hosts write and read at the former one
+    Given 3 hosts that serve a group
+    When another upstream is promoted, and the former primary notices
+    Then every host writes at that upstream
+    And the hosts tell of a deposed primary
--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -2,11 +2,14 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { UpstreamId } from '@gladespool/coordination';
-import { RecordPhase, retryAfterMsOf } from '@gladespool/coordination';
+import { hostId, RecordPhase, retryAfterMsOf, upstreamId } from '@gladespool/coordination';
 import type { ActionWorld } from './fakes/action-world.js';
 import { FORMER, host, killPrimary } from './fakes/action-world.js';
 import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
 
+/** An upstream that is no primary at first. */
+const OTHER = upstreamId('u1');
+
 After(async function (this: Partial<ActionWorld>) {
   await this.deployment?.stop();
 });
@@ -248,6 +251,79 @@
   await deployment.until(() => serves(deployment, third));
 });
 
+When(
+  '{int} writes are confirmed, and the primary dies',
+  async function (this: ActionWorld, count: number) {
+    for (let made = 0; made < count; made += 1) {
+      const outcome = await this.deployment.run(host(this, 0), `WRITE x ${made}`);
+      assert.equal(outcome.kind, 'completed');
+    }
+    killPrimary(this);
+  },
+);
+
+When(
+  'whoever follows it needs {int} ms to apply the last {int} of them',
+  function (this: ActionWorld, applyMs: number, unapplied: number) {
+    const { group } = this.deployment;
+    group.onPromotion = ({ upstream }) => {
+      const chosen = group.upstreams.get(upstream);
+      if (chosen === undefined) return;
+      chosen.unapplied = unapplied;
+      setTimeout(() => {
+        chosen.unapplied = 0;
+      }, applyMs);
+    };
+  },
+);
+
+Then(
+  'it serves only once its reads show all of them',
+  { timeout: 20_000 },
+  async function (this: ActionWorld) {
+    const { deployment } = this;
+    const { promotions, upstreams } = deployment.group;
+    await deployment.until(() => serves(deployment, promotions[0]?.req.upstream));
+    const primary = deployment.primary();
+    assert.equal(primary && upstreams.get(primary)?.unapplied, 0);
+  },
+);
+
+When(
+  'another upstream is promoted, and the former primary notices',
+  async function (this: ActionWorld) {
+    const { group } = this.deployment;
+    const former = group.upstreams.get(FORMER);
+    assert.ok(former);
+    await group.promote({
+      group: GROUP,
+      upstream: OTHER,
+      holder: hostId('somebody'),
+      fence: 99,
+      timeoutMs: 1000,
+    });
+    former.isPrimary = false;
+  },
+);
+
+Then('every host writes at that upstream', { timeout: 20_000 }, async function (this: ActionWorld) {
+  const { deployment } = this;
+  for (const each of deployment.hosts) {
+    let outcome = await deployment.run(each, 'WRITE x 1');
+    while (outcome.kind !== 'completed') {
+      await pause(20);
+      outcome = await deployment.run(each, 'WRITE x 1');
+    }
+    assert.deepEqual(outcome.rows, [OTHER]);
+  }
+});
+
+Then('the hosts tell of a deposed primary', async function (this: ActionWorld) {
+  const counters = this.deployment.hosts.map(({ metrics }) => metrics.primariesDeposed.get());
+  const values = (await Promise.all(counters)).flatMap((counter) => counter.values);
+  assert.ok(values.some(({ value }) => value > 0));
+});
+
 /** Whether the first host holds that an upstream serves. */
 function serves(deployment: FakeDeployment, upstream: UpstreamId | undefined): boolean {
   const record = deployment.hosts[0]?.gateway.board.record(GROUP);
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -33,6 +33,8 @@
   deaf = false;
   term = 1;
   offset = 0;
+  /** Commits that it has received and its reads don't show yet. */
+  unapplied = 0;
   /** Grows with each start; connections belong to one. */
   life = 1;
 
@@ -156,7 +158,9 @@
     }
     if (command.kind === 'run') return this.run(command.text, command.after);
     const rows = command.kind === 'status' ? [JSON.stringify(this.status())] : [];
-    return { kind: 'completed', rows, signature: '-', position: this.status().received };
+    const { term, offset, unapplied } = this.upstream;
+    const position = { term, offset: offset - unapplied };
+    return { kind: 'completed', rows, signature: '-', position };
   }
 
   private run(text: string, after: Position | undefined): UpstreamAnswer {
