--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -2,7 +2,13 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { UpstreamId } from '@gladespool/coordination';
-import { hostId, RecordPhase, retryAfterMsOf, upstreamId } from '@gladespool/coordination';
+import {
+  DEFAULT_FAILOVER,
+  hostId,
+  RecordPhase,
+  retryAfterMsOf,
+  upstreamId,
+} from '@gladespool/coordination';
 import type { ActionWorld } from './fakes/action-world.js';
 import { FORMER, host, killPrimary } from './fakes/action-world.js';
 import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
@@ -319,11 +325,26 @@
 });
 
 Then('the hosts tell of a deposed primary', async function (this: ActionWorld) {
-  const counters = this.deployment.hosts.map(({ metrics }) => metrics.primariesDeposed.get());
-  const values = (await Promise.all(counters)).flatMap((counter) => counter.values);
-  assert.ok(values.some(({ value }) => value > 0));
+  assert.ok((await deposedTold(this)) > 0);
 });
 
+Then(
+  'one change was enough, and no host tells of a deposed primary',
+  async function (this: ActionWorld) {
+    // Longer than a deposed primary is looked at before it is changed.
+    await pause(2 * DEFAULT_FAILOVER.suspectAfterMs);
+    assert.equal(this.deployment.hosts[0]?.gateway.board.record(GROUP)?.epoch, 2);
+    assert.equal(await deposedTold(this), 0);
+  },
+);
+
+/** How often the hosts have told of a deposed primary. */
+async function deposedTold({ deployment }: ActionWorld): Promise<number> {
+  const counters = deployment.hosts.map(({ metrics }) => metrics.primariesDeposed.get());
+  const values = (await Promise.all(counters)).flatMap((counter) => counter.values);
+  return values.reduce((sum, { value }) => sum + value, 0);
+}
+
 /** Whether the first host holds that an upstream serves. */
 function serves(deployment: FakeDeployment, upstream: UpstreamId | undefined): boolean {
   const record = deployment.hosts[0]?.gateway.board.record(GROUP);
--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -5,6 +5,7 @@
     When the primary says that it is leaving, and hosts write all the time
     Then another upstream becomes the primary under one fence
     And no write failed, and none ran at the former primary after the change
+    And one change was enough, and no host tells of a deposed primary
 
   Scenario: A primary leaves without saying so, its entry just goes
     Given 3 hosts that serve a group
