--- a/packages/standins/src/free-port.ts
+++ b/packages/standins/src/free-port.ts
@@ -7,10 +7,10 @@
 
 const LOOPBACK = '127.0.0.1';
 
-/** A port of the loopback address that was free a moment ago. */
-export async function freePort(): Promise<number> {
+/** A port of a loopback address that was free a moment ago. */
+export async function freePort(address = LOOPBACK): Promise<number> {
   const server = createServer();
-  server.listen(0, LOOPBACK);
+  server.listen(0, address);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   server.close();
