test(gateway): a read that waits for a busy primary, while another one comes to serve

Cause: found by reading the change once more: a read is bound to an upstream before it waits for one that shed it, and to a record only after that.

--- a/packages/gateway/tests/authority-in-action.steps.ts
+++ b/packages/gateway/tests/authority-in-action.steps.ts
@@ -11,6 +11,7 @@
 } from '@gladespool/coordination';
 import type { ActionWorld } from './fakes/action-world.js';
 import { FORMER, host, killPrimary } from './fakes/action-world.js';
+import { primaryKey } from '../src/control/store/store-documents.js';
 import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
 
 /** An upstream that is no primary at first. */
@@ -345,6 +346,29 @@
   return values.reduce((sum, { value }) => sum + value, 0);
 }
 
+When(
+  'the primary sheds a read, and another upstream serves before the read is tried again',
+  async function (this: ActionWorld) {
+    const { deployment } = this;
+    const { group, store } = deployment;
+    const [former, next] = [group.upstreams.get(FORMER), group.upstreams.get(OTHER)];
+    assert.ok(former && next);
+    former.sheds = 1;
+    group.onShed = () => {
+      former.isPrimary = false;
+      next.isPrimary = true;
+      next.term = 2;
+      const record = { group: GROUP, epoch: 2, phase: RecordPhase.Serving, primary: OTHER };
+      store.put(primaryKey(GROUP), { ...record, holder: 'h9' });
+    };
+    this.answer = await deployment.run(host(this, 0), 'READ x');
+  },
+);
+
+Then('the read is answered by the upstream that serves', function (this: ActionWorld) {
+  assert.deepEqual(this.answer.kind === 'completed' && this.answer.rows, [OTHER]);
+});
+
 /** Whether the first host holds that an upstream serves. */
 function serves(deployment: FakeDeployment, upstream: UpstreamId | undefined): boolean {
   const record = deployment.hosts[0]?.gateway.board.record(GROUP);
--- a/packages/gateway/tests/fakes/action-world.ts
+++ b/packages/gateway/tests/fakes/action-world.ts
@@ -13,6 +13,8 @@
   deployment: FakeDeployment;
   former: UpstreamId;
   lastCountedAt: number;
+  /** Outcome of a single read. */
+  answer: Outcome;
   /** The upstream that was first called for. */
   firstCalled: UpstreamId | undefined;
   other: FakeHost;
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -33,6 +33,8 @@
   deaf = false;
   term = 1;
   offset = 0;
+  /** Statements that it sheds, from now on. */
+  sheds = 0;
   /** Commits that it has received and its reads don't show yet. */
   unapplied = 0;
   /** Grows with each start; connections belong to one. */
@@ -55,6 +57,8 @@
   onCall: (req: PromotionRequest) => void = () => undefined;
   /** Called when a call for a promotion has arrived that is carried out. */
   onPromotion: (req: PromotionRequest) => void = () => undefined;
+  /** Called when an upstream sheds a statement. */
+  onShed: () => void = () => undefined;
   /** Calls for promotions that arrived, with the time at which they did. */
   readonly promotions: { readonly req: PromotionRequest; readonly at: number }[] = [];
   /** Statements that ran, by upstream. */
@@ -166,6 +170,12 @@
   private run(text: string, after: Position | undefined): UpstreamAnswer {
     const { upstream, group } = this;
     const position = this.status().received;
+    if (upstream.sheds > 0) {
+      upstream.sheds -= 1;
+      group.onShed();
+      const fault = UpstreamFault.Busy;
+      return { kind: 'faulted', fault, code: 'BUSY', text: upstream.id, position };
+    }
     if (after !== undefined && after.offset > upstream.offset) {
       const fault = UpstreamFault.Lagging;
       return { kind: 'faulted', fault, code: 'LAGGING', text: upstream.id, position };
