--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -25,7 +25,7 @@
   workspaceId,
 } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
-import { freePort } from '@gladespool/standins';
+import { freePort, LoopbackNetwork } from '@gladespool/standins';
 import type {
   DocumentReading,
   ForeignDocument,
@@ -94,6 +94,7 @@
   readonly store = new FakeStore();
   readonly group = new FakeGroup();
   readonly hosts: FakeHost[] = [];
+  private readonly network = new LoopbackNetwork();
 
   /** Limit of the workspace of the callers' key; undefined while no keys are asked for. */
   limit: WorkspaceLimit | undefined;
@@ -203,12 +204,13 @@
     store.roundTripMs = this.roundTripsMs.get(az) ?? 0;
     const driver = new FakeDriver(this.group);
     const metrics = new HostMetrics();
+    const address = this.network.address(index);
     const gateway = new GatewayHost({
       self: {
         host: hostId(`h${index}`),
         az,
-        address: LOOPBACK,
-        port: await freePort(),
+        address,
+        port: await freePort(address),
         incarnation: index + 1,
         linkMbps: 100,
       },
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,6 +2,7 @@
 export * from './faults/fault-server.js';
 export * from './faults/silencing-proxy.js';
 export * from './free-port.js';
+export * from './loopback-network.js';
 export * from './store/store-server.js';
 export * from './store/store-state.js';
 export * from './upstream/log.js';
