--- a/packages/gateway/src/control/store/store-follower.ts
+++ b/packages/gateway/src/control/store/store-follower.ts
@@ -6,7 +6,7 @@
 import type { GladespoolError } from '@gladespool/coordination';
 import { RetryReason } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
-import type { MetadataStore } from './metadata-store.js';
+import type { MetadataStore, StoreRange } from './metadata-store.js';
 import { StorePurpose } from './metadata-store.js';
 import type { StoreView } from './store-view.js';
 
@@ -98,6 +98,7 @@
       return false;
     }
     this.noteReached();
+    this.noteBehind(range.value);
     // What was read counts also when this host no longer follows, or began anew meanwhile.
     view.replace('', range.value, performance.now());
     return this.turn === turn;
@@ -123,6 +124,16 @@
     return true;
   }
 
+  private noteBehind({ revision: storeRevision, items }: StoreRange): void {
+    const { revision } = this.options.view;
+    if (storeRevision >= revision) return;
+    this.options.log.warn('store-read-behind', {
+      revision,
+      store_revision: storeRevision,
+      items: items.length,
+    });
+  }
+
   private noteLost(error: GladespoolError): void {
     const { step, peer, message } = error;
     if (this.reachable) this.options.log.warn('store-lost', { step, peer, error: message });
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -146,6 +146,12 @@
     registers: [this.registry],
   });
 
+  readonly storeEra = new Gauge({
+    name: 'gladespool_store_era',
+    help: 'How often the metadata store has come back from a copy, as its latest answer told',
+    registers: [this.registry],
+  });
+
   readonly storeCalls = new Counter({
     name: 'gladespool_store_calls_total',
     help: 'Calls to the metadata store, by purpose and result',
