--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -22,6 +22,8 @@
 
 /** What the store holds. */
 export class FakeStore {
+  /** How often it has come back from a copy. */
+  era = 1;
   revision = 1;
   away = false;
   /** Whether it answers reads but refuses every change. */
@@ -29,20 +31,37 @@
   /** Changes that are done but whose answers are lost, from now on. */
   loseAnswers = 0;
   readonly items = new Map<string, StoreItem>();
-  readonly events: { readonly revision: number; readonly event: StoreEvent }[] = [];
+  events: readonly { readonly revision: number; readonly event: StoreEvent }[] = [];
+
+  /** Comes back from a copy that lacks the last `lost` changes; their revisions are given out again. */
+  restore(lost: number): void {
+    this.revision -= lost;
+    this.era += 1;
+    this.items.clear();
+    this.events = this.events.filter(({ revision }) => revision <= this.revision);
+    for (const { event } of this.events) {
+      if (event.kind === 'written') this.items.set(event.item.key, event.item);
+      else this.items.delete(event.key);
+    }
+  }
+
+  /** Adds to the history. */
+  note(event: StoreEvent): void {
+    this.events = [...this.events, { revision: this.revision, event }];
+  }
 
   put(key: string, value: unknown): void {
     this.revision += 1;
     const item = { key, value: JSON.stringify(value), revision: this.revision };
     this.items.set(key, item);
-    this.events.push({ revision: this.revision, event: { kind: 'written', item } });
+    this.note({ kind: 'written', item });
   }
 
   remove(key: string): void {
     this.revision += 1;
     this.items.delete(key);
     const { revision } = this;
-    this.events.push({ revision, event: { kind: 'removed', key, revision } });
+    this.note({ kind: 'removed', key, revision });
   }
 }
 
@@ -89,10 +108,17 @@
     waitMs: number,
   ): Promise<Result<WatchResult, GladespoolError>> {
     const until = performance.now() + waitMs;
-    while (!this.away && this.store.revision <= after && performance.now() < until) {
+    const { era } = this.store;
+    if (after > this.store.revision) return ok({ kind: 'compacted' });
+    while (
+      this.store.era === era &&
+      !this.away &&
+      this.store.revision <= after &&
+      performance.now() < until
+    ) {
       await pause(POLL_MS, undefined, { ref: false });
     }
-    if (this.away) return err(AWAY);
+    if (this.away || this.store.era !== era) return err(AWAY);
     const fresh = this.store.events.filter(({ revision }) => revision > after);
     const events = fresh.map(({ event }) => event);
     return ok({ kind: 'events', events, revision: this.store.revision });
@@ -109,7 +135,7 @@
     for (const { key, value } of change.writes) {
       const item = { key, value, revision: store.revision };
       store.items.set(key, item);
-      store.events.push({ revision: store.revision, event: { kind: 'written', item } });
+      store.note({ kind: 'written', item });
     }
     for (const key of change.removals) store.remove(key);
     if (store.loseAnswers > 0) {
