--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -13,6 +13,7 @@
 export * from './model/request-marks.js';
 export * from './model/retry-reason.js';
 export * from './reads/session-floor.js';
+export * from './model/store-position.js';
 export * from './model/upstream-report.js';
 export * from './model/blackboard.js';
 export * from './authority/damping.js';
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -18,6 +18,7 @@
 import { ClaimLock } from './promotion/claim-lock.js';
 import { DocumentExchange } from './store/document-exchange.js';
 import { DocumentReader } from './store/document-reader.js';
+import { GuardedStore } from './store/guarded-store.js';
 import { HostRound } from './hosts/host-round.js';
 import { HostRetirer } from './hosts/host-retirer.js';
 import type { MetadataStore } from './store/metadata-store.js';
@@ -66,6 +67,7 @@
   readonly calls: PeerCalls;
   private readonly log: Logger;
   private readonly view: StoreView;
+  private readonly store: MetadataStore;
   private readonly order: RelayOrder;
   private readonly follower: StoreFollower;
   private readonly registrar: Registrar;
@@ -85,12 +87,25 @@
     const { self, board, store, documents, metrics, rules } = options;
     this.log = createLogger('control', { host: self.host });
     const reader = new DocumentReader(board, documents, metrics, this.log);
-    this.view = new StoreView(board, reader, this.log, performance.now(), rules.lapse);
+    this.view = new StoreView({
+      board,
+      reader,
+      metrics,
+      log: this.log,
+      startedAt: performance.now(),
+      lapse: rules.lapse,
+    });
+    this.store = new GuardedStore(store, this.view, this.log);
     this.order = new RelayOrder(board);
     this.follower = this.createFollower();
-    this.registrar = new Registrar(self, board, store, this.log);
+    this.registrar = new Registrar(self, board, this.store, this.log);
     this.proofs = this.createProofs();
-    this.founder = new RecordFounder({ board, store, view: this.view, log: this.log });
+    this.founder = new RecordFounder({
+      board,
+      store: this.store,
+      view: this.view,
+      log: this.log,
+    });
     this.network = this.createNetwork();
     this.calls = new PeerCalls(this.network, this.log);
     this.round = new HostRound({ board, order: this.order, calls: this.calls });
@@ -151,14 +166,14 @@
   }
 
   private createFollower(): StoreFollower {
-    const { store, metrics } = this.options;
-    const { view, log } = this;
+    const { metrics } = this.options;
+    const { store, view, log } = this;
     return new StoreFollower({ store, view, metrics, log, rules: DEFAULT_FOLLOWER });
   }
 
   private createProofs(): ProofKeeper {
-    const { self, board, store } = this.options;
-    const { view, follower, registrar, log } = this;
+    const { self, board } = this.options;
+    const { store, view, follower, registrar, log } = this;
     const rules = DEFAULT_PROOFS;
     return new ProofKeeper({ self, board, store, view, follower, registrar, rules, log });
   }
@@ -205,8 +220,8 @@
   }
 
   private createRetirer(): HostRetirer {
-    const { board, store, rules } = this.options;
-    const { view, calls, round, log } = this;
+    const { board, rules } = this.options;
+    const { store, view, calls, round, log } = this;
     return new HostRetirer({ board, view, store, calls, round, rules: rules.retirement, log });
   }
 
@@ -225,7 +240,7 @@
   }
 
   private createPromotions(): PromotionController {
-    const { self, board, directory, store, promotions } = this.options;
+    const { self, board, directory, promotions } = this.options;
     const { holds, home, reach, rules, metrics } = this.options;
     const monitor = new PrimaryMonitor({ board, home, probe: this.probe, rules: DEFAULT_MONITOR });
     return new PromotionController({
@@ -235,7 +250,7 @@
         self,
         board,
         directory,
-        store,
+        store: this.store,
         view: this.view,
         proofs: this.proofs,
         calls: this.calls,
--- a/packages/gateway/src/control/hosts/host-retirer.ts
+++ b/packages/gateway/src/control/hosts/host-retirer.ts
@@ -126,7 +126,7 @@
   private async retire(entry: HostEntry): Promise<void> {
     const { store, view, log } = this.options;
     const key = hostKey(entry.host);
-    const conditions = [{ key, revision: view.revisionOf(key) }];
+    const conditions = [view.conditionOn(key)];
     const change = { conditions, writes: [], removals: [key] };
     const result = await store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
     log.info('host-retired', { retired: entry.host, result: changeEnd(result) });
--- a/packages/gateway/src/control/hosts/host-round.ts
+++ b/packages/gateway/src/control/hosts/host-round.ts
@@ -5,7 +5,7 @@
  * fewer are asked directly.
  */
 import type { AzId, HostId } from '@gladespool/coordination';
-import { Distance, hostId } from '@gladespool/coordination';
+import { Distance, hostId, storePositionText } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -233,17 +233,16 @@
     kind: FrameKind.RoundAnswers,
     round,
     answers: answers.map(({ host, incarnation }) => ({ host, incarnation })),
-    items: [...newestOf(answers.flatMap(({ items }) => items))],
+    items: [...distinct(answers.flatMap(({ items }) => items))],
     done,
   };
 }
 
-/** The newest version of each key. */
-function newestOf(items: readonly StoreItem[]): Iterable<StoreItem> {
-  const newest = new Map<string, StoreItem>();
+/** Each version of each key once; which one is newer is not told by their positions alone. */
+function distinct(items: readonly StoreItem[]): Iterable<StoreItem> {
+  const versions = new Map<string, StoreItem>();
   for (const item of items) {
-    const held = newest.get(item.key);
-    if (held === undefined || held.revision < item.revision) newest.set(item.key, item);
+    versions.set(`${item.key} ${storePositionText(item.position)}`, item);
   }
-  return newest.values();
+  return versions.values();
 }
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -285,9 +285,9 @@
   /** Puts `record` in the place of the claim; undefined when the claim is this host's no more, or nobody tells. */
   private async swap(claim: RecordClaim, record: PrimaryRecord): Promise<StoreItem | undefined> {
     const { store, view } = this.ctx;
-    const { key, revision } = claim.item;
+    const { key, position } = claim.item;
     const value = JSON.stringify(record);
-    const change = { conditions: [{ key, revision }], writes: [{ key, value }], removals: [] };
+    const change = { conditions: [{ key, position }], writes: [{ key, value }], removals: [] };
     const result = await store.change(change, StorePurpose.Record, SWAP_TIMEOUT_MS);
     if (result.isErr() || result.value.kind !== 'done') {
       await this.ctx.proofs.read();
@@ -295,7 +295,7 @@
       this.giveUp(`${step}-${changeEnd(result)}`);
       return undefined;
     }
-    const item = { key, value, revision: result.value.revision };
+    const item = { key, value, position: result.value.position };
     view.takeItems([item], performance.now());
     return item;
   }
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -104,7 +104,7 @@
     const { board, view } = context;
     const placeOf = this.acting.places(now);
     monitor.tick(now, (group) => placeOf(group) === 0);
-    if (board.draining || view.revision === 0 || !board.hosts.has(board.host)) return;
+    if (board.draining || !view.hasRead || !board.hosts.has(board.host)) return;
     for (const record of board.allRecords) {
       if (board.isConfigured(record.group)) this.review(record, placeOf(record.group), now);
     }
@@ -203,7 +203,7 @@
     now: number,
   ): Occasion | undefined {
     const { view } = this.options.context;
-    if (view.revision < view.revisionOf(primaryKey(record.group))) return undefined;
+    if (!view.holdsAllUpTo(primaryKey(record.group))) return undefined;
     state.bornAnewSince ??= now;
     return { cause: PromotionCause.BornAnew, since: state.bornAnewSince };
   }
@@ -283,7 +283,7 @@
 
   private async answerReach(link: PeerLink, ask: FrameOf<FrameKind.ReachAsk>): Promise<void> {
     this.leaveToOther(link.host as HostId, groupId(ask.group));
-    if (this.options.context.view.revision === 0) return;
+    if (!this.options.context.view.hasRead) return;
     const reaches = await this.options.monitor.reaches(groupId(ask.group));
     const answer = { kind: FrameKind.ReachReply, id: ask.id } as const;
     link.send(reaches === undefined ? answer : { ...answer, reaches });
--- a/packages/gateway/src/control/promotion/record-claimer.ts
+++ b/packages/gateway/src/control/promotion/record-claimer.ts
@@ -91,9 +91,9 @@
       await proofs.read();
       return err({ kind: 'not-written' });
     }
-    const { revision } = result.value;
-    const item = { ...own, revision };
-    view.takeItems([item, { ...duty, revision }], confirmedAt);
+    const { position } = result.value;
+    const item = { ...own, position };
+    view.takeItems([item, { ...duty, position }], confirmedAt);
     return ok({ record, item, fence, sentAt, confirmedAt });
   }
 
@@ -110,7 +110,7 @@
   /** Writes that count only if no key has changed since it was seen. */
   private swapOf(writes: StoreChange['writes']): StoreChange {
     const { view } = this.ctx;
-    const conditions = writes.map(({ key }) => ({ key, revision: view.revisionOf(key) }));
+    const conditions = writes.map(({ key }) => view.conditionOn(key));
     return { conditions, writes, removals: [] };
   }
 }
--- a/packages/gateway/src/control/promotion/record-founder.ts
+++ b/packages/gateway/src/control/promotion/record-founder.ts
@@ -37,7 +37,7 @@
   /** Founds what is missing at `now` and due to this host. */
   tick(now: number): void {
     const { board, view } = this.options;
-    if (view.revision === 0 || board.hosts.get(board.host) === undefined) return;
+    if (!view.hasRead || board.hosts.get(board.host) === undefined) return;
     for (const group of board.catalog?.groups.keys() ?? []) {
       if (board.record(group) !== undefined) continue;
       const since = this.missingSince.get(group) ?? now;
@@ -53,7 +53,7 @@
   }
 
   private async found(group: GroupId): Promise<void> {
-    const { board, store, log } = this.options;
+    const { board, store, view, log } = this.options;
     const primary = soleCandidate(board.upstreamsOf(group));
     if (primary === undefined || this.writing.has(group)) return;
     this.writing.add(group);
@@ -67,7 +67,7 @@
     };
     const key = primaryKey(group);
     const change = {
-      conditions: [{ key, revision: 0 }],
+      conditions: [view.conditionOn(key)],
       writes: [{ key, value: JSON.stringify(record) }],
       removals: [],
     };
--- a/packages/gateway/src/control/proofs/proof-keeper.ts
+++ b/packages/gateway/src/control/proofs/proof-keeper.ts
@@ -1,9 +1,10 @@
 /**
  * Renews this host's proof of who the primaries are, by reading its own entry from the store: the answer
- * shows that the host is listed, and up to which revision the documents held have to be complete for
+ * shows that the host is listed, and up to which change the documents held have to be complete for
  * their records to be those of the store. Its cost does not grow with the number of hosts.
  */
-import type { GladespoolError } from '@gladespool/coordination';
+import type { GladespoolError, StorePosition } from '@gladespool/coordination';
+import { isLater, storePositionText } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import { DocumentVerdict } from '@gladespool/observability';
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
@@ -85,15 +86,15 @@
     const entries = [...board.hosts.values()];
     const hosts = new Map(entries.map((entry) => [entry.host, entry.incarnation] as const));
     const { listedHosts: listed } = board;
-    return { readAt: this.listedAt, revision: view.ownRevision, hosts, listed };
+    return { readAt: this.listedAt, position: view.ownPosition, hosts, listed };
   }
 
   /** Notes that a majority of `list` renewed the proof, by a round that began at `sentAt`. */
-  noteRenewal(sentAt: number, { revision }: HostList): void {
-    this.takeProof({ sentAt, revision, isFromStore: false });
+  noteRenewal(sentAt: number, { position }: HostList): void {
+    this.takeProof({ sentAt, position, isFromStore: false });
   }
 
-  /** Takes a proof, be it passed on; this host's own documents are complete up to its revision. */
+  /** Takes a proof, be it passed on; this host's own documents are complete up to its position. */
   takeProof(proof: PassableProof): void {
     const { board, self } = this.options;
     const { sentAt, isFromStore } = proof;
@@ -111,8 +112,8 @@
   }
 
   /** A proof covers only hosts that were listed then: whoever changes a primary asks just those. */
-  private covers({ revision }: PassableProof, host: string, incarnation: number): boolean {
-    return this.options.view.wasListed(host, incarnation, revision);
+  private covers({ position }: PassableProof, host: string, incarnation: number): boolean {
+    return this.options.view.wasListed(host, incarnation, position);
   }
 
   private async readOnce(): Promise<boolean> {
@@ -121,7 +122,7 @@
     this.lastSentAt = sentAt;
     const entry = await store.read(hostKey(self.host), StorePurpose.Proof, rules.timeoutMs);
     if (entry.isErr()) return this.noteFailure(entry.error);
-    if (this.isOwn(entry.value)) return this.complete(entry.value.revision, sentAt);
+    if (this.isOwn(entry.value)) return this.complete(entry.value.position, sentAt);
     // A host that was taken off the list learns of it first, since it lists itself only if it is not listed.
     if (this.options.registrar.isListed) await this.readDocuments();
     void this.register();
@@ -136,16 +137,16 @@
     return reading.document.entry.incarnation === this.options.self.incarnation;
   }
 
-  /** Takes a read that showed `revision` of the store, once the documents up to there are held. */
-  private async complete(revision: number, sentAt: number): Promise<boolean> {
+  /** Takes a read that showed `position` of the store, once the documents up to there are held. */
+  private async complete(position: StorePosition, sentAt: number): Promise<boolean> {
     const { view, follower, rules } = this.options;
-    if (view.ownRevision < revision && follower.watches) {
-      await view.waitForOwn(revision, rules.watchLagMs);
+    if (isLater(position, view.ownPosition) && follower.watches) {
+      await view.waitForOwn(position, rules.watchLagMs);
     }
-    if (view.ownRevision < revision) return this.readDocuments();
-    this.takeProof({ sentAt, revision, isFromStore: true });
-    if (view.revision >= revision) view.noteCurrent(sentAt);
-    else this.checkWatch(revision);
+    if (isLater(position, view.ownPosition)) return this.readDocuments();
+    this.takeProof({ sentAt, position, isFromStore: true });
+    if (isLater(position, view.position)) this.checkWatch(position);
+    else view.noteCurrent(sentAt);
     return true;
   }
 
@@ -155,10 +156,10 @@
     const sentAt = performance.now();
     const range = await store.range(OWN_PREFIX, StorePurpose.Proof, rules.timeoutMs);
     if (range.isErr()) return this.noteFailure(range.error);
-    const { revision } = range.value;
+    const { position } = range.value;
     view.replace(OWN_PREFIX, range.value, performance.now());
-    this.takeProof({ sentAt, revision, isFromStore: true });
-    this.checkWatch(revision);
+    this.takeProof({ sentAt, position, isFromStore: true });
+    this.checkWatch(position);
     return true;
   }
 
@@ -178,24 +179,29 @@
     const registration = await registrar.ensure();
     if (registration === undefined) return;
     const { item, sentAt } = registration;
-    const isAllHeld = view.ownRevision >= item.revision - 1;
+    const { position } = item;
+    const before = { ...position, revision: position.revision - 1 };
+    const isAllHeld = !isLater(before, view.ownPosition);
     view.takeItems([item], performance.now());
     if (!isAllHeld) return;
-    view.noteOwnComplete(item.revision);
-    this.takeProof({ sentAt, revision: item.revision, isFromStore: true });
+    view.noteOwnComplete(position);
+    this.takeProof({ sentAt, position, isFromStore: true });
   }
 
   /** A watch that has not brought a change within an interval has lost it; without one all is read. */
-  private checkWatch(revision: number): void {
+  private checkWatch(position: StorePosition): void {
     const { view, follower, log, rules } = this.options;
-    if (view.revision >= revision) return;
+    if (!isLater(position, view.position)) return;
     if (!follower.watches) {
       void follower.catchUp();
       return;
     }
     setTimeout(() => {
-      if (view.revision >= revision) return;
-      log.info('watch-behind', { revision: view.revision, store_revision: revision });
+      if (!isLater(position, view.position)) return;
+      log.info('watch-behind', {
+        position: storePositionText(view.position),
+        store_position: storePositionText(position),
+      });
       follower.resync();
     }, rules.intervalMs / 2);
   }
--- a/packages/gateway/src/control/proofs/sync-answers.ts
+++ b/packages/gateway/src/control/proofs/sync-answers.ts
@@ -3,6 +3,7 @@
  * has a newer proof or has heard of a change, so that each proof is passed on once and at once, however
  * many hosts ask.
  */
+import { isLater } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -45,7 +46,7 @@
     });
     // A changed record is awaited by callers; other news wait for the next tick, so that many go together.
     board.onChange(BoardSection.Records, () => {
-      this.answerWhere(({ ask }) => ask.heard < view.newest);
+      this.answerWhere(({ ask }) => isLater(view.newest, ask.heard));
     });
   }
 
@@ -53,7 +54,7 @@
   tick(now: number): void {
     const { view } = this.options;
     this.answerWhere(
-      ({ ask, arrivedAt }) => ask.heard < view.newest || now - arrivedAt >= ask.waitMs,
+      ({ ask, arrivedAt }) => isLater(view.newest, ask.heard) || now - arrivedAt >= ask.waitMs,
     );
   }
 
@@ -88,11 +89,11 @@
     const reply: SyncReply = {
       kind: FrameKind.SyncReply,
       id: ask.id,
-      revision: view.revision,
+      position: view.position,
       newest: view.newest,
-      documentsRevision: view.documentsRevision,
+      documentsPosition: view.documentsPosition,
     };
-    const own = view.ownChangesSince(ask.ownRevision);
+    const own = view.ownChangesSince(ask.ownPosition);
     if (own !== undefined) {
       reply.own = { ...own, items: [...own.items], removed: [...own.removed] };
     }
@@ -109,7 +110,7 @@
   private proofFor(ask: SyncAsk, arrivedAt: number): SyncReply['proof'] {
     const proof = this.options.proofs.passableTo(ask.host, ask.incarnation);
     if (proof === undefined) return undefined;
-    const { sentAt, revision, isFromStore } = proof;
-    return { ageMs: arrivedAt - sentAt, revision, isFromStore };
+    const { sentAt, position, isFromStore } = proof;
+    return { ageMs: arrivedAt - sentAt, position, isFromStore };
   }
 }
--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -5,6 +5,7 @@
  * that still has it, and hosts stand in for those before them in order.
  */
 import type { AzId } from '@gladespool/coordination';
+import { isLater, laterOf, STORE_START } from '@gladespool/coordination';
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -83,8 +84,8 @@
   private turn = 0;
   /** The host whose answer last made this one current. */
   private helpful: PeerAddress | undefined;
-  /** Revision of the newest change that any answer told of. */
-  private heard = 0;
+  /** Position of the latest change that any answer told of. */
+  private heard = STORE_START;
   /** Whether a question waits at this host's parent. */
   private waiting = false;
   /** Whether the list of hosts has changed since the latest read of this host began. */
@@ -115,8 +116,8 @@
   /** Reads the store once, and lists this host with what it has read. */
   private async enlist(): Promise<void> {
     const { proofs, follower, view } = this.options;
-    if (view.revision === 0) await follower.catchUp();
-    if (view.revision > 0) await proofs.register();
+    if (!view.hasRead) await follower.catchUp();
+    if (view.hasRead) await proofs.register();
   }
 
   /** Reads the store for all others, or asks the parent, whichever is this host's part. */
@@ -213,7 +214,7 @@
     while (next !== undefined) {
       const heardBefore = this.heard;
       const renewed = await this.ask(next, this.options.rules.waitMs);
-      next = renewed || this.heard > heardBefore ? this.parentToAsk() : undefined;
+      next = renewed || isLater(this.heard, heardBefore) ? this.parentToAsk() : undefined;
     }
     this.waiting = false;
   }
@@ -231,8 +232,8 @@
     const question = {
       host,
       incarnation,
-      ownRevision: view.ownRevision,
-      heard: Math.max(this.heard, view.newest),
+      ownPosition: view.ownPosition,
+      heard: laterOf(this.heard, view.newest),
       waitMs,
       ...(Number.isFinite(provenSince) && { proofAgeMs: sentAt - provenSince }),
     };
@@ -253,19 +254,19 @@
   private take(reply: SyncReply, peer: PeerAddress, sentAt: number): void {
     const { view, proofs, documents } = this.options;
     const { own, proof, documentsAgeMs } = reply;
-    this.heard = Math.max(this.heard, reply.newest);
+    this.heard = laterOf(this.heard, reply.newest);
     if (own !== undefined) view.takeOwn(own, performance.now());
     // The age counts from the arrival of the question, which was not before its sending.
-    if (proof !== undefined && view.ownRevision >= proof.revision) {
-      const { ageMs, revision, isFromStore } = proof;
-      proofs.takeProof({ sentAt: sentAt - ageMs, revision, isFromStore });
+    if (proof !== undefined && !isLater(proof.position, view.ownPosition)) {
+      const { ageMs, position, isFromStore } = proof;
+      proofs.takeProof({ sentAt: sentAt - ageMs, position, isFromStore });
     }
-    if (own !== undefined && reply.documentsRevision <= view.revision) {
-      view.noteNothingElse(reply.revision);
-    } else if (reply.revision > view.revision) {
+    if (own !== undefined && !isLater(reply.documentsPosition, view.position)) {
+      view.noteNothingElse(reply.position);
+    } else if (isLater(reply.position, view.position)) {
       void documents.fetch(peer);
     }
-    const isComplete = view.revision >= reply.revision;
+    const isComplete = !isLater(reply.position, view.position);
     if (isComplete && documentsAgeMs !== undefined) view.noteCurrent(sentAt - documentsAgeMs);
   }
 }
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -2,8 +2,15 @@
  * Puts on the board what follows from the documents held.
  */
 import { isDeepStrictEqual } from 'node:util';
-import type { AzId, GroupId, HostId, LapseRules, UpstreamId } from '@gladespool/coordination';
-import { recordInDoubt } from '@gladespool/coordination';
+import type {
+  AzId,
+  GroupId,
+  HostId,
+  LapseRules,
+  StorePosition,
+  UpstreamId,
+} from '@gladespool/coordination';
+import { recordInDoubt, storePositionText } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import { BoardSection } from '../../knowledge/board.js';
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
@@ -25,6 +32,8 @@
     private readonly documents: HeldDocuments,
     private readonly log: Logger,
     lapse: LapseRules,
+    /** Whether a key is held that the present era of the store does not have. */
+    private readonly isMissing: (key: string) => boolean,
   ) {
     this.lapsed = new LapsedUpstreams(lapse, log);
   }
@@ -33,26 +42,30 @@
   take(
     document: StoreDocument,
     former: HeldDocument | undefined,
-    revision: number,
+    position: StorePosition,
     now: number,
   ): void {
     this.noteChange(former, document);
     switch (document.kind) {
       case 'catalog':
-        this.takeCatalog(document.catalog, revision);
+        this.takeCatalog(document.catalog, position);
         return;
       case 'primary': {
         const { record } = document;
         const successor = record.successor?.id;
         if (!this.board.putRecord(record)) return;
-        this.log.info('record-taken', { ...record, successor, revision });
+        this.log.info('record-taken', {
+          ...record,
+          successor,
+          position: storePositionText(position),
+        });
         return;
       }
       case 'upstream':
         this.lapsed.remove(document.entry.id);
         return;
       case 'evacuation':
-        this.evacuate(document.az, revision, now);
+        this.evacuate(document.az, position, now);
         return;
       default:
     }
@@ -63,12 +76,12 @@
     return this.lapsed.entry(id);
   }
 
-  /** Notes that a document was removed at `revision`. */
-  takeRemoval(document: HeldDocument, revision: number, now: number): void {
+  /** Notes that a document was removed at `position`. */
+  takeRemoval(document: HeldDocument, position: StorePosition, now: number): void {
     const section = SECTIONS.get(document.kind);
     if (section !== undefined) this.outdated.add(section);
     if (document.kind === 'upstream') this.lapsed.add(document.entry, now);
-    if (document.kind === 'evacuation') this.endEvacuation(document.az, revision);
+    if (document.kind === 'evacuation') this.endEvacuation(document.az, position);
   }
 
   /**
@@ -78,13 +91,13 @@
   takeUnreadable(
     key: string,
     former: HeldDocument | undefined,
-    revision: number,
+    position: StorePosition,
     now: number,
   ): void {
-    if (former?.kind === 'upstream') this.takeRemoval(former, revision, now);
+    if (former?.kind === 'upstream') this.takeRemoval(former, position, now);
     if (hostOfKey(key) !== undefined) this.outdated.add(BoardSection.Hosts);
     const group = groupOfKey(key);
-    if (group !== undefined) this.doubtRecord(group, revision);
+    if (group !== undefined) this.doubtRecord(group, position);
   }
 
   /** Notes that a version of a key that could not be read was removed, or replaced by one that can. */
@@ -92,6 +105,11 @@
     if (hostOfKey(key) !== undefined) this.outdated.add(BoardSection.Hosts);
   }
 
+  /** Notes that the store has lost this host's own entry. */
+  noteOwnEntryLost(): void {
+    this.outdated.add(BoardSection.Hosts);
+  }
+
   /** Looks at the upstreams whose entries are missing; `current` while the documents are the store's. */
   review(current: boolean, now: number): void {
     if (this.lapsed.review(current, now)) this.outdated.add(BoardSection.Upstreams);
@@ -114,36 +132,48 @@
   }
 
   /** A catalog that names other groups than the one before can change which upstreams are used. */
-  private takeCatalog(catalog: Catalog, revision: number): void {
+  private takeCatalog(catalog: Catalog, position: StorePosition): void {
     if (!this.board.putCatalog(catalog)) return;
-    this.log.info('catalog-in-force', { version: catalog.version, revision });
+    this.log.info('catalog-in-force', {
+      version: catalog.version,
+      position: storePositionText(position),
+    });
     const used = this.upstreams();
     const shown = this.board.upstreams;
     const isSame = used.size === shown.size && [...used.keys()].every((id) => shown.has(id));
     if (!isSame) this.outdated.add(BoardSection.Upstreams);
   }
 
-  private doubtRecord(group: GroupId, revision: number): void {
-    const record = recordInDoubt(group, this.board.record(group), revision);
+  private doubtRecord(group: GroupId, position: StorePosition): void {
+    const record = recordInDoubt(group, this.board.record(group), position);
     if (!this.board.putRecord(record)) return;
     const { epoch, primary } = record;
-    this.log.warn('record-in-doubt', { group, epoch, primary, revision });
+    this.log.warn('record-in-doubt', {
+      group,
+      epoch,
+      primary,
+      position: storePositionText(position),
+    });
   }
 
   /**
    * Notes an evacuation. The request may be as old as the documents held until now: a host that starts, or
    * that has not heard of the store for long, must not take it for new.
    */
-  private evacuate(az: AzId, revision: number, now: number): void {
+  private evacuate(az: AzId, position: StorePosition, now: number): void {
     if (this.lastInUseAt.has(az)) return;
     const inUseAt = Math.min(now, this.board.catalogConfirmedAt);
     this.lastInUseAt.set(az, inUseAt);
-    this.log.info('zone-evacuated', { az, revision, at_most_ms: Math.round(now - inUseAt) });
+    this.log.info('zone-evacuated', {
+      az,
+      position: storePositionText(position),
+      at_most_ms: Math.round(now - inUseAt),
+    });
   }
 
-  private endEvacuation(az: AzId, revision: number): void {
+  private endEvacuation(az: AzId, position: StorePosition): void {
     this.lastInUseAt.delete(az);
-    this.log.info('evacuation-ended', { az, revision });
+    this.log.info('evacuation-ended', { az, position: storePositionText(position) });
   }
 
   /** Notes which section of the board a document changes; one that was only written again changes none. */
@@ -171,8 +201,10 @@
     for (const document of this.documents.all) {
       if (document.kind === 'host') hosts.set(document.entry.host, document.entry);
     }
-    // A host whose own entry can't be read has to write it again, as one that is not listed.
-    if (this.documents.isUnreadable(hostKey(this.board.host))) hosts.delete(this.board.host);
+    // A host whose own entry can't be read, or was lost, has to write it again, as one that is not listed.
+    const ownKey = hostKey(this.board.host);
+    const isListed = !this.documents.isUnreadable(ownKey) && !this.isMissing(ownKey);
+    if (!isListed) hosts.delete(this.board.host);
     return hosts;
   }
 
--- a/packages/gateway/src/control/store/document-exchange.ts
+++ b/packages/gateway/src/control/store/document-exchange.ts
@@ -2,6 +2,8 @@
  * Passes documents of the store on to other hosts, and fetches what this host lacks of them: one fetch at
  * a time, with time enough for a long configuration on a slow link.
  */
+import type { StorePosition } from '@gladespool/coordination';
+import { isSamePosition, storePositionText } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
@@ -21,10 +23,10 @@
 
 /** A reply that may serve several hosts. */
 interface PackedReply {
-  /** Revision up to which the asker was complete. */
-  readonly since: number;
-  /** Revision up to which it is complete with this. */
-  readonly upTo: number;
+  /** Position up to which the asker was complete. */
+  readonly since: StorePosition;
+  /** Position up to which it is complete with this. */
+  readonly upTo: StorePosition;
   /** Whether these are all documents; else what changed since. */
   readonly complete: boolean;
   readonly packed: Uint8Array;
@@ -59,11 +61,11 @@
 
   private async fetchOnce(peer: PeerAddress): Promise<void> {
     const { view, calls, log } = this.options;
-    const { revision } = view;
-    const ask = (id: number) => ({ kind: FrameKind.DocumentsAsk, id, revision }) as const;
+    const { position } = view;
+    const ask = (id: number) => ({ kind: FrameKind.DocumentsAsk, id, position }) as const;
     const result = await calls.ask(peer, ask, FETCH_TIMEOUT_MS);
     if (result.isErr() || result.value.kind !== FrameKind.DocumentsReply) {
-      log.info('documents-not-fetched', { from: peer.host, revision });
+      log.info('documents-not-fetched', { from: peer.host, position: storePositionText(position) });
       return;
     }
     const reply = result.value;
@@ -72,21 +74,26 @@
       log.warn('documents-not-fetched', { from: peer.host, error: documents.error.message });
       return;
     }
-    const { complete, revision: upTo } = reply;
-    view.merge({ complete, revision: upTo, ...documents.value }, performance.now());
+    const { complete, position: upTo } = reply;
+    view.merge({ complete, position: upTo, ...documents.value }, performance.now());
   }
 
   private answer(link: PeerLink, ask: FrameOf<FrameKind.DocumentsAsk>): void {
-    const { complete, upTo, packed } = this.packedSince(ask.revision);
-    link.send({ kind: FrameKind.DocumentsReply, id: ask.id, complete, revision: upTo, packed });
+    const { complete, upTo, packed } = this.packedSince(ask.position);
+    link.send({ kind: FrameKind.DocumentsReply, id: ask.id, complete, position: upTo, packed });
   }
 
-  private packedSince(since: number): PackedReply {
+  private packedSince(since: StorePosition): PackedReply {
+    const { latest } = this;
     const { view } = this.options;
-    if (this.latest?.since === since && this.latest.upTo === view.revision) return this.latest;
-    const { complete, revision, items, removed } = view.deltaSince(since);
+    const isLatest =
+      latest !== undefined &&
+      isSamePosition(latest.since, since) &&
+      isSamePosition(latest.upTo, view.position);
+    if (isLatest) return latest;
+    const { complete, position, items, removed } = view.deltaSince(since);
     const packed = packDocuments({ items, removed });
-    this.latest = { since, upTo: revision, complete, packed };
+    this.latest = { since, upTo: position, complete, packed };
     return this.latest;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/control/store/document-order.ts
@@ -0,0 +1,47 @@
+/**
+ * Which of two versions of a document is the older one, where they are of different eras of the store and their
+ * positions say nothing about it.
+ */
+import { isDeepStrictEqual } from 'node:util';
+import { recordRank } from '@gladespool/coordination';
+import type { StoreDocument } from './held-documents.js';
+
+type DocumentOf<Kind extends StoreDocument['kind']> = Extract<
+  StoreDocument,
+  { readonly kind: Kind }
+>;
+
+/** Whether `document` is surely or possibly older than `known`, by what their writers have put into them. */
+export function isOlderDocument(document: StoreDocument, known: StoreDocument): boolean {
+  if (document.kind === 'catalog' && known.kind === 'catalog') {
+    return document.catalog.version < known.catalog.version;
+  }
+  if (document.kind === 'primary' && known.kind === 'primary') {
+    return recordRank(document.record) < recordRank(known.record);
+  }
+  if (document.kind === 'duty' && known.kind === 'duty') return isOlderDuty(document, known);
+  if (document.kind === 'host' && known.kind === 'host') {
+    return document.entry.incarnation < known.entry.incarnation;
+  }
+  if (document.kind === 'upstream' && known.kind === 'upstream') {
+    return isOlderUpstream(document, known);
+  }
+  return false;
+}
+
+function isOlderDuty({ duty }: DocumentOf<'duty'>, known: DocumentOf<'duty'>): boolean {
+  if (duty.fence !== known.duty.fence) return duty.fence < known.duty.fence;
+  return duty.renewal < known.duty.renewal;
+}
+
+/** Entries of two births have no order, nor have those that count no writes; either may be the older one. */
+function isOlderUpstream(
+  { entry, sequence }: DocumentOf<'upstream'>,
+  known: DocumentOf<'upstream'>,
+): boolean {
+  if (entry.born !== known.entry.born) return true;
+  if (sequence === undefined || known.sequence === undefined) {
+    return !isDeepStrictEqual(entry, known.entry);
+  }
+  return sequence < known.sequence;
+}
--- a/packages/gateway/src/control/store/document-reader.ts
+++ b/packages/gateway/src/control/store/document-reader.ts
@@ -1,6 +1,7 @@
 /**
  * Reads what the metadata store holds, counts what became of it, and tells of documents that can't be used.
  */
+import { storePositionText } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { DocumentVerdict } from '@gladespool/observability';
 import type { GatewayBoard } from '../../knowledge/board.js';
@@ -44,11 +45,11 @@
   }
 
   private tell(
-    { key, revision }: StoreItem,
+    { key, position }: StoreItem,
     verdict: DocumentVerdict,
     reading: DocumentReading<StoreDocument>,
   ): void {
-    const logged = { key: key.slice(0, MAX_TOLD_CHARS), revision };
+    const logged = { key: key.slice(0, MAX_TOLD_CHARS), position: storePositionText(position) };
     if (reading.verdict === DocumentVerdict.Unreadable) {
       const place = reading.place.slice(0, MAX_TOLD_CHARS);
       this.log.warn('store-document-unreadable', { ...logged, place });
--- a/packages/gateway/src/control/store/foreign-documents.ts
+++ b/packages/gateway/src/control/store/foreign-documents.ts
@@ -8,7 +8,12 @@
 /** A document that others keep in the store: operators and upstreams. */
 export type ForeignDocument =
   | { readonly kind: 'catalog'; readonly catalog: Catalog }
-  | { readonly kind: 'upstream'; readonly entry: UpstreamEntry }
+  | {
+      readonly kind: 'upstream';
+      readonly entry: UpstreamEntry;
+      /** Grows with each write of the same process; missing where it tells none. */
+      readonly sequence?: number;
+    }
   /** Upstreams of the zone are to get no work for as long as the document is there. */
   | { readonly kind: 'evacuation'; readonly az: AzId };
 
--- /dev/null
+++ b/packages/gateway/src/control/store/guarded-store.ts
@@ -0,0 +1,95 @@
+/**
+ * The metadata store as the gateway uses it: answers of an era that is over are told and not used, and a change whose
+ * conditions are of another era than the present one is not made.
+ */
+import type { GladespoolError, StorePosition } from '@gladespool/coordination';
+import { gladespoolError, Step } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type {
+  ChangeResult,
+  MetadataStore,
+  StoreChange,
+  StoreEntry,
+  StorePurpose,
+  StoreRange,
+  WatchResult,
+} from './metadata-store.js';
+
+/** What the guard knows of the present era. */
+export interface EraKnowledge {
+  /** Position of the latest change that this host has heard of. */
+  readonly newest: StorePosition;
+}
+
+/** A store whose answers and changes are of one era. */
+export class GuardedStore implements MetadataStore {
+  constructor(
+    private readonly store: MetadataStore,
+    private readonly known: EraKnowledge,
+    private readonly log: Logger,
+  ) {}
+
+  async range(
+    prefix: string,
+    purpose: StorePurpose,
+    timeoutMs: number,
+  ): Promise<Result<StoreRange, GladespoolError>> {
+    const range = await this.store.range(prefix, purpose, timeoutMs);
+    return range.andThen((read) => this.ofPresentEra(read, read.position, Step.StoreRead));
+  }
+
+  async read(
+    key: string,
+    purpose: StorePurpose,
+    timeoutMs: number,
+  ): Promise<Result<StoreEntry, GladespoolError>> {
+    const entry = await this.store.read(key, purpose, timeoutMs);
+    return entry.andThen((read) => this.ofPresentEra(read, read.position, Step.StoreRead));
+  }
+
+  async watch(
+    prefix: string,
+    after: StorePosition,
+    waitMs: number,
+  ): Promise<Result<WatchResult, GladespoolError>> {
+    const result = await this.store.watch(prefix, after, waitMs);
+    return result.andThen((told) =>
+      told.kind === 'events' ? this.ofPresentEra(told, told.position, Step.StoreWatch) : ok(told),
+    );
+  }
+
+  /** An answer of another era than that of the conditions leaves open what the change met there. */
+  async change(
+    change: StoreChange,
+    purpose: StorePurpose,
+    timeoutMs: number,
+  ): Promise<Result<ChangeResult, GladespoolError>> {
+    const { era } = this.known.newest;
+    if (change.conditions.some(({ position }) => position.era !== era)) {
+      return ok({ kind: 'conflict' });
+    }
+    const result = await this.store.change(change, purpose, timeoutMs);
+    if (result.isErr() || result.value.kind === 'conflict') return result;
+    const { position } = result.value;
+    if (position.era === era || change.conditions.length === 0) return result;
+    this.log.warn('store-change-in-other-era', { era, done_in: position.era });
+    return err(gladespoolError(place(Step.StoreWrite), 'changed in another era of the store'));
+  }
+
+  private ofPresentEra<Answer>(
+    answer: Answer,
+    { era }: StorePosition,
+    step: Step,
+  ): Result<Answer, GladespoolError> {
+    const { newest } = this.known;
+    if (era >= newest.era) return ok(answer);
+    this.log.warn('store-answer-of-former-era', { step, era, present: newest.era });
+    return err(gladespoolError(place(step), 'answer of a former era of the store'));
+  }
+}
+
+function place(step: Step): { readonly step: Step; readonly peer: string } {
+  return { step, peer: 'metadata store' };
+}
--- a/packages/gateway/src/control/store/held-documents.ts
+++ b/packages/gateway/src/control/store/held-documents.ts
@@ -1,6 +1,8 @@
 /**
- * The documents of the store that a host holds, by key, and since which revision.
+ * The documents of the store that a host holds, by key, and since which change.
  */
+import type { StorePosition } from '@gladespool/coordination';
+import { isLater, laterOf, STORE_START } from '@gladespool/coordination';
 import type { ForeignDocument } from './foreign-documents.js';
 import type { StoreItem } from './metadata-store.js';
 import type { OwnDocument } from './store-documents.js';
@@ -15,14 +17,14 @@
 /** Longest unreadable text that is kept, characters; a longer one is kept and passed on as an empty one. */
 const MAX_KEPT_CHARS = 4096;
 
-/** Documents by key, with the newest revisions heard of. */
+/** Documents by key, with the latest positions heard of. */
 export class HeldDocuments {
-  /** Revision of the store of the newest change that this host has heard of. */
-  newest = 0;
-  /** Revision of the latest change of one of the gateway's own documents. */
-  ownNewest = 0;
-  /** Revision of the latest change of a document that is none of the gateway's own. */
-  foreignNewest = 0;
+  /** Position of the latest change that this host has heard of. */
+  newest = STORE_START;
+  /** Position of the latest change of one of the gateway's own documents. */
+  ownNewest = STORE_START;
+  /** Position of the latest change of a document that is none of the gateway's own. */
+  foreignNewest = STORE_START;
   private readonly held = new Map<string, HeldDocument>();
   /** Newest versions that can't be read; the last readable one stays in `held`, except an upstream's. */
   private readonly unreadable = new Map<string, StoreItem>();
@@ -55,14 +57,14 @@
   put(document: StoreDocument, item: StoreItem): void {
     this.held.set(item.key, { ...document, item });
     this.unreadable.delete(item.key);
-    this.noteRevision(item.key, item.revision);
+    this.notePosition(item.key, item.position);
   }
 
   /** Notes that the newest version of a key can't be read. */
   putUnreadable(item: StoreItem): void {
     const value = item.value.length > MAX_KEPT_CHARS ? '' : item.value;
     this.unreadable.set(item.key, { ...item, value });
-    this.noteRevision(item.key, item.revision);
+    this.notePosition(item.key, item.position);
   }
 
   /** Whether the newest version of a key can't be read. */
@@ -75,36 +77,39 @@
     this.held.delete(key);
   }
 
-  /** Drops a key that was removed at `revision`; returns what was held of it. */
-  drop(key: string, revision: number): HeldDocument | undefined {
+  /** Drops a key that was removed at `position`; returns what was held of it. */
+  drop(key: string, position: StorePosition): HeldDocument | undefined {
     const held = this.held.get(key);
     this.held.delete(key);
     this.unreadable.delete(key);
-    this.noteRevision(key, revision);
+    this.notePosition(key, position);
     return held;
   }
 
-  /** Revision of a key's latest change, be it readable or not; 0 when it is not there. */
-  revisionOf(key: string): number {
-    const newest = this.unreadable.get(key) ?? this.held.get(key)?.item;
-    return newest?.revision ?? 0;
+  /** Position of a key's latest change, be it readable or not; undefined when it is not there. */
+  positionOf(key: string): StorePosition | undefined {
+    return (this.unreadable.get(key) ?? this.held.get(key)?.item)?.position;
   }
 
-  /** Whether a host was listed with this incarnation at `revision` of the store, and still is. */
-  wasListed(host: string, incarnation: number, revision: number): boolean {
+  /**
+   * Whether a host was listed with this incarnation at `position` of the store, and still is. An entry of another
+   * era is not in the store: whoever reads the list there does not see it.
+   */
+  wasListed(host: string, incarnation: number, position: StorePosition): boolean {
     const held = this.held.get(hostKey(host));
     if (held?.kind !== 'host' || held.entry.incarnation !== incarnation) return false;
-    return held.item.revision <= revision;
+    const { position: listedAt } = held.item;
+    return listedAt.era === position.era && !isLater(listedAt, position);
   }
 
-  /** Notes that everything up to `revision` was read. */
-  noteComplete(revision: number): void {
-    this.foreignNewest = Math.max(this.foreignNewest, revision);
+  /** Notes that everything up to `position` was read. */
+  noteComplete(position: StorePosition): void {
+    this.foreignNewest = laterOf(this.foreignNewest, position);
   }
 
-  private noteRevision(key: string, revision: number): void {
-    this.newest = Math.max(this.newest, revision);
-    if (key.startsWith(OWN_PREFIX)) this.ownNewest = Math.max(this.ownNewest, revision);
-    else this.foreignNewest = Math.max(this.foreignNewest, revision);
+  private notePosition(key: string, position: StorePosition): void {
+    this.newest = laterOf(this.newest, position);
+    if (key.startsWith(OWN_PREFIX)) this.ownNewest = laterOf(this.ownNewest, position);
+    else this.foreignNewest = laterOf(this.foreignNewest, position);
   }
 }
--- a/packages/gateway/src/control/store/metadata-store.ts
+++ b/packages/gateway/src/control/store/metadata-store.ts
@@ -2,47 +2,51 @@
  * What the gateway asks of the metadata store: linearizable reads, watches, and changes under a
  * condition.
  */
-import type { GladespoolError } from '@gladespool/coordination';
+import type { GladespoolError, StorePosition } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 
 /** One key of the store. */
 export interface StoreItem {
   readonly key: string;
   readonly value: string;
-  /** Revision of its latest change. */
-  readonly revision: number;
+  /** Position of its latest change, in the era in which the store showed it. */
+  readonly position: StorePosition;
 }
 
 /** All keys under a prefix. */
 export interface StoreRange {
   readonly items: readonly StoreItem[];
-  /** Revision of the store at which the read began. */
-  readonly revision: number;
+  /** Position of the store at which the read began. */
+  readonly position: StorePosition;
 }
 
 /** One key as a read found it. */
 export interface StoreEntry {
   /** Undefined when the key does not exist. */
   readonly item: StoreItem | undefined;
-  /** Revision of the store that the read showed; 0 when the key does not exist. */
-  readonly revision: number;
+  /** Position of the store that the read showed; only its era is told when the key does not exist. */
+  readonly position: StorePosition;
 }
 
 /** One change seen by a watch. */
 export type StoreEvent =
   | { readonly kind: 'written'; readonly item: StoreItem }
-  | { readonly kind: 'removed'; readonly key: string; readonly revision: number };
+  | { readonly kind: 'removed'; readonly key: string; readonly position: StorePosition };
 
 /** What a watch brought. */
 export type WatchResult =
-  | { readonly kind: 'events'; readonly events: readonly StoreEvent[]; readonly revision: number }
-  /** The store no longer has the changes asked for; everything has to be read anew. */
+  | {
+      readonly kind: 'events';
+      readonly events: readonly StoreEvent[];
+      readonly position: StorePosition;
+    }
+  /** The store does not have the changes asked for; everything has to be read anew. */
   | { readonly kind: 'compacted' };
 
-/** A condition of a change: the key has this revision; 0 means that it does not exist. */
+/** A condition of a change: the key's latest change is this one; revision 0 means that it does not exist. */
 export interface StoreCondition {
   readonly key: string;
-  readonly revision: number;
+  readonly position: StorePosition;
 }
 
 /** A change of several keys, all or nothing. */
@@ -54,7 +58,7 @@
 
 /** How a change ended; an error means that it may or may not have been done. */
 export type ChangeResult =
-  { readonly kind: 'done'; readonly revision: number } | { readonly kind: 'conflict' };
+  { readonly kind: 'done'; readonly position: StorePosition } | { readonly kind: 'conflict' };
 
 /** How a change ended, in one word or the message of its error; for the log. */
 export function changeEnd(result: Result<ChangeResult, GladespoolError>): string {
@@ -84,10 +88,10 @@
     purpose: StorePurpose,
     timeoutMs: number,
   ): Promise<Result<StoreEntry, GladespoolError>>;
-  /** Waits up to `waitMs` for changes after a revision. */
+  /** Waits up to `waitMs` for changes after a position; whether the answer is of its era is for the caller to see. */
   watch(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
   ): Promise<Result<WatchResult, GladespoolError>>;
   change(
--- a/packages/gateway/src/control/store/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -2,6 +2,7 @@
  * Keeps this host's entry in the metadata store. The entry has no lease: whoever changes a primary
  * asks every host that is listed, so it must not vanish while its host may hold a proof.
  */
+import { storePositionText } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
 import type { MetadataStore, StoreItem } from './metadata-store.js';
@@ -66,9 +67,10 @@
     const change = { conditions: [], writes: [write], removals: [] };
     const result = await this.store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
     if (result.isOk() && result.value.kind === 'done') {
-      const { revision } = result.value;
-      this.log.info('registered', { incarnation: this.self.incarnation, revision });
-      return { item: { ...write, revision }, sentAt };
+      const { position } = result.value;
+      const { incarnation } = this.self;
+      this.log.info('registered', { incarnation, position: storePositionText(position) });
+      return { item: { ...write, position }, sentAt };
     }
     this.notBefore = performance.now() + RETRY_MS;
     this.log.warn('registering-failed', { result: changeEnd(result) });
--- a/packages/gateway/src/control/store/removed-keys.ts
+++ b/packages/gateway/src/control/store/removed-keys.ts
@@ -1,11 +1,14 @@
 /**
  * Keys that were removed from the store, remembered for hosts that have not heard of it.
  */
+import type { StorePosition } from '@gladespool/coordination';
+import { isLater, laterOf, STORE_START } from '@gladespool/coordination';
 
 /** A key that was removed. */
 export interface RemovedKey {
   readonly key: string;
-  readonly revision: number;
+  /** Where it was removed. */
+  readonly position: StorePosition;
 }
 
 /** Removals remembered for other hosts. */
@@ -13,40 +16,39 @@
 
 /** The latest removals. */
 export class RemovedKeys {
-  /** Revision of a key's removal, the latest removals last. */
-  private readonly revisions = new Map<string, number>();
-  /** Changes at or below this revision are not all remembered as removals. */
-  private completeSince = 0;
+  /** Position of a key's removal, the latest removals last. */
+  private readonly positions = new Map<string, StorePosition>();
+  /** Changes up to here are not all remembered as removals. */
+  private completeSince = STORE_START;
 
   /** The removals remembered, the latest last. */
   get all(): readonly RemovedKey[] {
-    return [...this.revisions].map(([key, revision]) => ({ key, revision }));
+    return [...this.positions].map(([key, position]) => ({ key, position }));
   }
 
-  /** Whether every removal after `revision` is remembered. */
-  reachesBackTo(revision: number): boolean {
-    return revision > 0 && revision >= this.completeSince;
+  /** Whether every removal after `position` is remembered. */
+  reachesBackTo(position: StorePosition): boolean {
+    return position.revision > 0 && !isLater(this.completeSince, position);
   }
 
-  /** Revision of a key's removal; 0 when none is remembered. */
-  revisionOf(key: string): number {
-    return this.revisions.get(key) ?? 0;
+  /** Position of a key's removal; undefined when none is remembered. */
+  positionOf(key: string): StorePosition | undefined {
+    return this.positions.get(key);
   }
 
   /** Remembers a removal; the oldest one is forgotten where there are too many. */
-  add({ key, revision }: RemovedKey): void {
-    this.revisions.delete(key);
-    this.revisions.set(key, revision);
-    if (this.revisions.size <= MAX_REMOVED) return;
+  add({ key, position }: RemovedKey): void {
+    this.positions.delete(key);
+    this.positions.set(key, position);
+    if (this.positions.size <= MAX_REMOVED) return;
     const [oldest] = this.all;
     if (oldest === undefined) return;
-    this.revisions.delete(oldest.key);
-    this.completeSince = Math.max(this.completeSince, oldest.revision);
+    this.positions.delete(oldest.key);
+    this.completeSince = laterOf(this.completeSince, oldest.position);
   }
 
-  /** After a complete read, removals before it are no longer known one by one. */
-  forgetUpTo(revision: number): void {
-    this.completeSince = revision;
-    this.revisions.clear();
+  /** After a complete read, removals before it are not known one by one. */
+  noteComplete(position: StorePosition): void {
+    this.completeSince = laterOf(this.completeSince, position);
   }
 }
--- a/packages/gateway/src/control/store/store-follower.ts
+++ b/packages/gateway/src/control/store/store-follower.ts
@@ -4,9 +4,9 @@
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import type { GladespoolError } from '@gladespool/coordination';
-import { RetryReason } from '@gladespool/coordination';
+import { RetryReason, storePositionText } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
-import type { MetadataStore, StoreRange } from './metadata-store.js';
+import type { MetadataStore } from './metadata-store.js';
 import { StorePurpose } from './metadata-store.js';
 import type { StoreView } from './store-view.js';
 
@@ -16,7 +16,7 @@
   readonly readTimeoutMs: number;
   /** Time after which a quiet watch is renewed, milliseconds. */
   readonly watchMs: number;
-  /** Pause after a failed call, milliseconds. */
+  /** Pause after a failed call, and after a second watch in a row whose history is gone, milliseconds. */
   readonly retryMs: number;
 }
 
@@ -44,6 +44,8 @@
   /** Whether everything is being read; on a slow link that outlasts several proofs. */
   private readingAll = false;
   private reachable = true;
+  /** Whether the latest watch was told that its history is gone. */
+  private isHistoryGone = false;
   /** Local time before which everything is not read once more, after a read that failed. */
   private catchUpNotBefore = Number.NEGATIVE_INFINITY;
 
@@ -98,16 +100,15 @@
       return false;
     }
     this.noteReached();
-    this.noteBehind(range.value);
     // What was read counts also when this host no longer follows, or began anew meanwhile.
     view.replace('', range.value, performance.now());
     return this.turn === turn;
   }
 
-  /** @returns false when everything has to be read anew. */
+  /** @returns false when everything has to be read anew, now or after the pause that a failure asks for. */
   private async watchOnce(turn: number): Promise<boolean> {
     const { store, view, rules, metrics, log } = this.options;
-    const result = await store.watch('', view.revision, rules.watchMs);
+    const result = await store.watch('', view.position, rules.watchMs);
     if (this.turn !== turn) return true;
     if (result.isErr()) {
       this.noteLost(result.error);
@@ -117,23 +118,20 @@
     }
     this.noteReached();
     if (result.value.kind === 'compacted') {
-      log.info('store-history-gone', { revision: view.revision });
+      log.info('store-history-gone', { position: storePositionText(view.position) });
+      // A store that keeps no history at all must not be read without a pause.
+      if (this.isHistoryGone) await pause(rules.retryMs);
+      this.isHistoryGone = true;
       return false;
     }
-    view.apply(result.value.events, result.value.revision, performance.now());
+    this.isHistoryGone = false;
+    const { events, position } = result.value;
+    // Changes of a new era don't begin where the view ends, though its revision may be there again.
+    if (position.era !== view.position.era) return false;
+    view.apply(events, position, performance.now());
     return true;
   }
 
-  private noteBehind({ revision: storeRevision, items }: StoreRange): void {
-    const { revision } = this.options.view;
-    if (storeRevision >= revision) return;
-    this.options.log.warn('store-read-behind', {
-      revision,
-      store_revision: storeRevision,
-      items: items.length,
-    });
-  }
-
   private noteLost(error: GladespoolError): void {
     const { step, peer, message } = error;
     if (this.reachable) this.options.log.warn('store-lost', { step, peer, error: message });
@@ -142,7 +140,9 @@
 
   private noteReached(): void {
     if (!this.reachable) {
-      this.options.log.info('store-regained', { revision: this.options.view.revision });
+      this.options.log.info('store-regained', {
+        position: storePositionText(this.options.view.position),
+      });
     }
     this.reachable = true;
   }
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -2,25 +2,33 @@
  * The store's documents as this host has seen them, and their effect on the board.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { LapseRules, SeenDuty } from '@gladespool/coordination';
-import { dutyInDoubt, withKnownBirth } from '@gladespool/coordination';
-import type { Logger } from '@gladespool/observability';
+import type { LapseRules, SeenDuty, StorePosition } from '@gladespool/coordination';
+import {
+  dutyInDoubt,
+  isLater,
+  laterOf,
+  STORE_START,
+  storePositionText,
+  withKnownBirth,
+} from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
 import { DocumentVerdict } from '@gladespool/observability';
 import type { GatewayBoard } from '../../knowledge/board.js';
 import { BoardPublisher } from './board-publisher.js';
+import { isOlderDocument } from './document-order.js';
 import type { DocumentReader } from './document-reader.js';
 import type { HeldDocument, StoreDocument } from './held-documents.js';
 import { HeldDocuments } from './held-documents.js';
-import type { StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
+import type { StoreCondition, StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
+import { keptForMs, OlderCopies, unusedForMs } from './older-copies.js';
 import type { RemovedKey } from './removed-keys.js';
 import { RemovedKeys } from './removed-keys.js';
 import type { DutyRecord } from './store-documents.js';
-import { DUTY_KEY, groupOfKey, hostOfKey, OWN_PREFIX } from './store-documents.js';
+import { DUTY_KEY, groupOfKey, hostKey, hostOfKey, OWN_PREFIX } from './store-documents.js';
 
 /** The duty record with what is needed to replace it and to wait it out. */
 export interface HeldDuty {
   readonly duty: DutyRecord;
-  readonly revision: number;
   /** Local time at which this version was first seen. */
   readonly seenAt: number;
 }
@@ -29,15 +37,16 @@
 export interface ViewDelta {
   /** Whether `items` are all there are. */
   readonly complete: boolean;
-  readonly revision: number;
+  /** Position up to which the other host is complete with it. */
+  readonly position: StorePosition;
   readonly items: readonly StoreItem[];
   readonly removed: readonly RemovedKey[];
 }
 
-/** What has changed of the gateway's own documents since some revision. */
+/** What has changed of the gateway's own documents since some position. */
 export interface OwnChanges {
-  /** Revision of the store up to which these and what was held before are all of them. */
-  readonly revision: number;
+  /** Position of the store up to which these and what was held before are all of them. */
+  readonly position: StorePosition;
   readonly items: readonly StoreItem[];
   readonly removed: readonly RemovedKey[];
 }
@@ -47,37 +56,63 @@
 /** Age from which the documents held may no longer be those of the store, milliseconds: two failed renewals. */
 const OUTDATED_AFTER_MS = 1000;
 
-/** Documents by key, applied to the board. */
+/** What a view works with. */
+export interface StoreViewOptions {
+  readonly board: GatewayBoard;
+  readonly reader: DocumentReader;
+  readonly metrics: HostMetrics;
+  readonly log: Logger;
+  /** Local time at which the view begins; what was removed shortly before is not known. */
+  readonly startedAt: number;
+  readonly lapse: LapseRules;
+}
+
+/**
+ * Documents by key, applied to the board. In a new era of the store, which has lost its last changes, nothing that was
+ * known goes back: a document stays in use until the store shows one that is at least as new.
+ */
 export class StoreView {
-  /** Revision of the store up to which this view is complete; 0 before the first read. */
-  revision = 0;
+  /** Position of the store up to which this view is complete; the start before the first read. */
+  position = STORE_START;
   duty: HeldDuty | undefined;
+  /** Local time since which the gateway's own documents held are those of the present era. */
+  eraSince: number;
   private currentAt = Number.NEGATIVE_INFINITY;
   private hostGoneAt: number;
-  private ownKnown = 0;
+  private ownKnown = STORE_START;
+  /** Local time from which documents count that are kept against what the store shows. */
+  private keptSince: number;
   private readonly held = new HeldDocuments();
+  private readonly copies = new OlderCopies();
   private readonly removed = new RemovedKeys();
   private readonly publisher: BoardPublisher;
-
-  constructor(
-    private readonly board: GatewayBoard,
-    private readonly reader: DocumentReader,
-    log: Logger,
-    /** Local time at which this view begins; what was removed shortly before is not known. */
-    startedAt: number,
-    lapse: LapseRules,
-  ) {
-    this.publisher = new BoardPublisher(board, this.held, log, lapse);
+  private readonly board: GatewayBoard;
+  private readonly reader: DocumentReader;
+  private readonly log: Logger;
+
+  constructor(private readonly options: StoreViewOptions) {
+    const { board, reader, log, startedAt, lapse } = options;
+    this.board = board;
+    this.reader = reader;
+    this.log = log;
+    this.publisher = new BoardPublisher(board, this.held, log, lapse, (key) => this.isMissing(key));
     this.hostGoneAt = startedAt;
+    this.eraSince = startedAt;
+    this.keptSince = startedAt;
   }
 
-  /** Revision of the store of the newest change that this view has heard of. */
-  get newest(): number {
+  /** Whether everything was read once. */
+  get hasRead(): boolean {
+    return this.position.revision > 0;
+  }
+
+  /** Position of the store of the latest change that this view has heard of. */
+  get newest(): StorePosition {
     return this.held.newest;
   }
 
-  /** Revision of the latest change of a document that is none of the gateway's own. */
-  get documentsRevision(): number {
+  /** Position of the latest change of a document that is none of the gateway's own. */
+  get documentsPosition(): StorePosition {
     return this.held.foreignNewest;
   }
 
@@ -102,37 +137,46 @@
     return this.hostGoneAt;
   }
 
-  /** Revision of the store up to which this view has all of the gateway's own documents. */
-  get ownRevision(): number {
-    return Math.max(this.revision, this.ownKnown);
+  /** Position of the store up to which this view has all of the gateway's own documents. */
+  get ownPosition(): StorePosition {
+    return laterOf(this.position, this.ownKnown);
   }
 
-  /** Whether a host was listed with this incarnation at `revision` of the store, and still is. */
-  wasListed(host: string, incarnation: number, revision: number): boolean {
-    return this.held.wasListed(host, incarnation, revision);
+  /** Whether a host was listed with this incarnation at `position` of the store, and still is. */
+  wasListed(host: string, incarnation: number, position: StorePosition): boolean {
+    return this.held.wasListed(host, incarnation, position);
   }
 
-  /** Waits until all of the gateway's own documents up to `revision` are held, `timeoutMs` at most. */
-  async waitForOwn(revision: number, timeoutMs: number): Promise<void> {
+  /** Waits until all of the gateway's own documents up to `position` are held, `timeoutMs` at most. */
+  async waitForOwn(position: StorePosition, timeoutMs: number): Promise<void> {
     const until = performance.now() + timeoutMs;
-    while (this.ownRevision < revision && performance.now() < until) await pause(WAIT_STEP_MS);
+    while (isLater(position, this.ownPosition) && performance.now() < until) {
+      await pause(WAIT_STEP_MS);
+    }
+  }
+
+  /** Whether this view is complete up to a key's latest change. */
+  holdsAllUpTo(key: string): boolean {
+    return !isLater(this.held.positionOf(key) ?? STORE_START, this.position);
   }
 
-  /** Revision of a key's latest change; 0 when it is not there. */
-  revisionOf(key: string): number {
-    return this.held.revisionOf(key);
+  /** The condition that one of the gateway's own keys is in the store as this view last saw it there. */
+  conditionOn(key: string): StoreCondition {
+    const { era } = this.ownPosition;
+    const position = this.copies.positionOf(key) ?? this.held.positionOf(key);
+    return { key, position: position?.era === era ? position : { era, revision: 0 } };
   }
 
   /** Replaces everything under `prefix` by what a read returned. */
   replace(prefix: string, range: StoreRange, now: number): void {
+    this.noteEra(prefix, range.position, now);
     const present = new Set(range.items.map((item) => item.key));
     for (const key of this.held.keys) {
-      const covered = key.startsWith(prefix) && this.revisionOf(key) <= range.revision;
-      if (covered && !present.has(key)) this.remove({ key, revision: range.revision }, now);
+      if (key.startsWith(prefix) && !present.has(key)) this.noteMissing(key, range.position, now);
     }
     for (const item of range.items) this.write(item, now);
-    if (prefix === '') this.noteComplete(range.revision);
-    if (prefix === OWN_PREFIX) this.noteOwnComplete(range.revision);
+    if (prefix === '') this.noteComplete(range.position);
+    if (prefix === OWN_PREFIX) this.noteOwnComplete(range.position);
     this.publisher.publish();
   }
 
@@ -141,31 +185,34 @@
     return this.held.items.filter((item) => groupOfKey(item.key) !== undefined);
   }
 
-  /** What has changed of the gateway's own documents since `revision`; undefined if that is not known. */
-  ownChangesSince(revision: number): OwnChanges | undefined {
-    if (!this.removed.reachesBackTo(revision)) return undefined;
-    if (this.held.ownNewest <= revision)
-      return { revision: this.ownRevision, items: [], removed: [] };
-    const isNews = (change: { readonly key: string; readonly revision: number }): boolean =>
-      change.revision > revision && change.key.startsWith(OWN_PREFIX);
+  /** What has changed of the gateway's own documents since `since`; undefined if that is not known. */
+  ownChangesSince(since: StorePosition): OwnChanges | undefined {
+    if (!this.removed.reachesBackTo(since)) return undefined;
+    const position = this.ownPosition;
+    if (!isLater(this.held.ownNewest, since)) return { position, items: [], removed: [] };
+    const isNews = (change: { readonly key: string; readonly position: StorePosition }): boolean =>
+      isLater(change.position, since) && change.key.startsWith(OWN_PREFIX);
     return {
-      revision: this.ownRevision,
+      position,
       items: this.held.items.filter(isNews),
       removed: this.removed.all.filter(isNews),
     };
   }
 
-  /** What a host lacks that is complete up to `revision`. */
-  deltaSince(revision: number): ViewDelta {
-    const { items } = this.held;
-    if (!this.removed.reachesBackTo(revision)) {
-      return { complete: true, revision: this.revision, items, removed: [] };
+  /** What a host lacks that is complete up to `since`. */
+  deltaSince(since: StorePosition): ViewDelta {
+    const { position } = this;
+    if (!this.removed.reachesBackTo(since)) {
+      const unused = this.copies.all.map(({ item }) => item);
+      return { complete: true, position, items: [...this.held.items, ...unused], removed: [] };
     }
+    const isNews = (change: { readonly position: StorePosition }): boolean =>
+      isLater(change.position, since);
     return {
       complete: false,
-      revision: this.revision,
-      items: items.filter((item) => item.revision > revision),
-      removed: this.removed.all.filter((removal) => removal.revision > revision),
+      position,
+      items: this.held.items.filter(isNews),
+      removed: this.removed.all.filter(isNews),
     };
   }
 
@@ -179,7 +226,7 @@
       ...delta.items.map((item) => ({ kind: 'written' as const, item })),
       ...delta.removed.map((removal) => ({ kind: 'removed' as const, ...removal })),
     ];
-    this.apply(events, delta.revision, now);
+    this.apply(events, delta.position, now);
   }
 
   /** Applies single items that others pushed, without knowing what lies between. */
@@ -188,51 +235,157 @@
     this.publisher.publish();
   }
 
-  /** Takes what another host told of the gateway's own documents, for the revision that was asked about. */
+  /** Takes what another host told of the gateway's own documents, for the position that was asked about. */
   takeOwn(changes: OwnChanges, now: number): void {
+    this.noteEra(OWN_PREFIX, changes.position, now);
     for (const item of changes.items) this.write(item, now);
     for (const removal of changes.removed) this.removeOlder(removal, now);
-    this.noteOwnComplete(changes.revision);
+    this.noteOwnComplete(changes.position);
     this.publisher.publish();
   }
 
-  /** Notes that the gateway's own documents held are all that there were at `revision`. */
-  noteOwnComplete(revision: number): void {
-    this.ownKnown = Math.max(this.ownKnown, revision);
+  /** Notes that the gateway's own documents held are all that there were at `position`. */
+  noteOwnComplete(position: StorePosition): void {
+    this.ownKnown = laterOf(this.ownKnown, position);
   }
 
-  /** Notes that nothing but own documents, which are held, has changed up to `revision`. */
-  noteNothingElse(revision: number): void {
-    this.revision = Math.max(this.revision, Math.min(revision, this.ownKnown));
+  /** Notes that nothing but own documents, which are held, has changed up to `position`. */
+  noteNothingElse(position: StorePosition): void {
+    const known = isLater(position, this.ownKnown) ? this.ownKnown : position;
+    this.position = laterOf(this.position, known);
   }
 
-  /** Applies what a watch brought. */
-  apply(events: readonly StoreEvent[], revision: number, now: number): void {
+  /** Applies what a watch brought, or what another host told of the same era. */
+  apply(events: readonly StoreEvent[], position: StorePosition, now: number): void {
     for (const event of events) {
       if (event.kind === 'written') this.write(event.item, now);
       else this.removeOlder(event, now);
     }
-    this.revision = Math.max(this.revision, revision);
+    this.position = laterOf(this.position, position);
     this.publisher.publish();
   }
 
-  /** Looks at the upstreams whose entries are missing. */
+  /** Looks at the upstreams whose entries are missing, and at what is kept against the store's word. */
   review(now: number): void {
     const current = now - this.currentAt < OUTDATED_AFTER_MS;
     this.publisher.review(current, now);
+    if (current) this.reviewKept(now);
+    else this.keptSince = now;
     this.publisher.publish();
   }
 
+  /** Takes the store's word on what others have not changed in this era for long enough. */
+  private reviewKept(now: number): void {
+    const keptMs = now - this.keptSince;
+    for (const { document, item } of this.copies.all) {
+      if (keptMs < unusedForMs(document)) continue;
+      this.log.info('store-copy-taken', { key: item.key, kept_ms: Math.round(keptMs) });
+      this.take(document, this.held.get(item.key), item, now);
+    }
+    for (const document of this.held.all) {
+      const { key } = document.item;
+      if (keptMs < keptForMs(document) || !this.isMissing(key)) continue;
+      this.log.info('kept-document-dropped', { key, kept_ms: Math.round(keptMs) });
+      this.remove({ key, position: this.ownPosition }, now);
+    }
+  }
+
+  /** Whether a key is held that the present era of the store does not have. */
+  private isMissing(key: string): boolean {
+    const { era } = key.startsWith(OWN_PREFIX) ? this.ownPosition : this.position;
+    const heldAt = this.held.positionOf(key);
+    return heldAt !== undefined && heldAt.era < era && this.copies.get(key) === undefined;
+  }
+
+  /** Notes the era of what was read under `prefix`, before it is applied. */
+  private noteEra(prefix: string, { era }: StorePosition, now: number): void {
+    if (prefix === '' && era > this.position.era) this.keptSince = now;
+    const former = this.ownPosition;
+    if (era <= former.era) return;
+    this.eraSince = now;
+    this.copies.forgetBefore(era);
+    if (former.revision === 0) return;
+    this.log.warn('store-came-back-older', { era, former: storePositionText(former) });
+    this.options.metrics.storeReturns.inc();
+  }
+
+  /** A key that a read did not show: it is gone, unless only the present era has lost it. */
+  private noteMissing(key: string, position: StorePosition, now: number): void {
+    const heldAt = this.held.positionOf(key);
+    if (heldAt === undefined || isLater(heldAt, position)) return;
+    const kind = this.held.get(key)?.kind;
+    const endsByItself = kind === undefined || kind === 'upstream';
+    if (heldAt.era === position.era || endsByItself) this.remove({ key, position }, now);
+    else if (key === hostKey(this.board.host)) this.publisher.noteOwnEntryLost();
+  }
+
   private write(item: StoreItem, now: number): void {
-    if (this.held.revisionOf(item.key) >= item.revision || this.wasRemovedAfter(item)) return;
+    if (this.isKnown(item) || this.wasRemovedAfter(item)) return;
     const former = this.held.get(item.key);
     const reading = this.reader.read(item);
     if (reading.verdict === DocumentVerdict.Used) {
-      this.take(this.withBirth(reading.document, former), former, item, now);
+      this.weigh(this.withBirth(reading.document, former), former, item, now);
     }
     if (reading.verdict === DocumentVerdict.Unreadable) this.takeUnreadable(item, former, now);
   }
 
+  /** Whether this version of a key, or a later one of its era, was seen before. */
+  private isKnown({ key, position }: StoreItem): boolean {
+    const seen = [this.copies.positionOf(key), this.held.positionOf(key)];
+    return seen.some((at) => at?.era === position.era && !isLater(position, at));
+  }
+
+  /**
+   * Takes a version of a key unless another one that is known is newer. Within an era the position decides; a later
+   * era may show what was overwritten before it began.
+   */
+  private weigh(
+    document: StoreDocument,
+    former: HeldDocument | undefined,
+    item: StoreItem,
+    now: number,
+  ): void {
+    const { era } = item.position;
+    if (former === undefined) {
+      if (this.isBackFromCopy(document, item)) this.leaveUnused(document, item);
+      else this.take(document, former, item, now);
+      return;
+    }
+    const isOther = era !== former.item.position.era;
+    const isOwnersWord = document.kind === 'upstream' && this.copies.get(item.key) !== undefined;
+    if (isOther && era < former.item.position.era) {
+      if (!isOlderDocument(former, document)) return;
+      this.take(document, former, item, now);
+      this.copies.put(former, former.item);
+    } else if (isOther && !isOwnersWord && isOlderDocument(document, former)) {
+      this.leaveUnused(document, item);
+    } else {
+      this.take(document, former, item, now);
+    }
+  }
+
+  /** Whether a key that others had taken away is back only because a copy has it. */
+  private isBackFromCopy(document: StoreDocument, { key, position }: StoreItem): boolean {
+    const removedAt = this.removed.positionOf(key);
+    if (removedAt === undefined || removedAt.era === position.era) return false;
+    if (this.copies.get(key) !== undefined) return false;
+    if (document.kind === 'evacuation') return true;
+    if (document.kind !== 'upstream') return false;
+    const lapsed = this.publisher.lapsedEntry(document.entry.id);
+    return lapsed === undefined || (lapsed.draining && !document.entry.draining);
+  }
+
+  private leaveUnused(document: StoreDocument, item: StoreItem): void {
+    const { key, position } = item;
+    const held = this.held.positionOf(key);
+    this.copies.put(document, item);
+    this.log.info('store-copy-unused', {
+      key,
+      position: storePositionText(position),
+      held: held && storePositionText(held),
+    });
+  }
+
   /** An upstream that tells no birth has the one known of it. */
   private withBirth(document: StoreDocument, former: HeldDocument | undefined): StoreDocument {
     if (document.kind !== 'upstream') return document;
@@ -247,55 +400,59 @@
     item: StoreItem,
     now: number,
   ): void {
-    const { key, revision } = item;
+    const { key, position } = item;
     if (this.held.isUnreadable(key)) this.publisher.takeUnreadableEnd(key);
+    this.copies.delete(key);
     // An evacuation is told by its key alone; its value may be long, and is neither kept nor passed on.
     this.held.put(document, document.kind === 'evacuation' ? { ...item, value: '' } : item);
-    if (document.kind === 'duty') this.duty = { duty: document.duty, revision, seenAt: now };
-    this.publisher.take(document, former, revision, now);
+    if (document.kind === 'duty') this.duty = { duty: document.duty, seenAt: now };
+    this.publisher.take(document, former, position, now);
   }
 
   private takeUnreadable(item: StoreItem, former: HeldDocument | undefined, now: number): void {
-    const { key, revision } = item;
+    const { key, position } = item;
     this.held.putUnreadable(item);
     if (former?.kind === 'upstream') this.held.discard(key);
-    if (key === DUTY_KEY) this.doubtDuty(revision, now);
-    this.publisher.takeUnreadable(key, former, revision, now);
+    if (key === DUTY_KEY) this.doubtDuty(position, now);
+    this.publisher.takeUnreadable(key, former, position, now);
   }
 
-  private doubtDuty(revision: number, now: number): void {
-    const { seenAt, ...duty } = dutyInDoubt(this.seenDuty, revision, now);
+  private doubtDuty(position: StorePosition, now: number): void {
+    const { seenAt, ...duty } = dutyInDoubt(this.seenDuty, position, now);
     const renewal = this.duty?.duty.renewal ?? 0;
-    this.duty = { duty: { ...duty, renewal }, revision, seenAt };
+    this.duty = { duty: { ...duty, renewal }, seenAt };
   }
 
   /** Whether a key was removed later than this version of it was written. */
   private wasRemovedAfter(item: StoreItem): boolean {
-    return this.removed.revisionOf(item.key) > item.revision;
+    const removedAt = this.removed.positionOf(item.key);
+    return removedAt !== undefined && isLater(removedAt, item.position);
   }
 
-  /** After a complete read, removals before it are no longer known one by one. */
-  private noteComplete(revision: number): void {
-    if (revision <= this.revision) return;
-    this.revision = revision;
-    this.held.noteComplete(revision);
-    this.removed.forgetUpTo(revision);
+  /** After a complete read, removals before it are not known one by one. */
+  private noteComplete(position: StorePosition): void {
+    if (!isLater(position, this.position)) return;
+    this.position = position;
+    this.held.noteComplete(position);
+    this.removed.noteComplete(position);
   }
 
   /** Removes a key unless it was written again after `removal`. */
   private removeOlder(removal: RemovedKey, now: number): void {
-    const { key, revision } = removal;
-    const isKnown = this.removed.revisionOf(key) >= revision;
-    if (!isKnown && revision > this.revisionOf(key)) this.remove(removal, now);
+    const { key, position } = removal;
+    const removedAt = this.removed.positionOf(key) ?? STORE_START;
+    const heldAt = this.held.positionOf(key) ?? STORE_START;
+    if (isLater(position, removedAt) && isLater(position, heldAt)) this.remove(removal, now);
   }
 
   private remove(removal: RemovedKey, now: number): void {
-    const { key, revision } = removal;
-    const isListing = hostOfKey(key) !== undefined && this.held.revisionOf(key) > 0;
+    const { key, position } = removal;
+    const isListing = hostOfKey(key) !== undefined && this.held.positionOf(key) !== undefined;
     if (isListing) this.hostGoneAt = now;
     if (this.held.isUnreadable(key)) this.publisher.takeUnreadableEnd(key);
-    const held = this.held.drop(key, revision);
+    const held = this.held.drop(key, position);
+    this.copies.delete(key);
     this.removed.add(removal);
-    if (held !== undefined) this.publisher.takeRemoval(held, revision, now);
+    if (held !== undefined) this.publisher.takeRemoval(held, position, now);
   }
 }
--- a/packages/gateway/tests/evacuation.steps.ts
+++ b/packages/gateway/tests/evacuation.steps.ts
@@ -15,7 +15,7 @@
   retryAfterMsOf,
   upstreamId,
 } from '@gladespool/coordination';
-import { createLogger } from '@gladespool/observability';
+import { createLogger, HostMetrics } from '@gladespool/observability';
 import type { Job, OpenTransaction, Outcome, UpstreamEntry } from '../src/index.js';
 import { BoardSection, GatewayBoard, GroupHome, ReportedRole, StoreView } from '../src/index.js';
 import { borrow } from '../src/home/exchange.js';
@@ -59,13 +59,23 @@
   function (this: PlanWorld, current: string) {
     this.board = new GatewayBoard(hostId('h1'), azId('z1'));
     const reader = fakeReader(this.board);
-    this.view = new StoreView(this.board, reader, createLogger('test'), 0, lapseRules(1000));
+    this.view = new StoreView({
+      board: this.board,
+      reader,
+      metrics: new HostMetrics(),
+      log: createLogger('test'),
+      startedAt: 0,
+      lapse: lapseRules(1000),
+    });
     if (current !== 'never') this.view.noteCurrent(Number(current));
   },
 );
 
 When('it learns at {int} ms that zone z1 is evacuated', function (this: PlanWorld, now: number) {
-  this.view.takeItems([{ key: 'evacuation/z1', value: '', revision: 1 }], now);
+  this.view.takeItems(
+    [{ key: 'evacuation/z1', value: '', position: { era: 0, revision: 1 } }],
+    now,
+  );
 });
 
 Then(/^the zone counts as in use until (\w+)$/, function (this: PlanWorld, inUseAt: string) {
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -2,7 +2,7 @@
  * A metadata store in memory, shared by the hosts of a test, that can be away or lose answers.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { GladespoolError } from '@gladespool/coordination';
+import type { GladespoolError, StorePosition } from '@gladespool/coordination';
 import { gladespoolError, Step } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -50,9 +50,14 @@
     this.events = [...this.events, { revision: this.revision, event }];
   }
 
+  /** Position of the latest change. */
+  get position(): StorePosition {
+    return { era: this.era, revision: this.revision };
+  }
+
   put(key: string, value: unknown): void {
     this.revision += 1;
-    const item = { key, value: JSON.stringify(value), revision: this.revision };
+    const item = { key, value: JSON.stringify(value), position: this.position };
     this.items.set(key, item);
     this.note({ kind: 'written', item });
   }
@@ -60,8 +65,7 @@
   remove(key: string): void {
     this.revision += 1;
     this.items.delete(key);
-    const { revision } = this;
-    this.note({ kind: 'removed', key, revision });
+    this.note({ kind: 'removed', key, position: this.position });
   }
 }
 
@@ -88,7 +92,7 @@
     if (prefix === '') await pause(this.fullReadMs, undefined, { ref: false });
     if (this.away) return err(AWAY);
     const items = [...this.store.items.values()].filter((item) => item.key.startsWith(prefix));
-    return ok({ items, revision: this.store.revision });
+    return ok({ items: items.map((item) => this.ofEra(item)), position: this.store.position });
   }
 
   async read(key: string): Promise<Result<StoreEntry, GladespoolError>> {
@@ -98,42 +102,48 @@
     if (isLost) this.loseReads -= 1;
     if (this.away || isLost) return err(AWAY);
     const item = this.store.items.get(key);
-    const revision = item === undefined ? 0 : this.store.revision;
-    return ok({ item, revision });
+    const { era, position } = this.store;
+    if (item === undefined) return ok({ item, position: { era, revision: 0 } });
+    return ok({ item: this.ofEra(item), position });
   }
 
   async watch(
     _prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
   ): Promise<Result<WatchResult, GladespoolError>> {
     const until = performance.now() + waitMs;
     const { era } = this.store;
-    if (after > this.store.revision) return ok({ kind: 'compacted' });
+    if (after.revision > this.store.revision) return ok({ kind: 'compacted' });
     while (
       this.store.era === era &&
       !this.away &&
-      this.store.revision <= after &&
+      this.store.revision <= after.revision &&
       performance.now() < until
     ) {
       await pause(POLL_MS, undefined, { ref: false });
     }
     if (this.away || this.store.era !== era) return err(AWAY);
-    const fresh = this.store.events.filter(({ revision }) => revision > after);
+    const fresh = this.store.events.filter(({ revision }) => revision > after.revision);
     const events = fresh.map(({ event }) => event);
-    return ok({ kind: 'events', events, revision: this.store.revision });
+    return ok({ kind: 'events', events, position: this.store.position });
+  }
+
+  /** An item as the present era of the store shows it. */
+  private ofEra(item: StoreItem): StoreItem {
+    return { ...item, position: { era: this.store.era, revision: item.position.revision } };
   }
 
   change(change: StoreChange): Promise<Result<ChangeResult, GladespoolError>> {
     if (this.away || this.store.readOnly) return Promise.resolve(err(AWAY));
     const { store } = this;
     const holds = change.conditions.every(
-      ({ key, revision }) => (store.items.get(key)?.revision ?? 0) === revision,
+      ({ key, position }) => (store.items.get(key)?.position.revision ?? 0) === position.revision,
     );
     if (!holds) return Promise.resolve(ok({ kind: 'conflict' }));
     store.revision += 1;
     for (const { key, value } of change.writes) {
-      const item = { key, value, revision: store.revision };
+      const item = { key, value, position: store.position };
       store.items.set(key, item);
       store.note({ kind: 'written', item });
     }
@@ -142,6 +152,6 @@
       store.loseAnswers -= 1;
       return Promise.resolve(err(AWAY));
     }
-    return Promise.resolve(ok({ kind: 'done', revision: store.revision }));
+    return Promise.resolve(ok({ kind: 'done', position: store.position }));
   }
 }
--- a/packages/gateway/tests/first-proof.steps.ts
+++ b/packages/gateway/tests/first-proof.steps.ts
@@ -47,14 +47,15 @@
   const log = createLogger('test');
   const board = new GatewayBoard(self.host, self.az, topology);
   const store = new FakeStoreClient(world.store);
-  const view = new StoreView(
+  const metrics = new HostMetrics();
+  const view = new StoreView({
     board,
-    fakeReader(board),
+    reader: fakeReader(board),
+    metrics,
     log,
-    performance.now(),
-    lapseRules(SERVES_ON_MS),
-  );
-  const metrics = new HostMetrics();
+    startedAt: performance.now(),
+    lapse: lapseRules(SERVES_ON_MS),
+  });
   const follower = new StoreFollower({ store, view, metrics, log, rules: DEFAULT_FOLLOWER });
   const registrar = new Registrar(self, board, store, log);
   const rules = DEFAULT_PROOFS;
--- a/packages/gateway/tests/store-view.steps.ts
+++ b/packages/gateway/tests/store-view.steps.ts
@@ -6,6 +6,7 @@
   hostId,
   lapseRules,
   RecordPhase,
+  STORE_START,
   upstreamId,
 } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
@@ -16,6 +17,7 @@
 import { StoreView } from '../src/control/store/store-view.js';
 import type { UpstreamEntry } from '../src/model/catalog.js';
 import { ReportedRole } from '../src/model/catalog.js';
+import { at } from './fakes/store-positions.js';
 import type { StoredConfig } from './fakes/fake-documents.js';
 import { CONFIG_KEY, fakeReader, UPSTREAM_PREFIX } from './fakes/fake-documents.js';
 
@@ -50,7 +52,7 @@
 }
 
 function itemOf(key: string, value: unknown, revision: number): StoreItem {
-  return { key, value: JSON.stringify(value), revision };
+  return { key, value: JSON.stringify(value), position: at(revision) };
 }
 
 const UPSTREAM_KEY = `${UPSTREAM_PREFIX}u1`;
@@ -66,30 +68,30 @@
 const NEWS: Readonly<Record<string, (revision: number) => readonly StoreEvent[]>> = {
   nothing: () => [],
   'h1 as it was': () => [written(itemOf(hostKey('h1'), hostEntry('h1'), 1))],
-  'h1 written again, unchanged': (at) => [written(itemOf(hostKey('h1'), hostEntry('h1'), at))],
-  'h1 with a new incarnation': (at) => [written(itemOf(hostKey('h1'), hostEntry('h1', 2), at))],
-  'a new host h3': (at) => [written(itemOf(hostKey('h3'), hostEntry('h3'), at))],
-  'h2 removed': (at) => [removed(hostKey('h2'), at)],
-  'a key removed that is unknown': (at) => [removed(hostKey('h9'), at)],
-  'u1 written again, unchanged': (at) => [written(itemOf(UPSTREAM_KEY, upstreamEntry(), at))],
-  'u1 draining': (at) => [written(itemOf(UPSTREAM_KEY, upstreamEntry(true), at))],
-  'u1 removed': (at) => [removed(UPSTREAM_KEY, at)],
-  'a record of a primary': (at) => [written(itemOf(primaryKey('g1'), RECORD, at))],
-  'u1 unreadable': (at) => [written(broken(UPSTREAM_KEY, at))],
-  'a record that is unreadable': (at) => [written(broken(primaryKey('g1'), at))],
-  'a duty that is unreadable': (at) => [written(broken(DUTY_KEY, at))],
-  'h1 unreadable': (at) => [written(broken(hostKey('h1'), at))],
-  'h2 unreadable': (at) => [written(broken(hostKey('h2'), at))],
-  'h3 unreadable': (at) => [written(broken(hostKey('h3'), at))],
-  'h2 under the key of h3': (at) => [written(itemOf(hostKey('h3'), hostEntry('h2'), at))],
-  'a configuration of g1': (at) => [written(itemOf(CONFIG_KEY, config(7, 'g1'), at))],
-  'a configuration of g2': (at) => [written(itemOf(CONFIG_KEY, config(8, 'g2'), at))],
-  'a newer configuration of g1': (at) => [written(itemOf(CONFIG_KEY, config(9, 'g1'), at))],
-  'a configuration that is unreadable': (at) => [written(broken(CONFIG_KEY, at))],
-  'an evacuation of z1': (at) => [written(broken('evacuation/z1', at))],
-  'an evacuation of no zone': (at) => [written(broken('evacuation/', at))],
-  'a foreign key': (at) => [written(broken('other/key', at))],
-  'an own key of no known kind': (at) => [written(broken('gladespool/other', at))],
+  'h1 written again, unchanged': (now) => [written(itemOf(hostKey('h1'), hostEntry('h1'), now))],
+  'h1 with a new incarnation': (now) => [written(itemOf(hostKey('h1'), hostEntry('h1', 2), now))],
+  'a new host h3': (now) => [written(itemOf(hostKey('h3'), hostEntry('h3'), now))],
+  'h2 removed': (now) => [removed(hostKey('h2'), now)],
+  'a key removed that is unknown': (now) => [removed(hostKey('h9'), now)],
+  'u1 written again, unchanged': (now) => [written(itemOf(UPSTREAM_KEY, upstreamEntry(), now))],
+  'u1 draining': (now) => [written(itemOf(UPSTREAM_KEY, upstreamEntry(true), now))],
+  'u1 removed': (now) => [removed(UPSTREAM_KEY, now)],
+  'a record of a primary': (now) => [written(itemOf(primaryKey('g1'), RECORD, now))],
+  'u1 unreadable': (now) => [written(broken(UPSTREAM_KEY, now))],
+  'a record that is unreadable': (now) => [written(broken(primaryKey('g1'), now))],
+  'a duty that is unreadable': (now) => [written(broken(DUTY_KEY, now))],
+  'h1 unreadable': (now) => [written(broken(hostKey('h1'), now))],
+  'h2 unreadable': (now) => [written(broken(hostKey('h2'), now))],
+  'h3 unreadable': (now) => [written(broken(hostKey('h3'), now))],
+  'h2 under the key of h3': (now) => [written(itemOf(hostKey('h3'), hostEntry('h2'), now))],
+  'a configuration of g1': (now) => [written(itemOf(CONFIG_KEY, config(7, 'g1'), now))],
+  'a configuration of g2': (now) => [written(itemOf(CONFIG_KEY, config(8, 'g2'), now))],
+  'a newer configuration of g1': (now) => [written(itemOf(CONFIG_KEY, config(9, 'g1'), now))],
+  'a configuration that is unreadable': (now) => [written(broken(CONFIG_KEY, now))],
+  'an evacuation of z1': (now) => [written(broken('evacuation/z1', now))],
+  'an evacuation of no zone': (now) => [written(broken('evacuation/', now))],
+  'a foreign key': (now) => [written(broken('other/key', now))],
+  'an own key of no known kind': (now) => [written(broken('gladespool/other', now))],
 };
 
 function written(item: StoreItem): StoreEvent {
@@ -97,17 +99,28 @@
 }
 
 function removed(key: string, revision: number): StoreEvent {
-  return { kind: 'removed', key, revision };
+  return { kind: 'removed', key, position: at(revision) };
 }
 
 function broken(key: string, revision: number): StoreItem {
-  return { key, value: '{', revision };
+  return { key, value: '{', position: at(revision) };
 }
 
 function config(version: number, ...groups: readonly string[]): StoredConfig {
   return { version, groups };
 }
 
+function viewOf(board: GatewayBoard, metrics: HostMetrics): StoreView {
+  return new StoreView({
+    board,
+    reader: fakeReader(board, metrics),
+    metrics,
+    log: createLogger('test'),
+    startedAt: STARTED_AT,
+    lapse: lapseRules(SERVES_ON_MS),
+  });
+}
+
 function countChanges(world: ViewWorld, section: BoardSection): void {
   world.board.onChange(section, () => {
     world.changes.set(section, (world.changes.get(section) ?? 0) + 1);
@@ -117,16 +130,14 @@
 Given('a board with the hosts h1 and h2 and the upstream u1', function (this: ViewWorld) {
   this.board = new GatewayBoard(hostId('h1'), azId('z1'));
   this.metrics = new HostMetrics();
-  const reader = fakeReader(this.board, this.metrics);
-  const lapse = lapseRules(SERVES_ON_MS);
-  this.view = new StoreView(this.board, reader, createLogger('test'), STARTED_AT, lapse);
+  this.view = viewOf(this.board, this.metrics);
   this.revision = 3;
   const items = [
     itemOf(hostKey('h1'), hostEntry('h1'), 1),
     itemOf(hostKey('h2'), hostEntry('h2'), 2),
     itemOf(UPSTREAM_KEY, upstreamEntry(), 3),
   ];
-  this.view.replace('', { items, revision: this.revision }, STARTED_AT);
+  this.view.replace('', { items, position: at(this.revision) }, STARTED_AT);
   this.changes = new Map();
   countChanges(this, BoardSection.Hosts);
   countChanges(this, BoardSection.Upstreams);
@@ -136,11 +147,11 @@
   this.revision += 1;
   const events = NEWS[news];
   assert.ok(events, `unknown news: ${news}`);
-  this.view.apply(events(this.revision), this.revision, NEWS_AT);
+  this.view.apply(events(this.revision), at(this.revision), NEWS_AT);
 });
 
 When("the store's news are read again", function (this: ViewWorld) {
-  this.view.merge(this.view.deltaSince(0), NEWS_AT);
+  this.view.merge(this.view.deltaSince(STORE_START), NEWS_AT);
 });
 
 Then(
@@ -205,9 +216,8 @@
 
 Then('a host that has learnt everything from this one holds the same', function (this: ViewWorld) {
   const board = new GatewayBoard(hostId('h9'), azId('z1'));
-  const lapse = lapseRules(SERVES_ON_MS);
-  const view = new StoreView(board, fakeReader(board), createLogger('test'), STARTED_AT, lapse);
-  view.merge(this.view.deltaSince(0), NEWS_AT);
+  const view = viewOf(board, new HostMetrics());
+  view.merge(this.view.deltaSince(STORE_START), NEWS_AT);
   assert.deepEqual([...board.hosts.keys()], [...this.board.hosts.keys()]);
   assert.deepEqual(board.unknownHosts, this.board.unknownHosts);
   assert.deepEqual(board.allRecords, this.board.allRecords);
--- a/packages/gateway/tests/sync-answers.steps.ts
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { azId, hostId, RecordPhase } from '@gladespool/coordination';
-import { createLogger } from '@gladespool/observability';
+import { createLogger, HostMetrics } from '@gladespool/observability';
 import type { PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -11,6 +11,7 @@
 import { StoreView } from '../src/control/store/store-view.js';
 import { SyncAnswers } from '../src/control/proofs/sync-answers.js';
 import { fakeReader } from './fakes/fake-documents.js';
+import { at } from './fakes/store-positions.js';
 
 interface AnswersWorld {
   board: GatewayBoard;
@@ -31,22 +32,29 @@
 function hostItem(name: string, revision: number) {
   const address = '127.0.0.1';
   const entry = { host: name, az: 'z', address, port: 1, incarnation: 1, linkMbps: 20 };
-  return { key: hostKey(name), value: JSON.stringify(entry), revision };
+  return { key: hostKey(name), value: JSON.stringify(entry), position: at(revision) };
 }
 
 function create(world: AnswersWorld, listedAt: number | undefined): void {
   world.askedAt = performance.now();
   world.board = new GatewayBoard(hostId('self'), azId('z'));
   const reader = fakeReader(world.board);
-  world.view = new StoreView(world.board, reader, createLogger('test'), 0, LAPSE);
+  world.view = new StoreView({
+    board: world.board,
+    reader,
+    metrics: new HostMetrics(),
+    log: createLogger('test'),
+    startedAt: 0,
+    lapse: LAPSE,
+  });
   const items = [hostItem('self', 4)];
   if (listedAt !== undefined) items.push(hostItem(ASKER, listedAt));
   world.revision = 12;
-  world.view.replace('', { items, revision: world.revision }, 0);
+  world.view.replace('', { items, position: at(world.revision) }, 0);
   const sentAt = world.askedAt - PROVED_MS_BEFORE;
-  world.proof = { sentAt, revision: 10, isFromStore: true };
+  world.proof = { sentAt, position: at(10), isFromStore: true };
   const passableTo = (host: string, incarnation: number): PassableProof | undefined =>
-    world.view.wasListed(host, incarnation, world.proof.revision) ? world.proof : undefined;
+    world.view.wasListed(host, incarnation, world.proof.position) ? world.proof : undefined;
   world.answers = new SyncAnswers({
     board: world.board,
     view: world.view,
@@ -63,14 +71,14 @@
 Given(
   /^a question by a host (not listed|listed at revision \d+), with a proof of (none|\d+) ms and a wait of (\d+) ms$/,
   function (this: AnswersWorld, listed: string, age: string, wait: string) {
-    const at = /\d+/.exec(listed)?.[0];
-    create(this, at === undefined ? undefined : Number(at));
+    const listedAt = /\d+/.exec(listed)?.[0];
+    create(this, listedAt === undefined ? undefined : Number(listedAt));
     this.answers.onFrame(this.link, {
       kind: FrameKind.SyncAsk,
       id: 1,
       host: ASKER,
       incarnation: 1,
-      ownRevision: this.revision,
+      ownPosition: at(this.revision),
       heard: this.view.newest,
       waitMs: Number(wait),
       ...(age !== 'none' && { proofAgeMs: Number(age) }),
@@ -82,7 +90,7 @@
   /^a proof of revision 8 by the word of (the store|other hosts)$/,
   function (this: AnswersWorld, whom: string) {
     create(this, 5);
-    this.proof = { ...this.proof, revision: 8, isFromStore: whom === 'the store' };
+    this.proof = { ...this.proof, position: at(8), isFromStore: whom === 'the store' };
   },
 );
 
@@ -94,7 +102,7 @@
       id: 1,
       host: ASKER,
       incarnation: 1,
-      ownRevision,
+      ownPosition: at(ownRevision),
       heard: this.view.newest,
       waitMs: 0,
     });
@@ -104,7 +112,7 @@
 function listOne(world: AnswersWorld): void {
   world.revision += 1;
   const item = hostItem('other', world.revision);
-  world.view.apply([{ kind: 'written', item }], world.revision, performance.now());
+  world.view.apply([{ kind: 'written', item }], at(world.revision), performance.now());
 }
 
 When('nothing happens', function (this: AnswersWorld) {
@@ -113,7 +121,7 @@
 
 When('a proof of 200 ms later is taken', function (this: AnswersWorld) {
   const sentAt = this.askedAt + 200;
-  this.proof = { sentAt, revision: this.revision, isFromStore: true };
+  this.proof = { sentAt, position: at(this.revision), isFromStore: true };
   this.board.prove(sentAt);
 });
 
@@ -139,8 +147,12 @@
     primary: 'u1',
     holder: 'self',
   };
-  const item = { key: primaryKey('g1'), value: JSON.stringify(record), revision: this.revision };
-  this.view.apply([{ kind: 'written', item }], this.revision, performance.now());
+  const item = {
+    key: primaryKey('g1'),
+    value: JSON.stringify(record),
+    position: at(this.revision),
+  };
+  this.view.apply([{ kind: 'written', item }], at(this.revision), performance.now());
 });
 
 When('the link is lost and 400 ms pass', function (this: AnswersWorld) {
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -152,6 +152,12 @@
     registers: [this.registry],
   });
 
+  readonly storeReturns = new Counter({
+    name: 'gladespool_store_returns_total',
+    help: 'Times at which this host learnt that the metadata store had come back from a copy',
+    registers: [this.registry],
+  });
+
   readonly storeCalls = new Counter({
     name: 'gladespool_store_calls_total',
     help: 'Calls to the metadata store, by purpose and result',
--- a/packages/protocol/src/peer/frame-codec.ts
+++ b/packages/protocol/src/peer/frame-codec.ts
@@ -25,7 +25,7 @@
   ...['maxStalenessMs', 'timeoutMs', 'targetLatencyMs', 'priority', 'isPublic', 'access', 'text'],
   ...['shape', 'args', 'epoch', 'position', 'term', 'offset', 'outcome', 'rows', 'signature'],
   ...['committed', 'reason', 'detail', 'retryAfterMs', 'wanted', 'kept', 'granted'],
-  'regions',
+  ...['regions', 'era', 'revision', 'ownPosition', 'heard', 'newest', 'documentsPosition'],
 ];
 /** Places count from 1: the codec takes 0 for none. */
 const keyMap = Object.fromEntries(SHORT_FIELDS.map((field, index) => [field, index + 1]));
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -12,10 +12,10 @@
 } from '@gladespool/coordination';
 import * as z from 'zod';
 import { TransactionStatus } from '../pg/message-type.js';
-import { removedKeySchema, storeItemSchema } from './store-documents.js';
+import { removedKeySchema, storeItemSchema, storePositionSchema } from './store-documents.js';
 
 /** Version of this protocol; links between unlike versions are refused in the handshake. */
-export const PEER_PROTOCOL_VERSION = 3;
+export const PEER_PROTOCOL_VERSION = 4;
 
 /** Kinds of frames. */
 export enum FrameKind {
@@ -86,10 +86,10 @@
 
 const count = z.int().nonnegative();
 
-/** What has changed of the system's own documents since the revision asked for; all of them are small. */
+/** What has changed of the system's own documents since the position asked for; all of them are small. */
 const ownChangesSchema = z.object({
-  /** Revision of the store up to which the receiver has all of them with these. */
-  revision: count,
+  /** Position of the store up to which the receiver has all of them with these. */
+  position: storePositionSchema,
   items: z.array(storeItemSchema),
   removed: z.array(removedKeySchema),
 });
@@ -98,8 +98,8 @@
 const passedProofSchema = z.object({
   /** Age when the question arrived, milliseconds; negative if the proof is from later. */
   ageMs: z.number(),
-  /** Revision of the store up to which the receiver must hold the system's own documents. */
-  revision: count,
+  /** Position of the store up to which the receiver must hold the system's own documents. */
+  position: storePositionSchema,
   /** Whether it is from an answer of the store; else from the word of a majority of the hosts. */
   isFromStore: z.boolean(),
 });
@@ -299,10 +299,10 @@
     id,
     host: z.string(),
     incarnation: count,
-    /** Revision of the store up to which the asker has all of the system's own documents. */
-    ownRevision: count,
-    /** Revision of the newest change that the asker has heard of. */
-    heard: count,
+    /** Position of the store up to which the asker has all of the system's own documents. */
+    ownPosition: storePositionSchema,
+    /** Position of the latest change that the asker has heard of. */
+    heard: storePositionSchema,
     /** Age of the asker's proof, milliseconds; missing without one. */
     proofAgeMs: z.number().optional(),
     /** Time for which the question may wait for a newer proof or for news, milliseconds. */
@@ -311,12 +311,12 @@
   z.object({
     kind: z.literal(FrameKind.SyncReply),
     id,
-    /** Revision of the store up to which the sender is complete. */
-    revision: count,
-    /** Revision of the newest change that the sender has heard of. */
-    newest: count,
-    /** Revision of the latest change of a document that is fetched apart: configuration, upstreams. */
-    documentsRevision: count,
+    /** Position of the store up to which the sender is complete. */
+    position: storePositionSchema,
+    /** Position of the latest change that the sender has heard of. */
+    newest: storePositionSchema,
+    /** Position of the latest change of a document that is fetched apart: configuration, upstreams. */
+    documentsPosition: storePositionSchema,
     /** What has changed of the system's own documents; missing where the sender does not know all of it. */
     own: ownChangesSchema.optional(),
     /** Age of the sender's documents when the question arrived, milliseconds; negative if renewed since. */
@@ -327,16 +327,16 @@
   z.object({
     kind: z.literal(FrameKind.DocumentsAsk),
     id,
-    /** Revision of the store up to which the asker is complete. */
-    revision: count,
+    /** Position of the store up to which the asker is complete. */
+    position: storePositionSchema,
   }),
   z.object({
     kind: z.literal(FrameKind.DocumentsReply),
     id,
-    /** Whether these are all there are; else what changed since the revision asked for. */
+    /** Whether these are all there are; else what changed since the position asked for. */
     complete: z.boolean(),
-    /** Revision of the store up to which the asker is complete with them. */
-    revision: count,
+    /** Position of the store up to which the asker is complete with them. */
+    position: storePositionSchema,
     /** See `packDocuments`. */
     packed: bytes,
   }),
--- a/packages/protocol/src/peer/store-documents.ts
+++ b/packages/protocol/src/peer/store-documents.ts
@@ -12,13 +12,18 @@
 
 const count = z.int().nonnegative();
 
+/** A position in the history of the metadata store. */
+export const storePositionSchema = z.object({ era: count, revision: count }).readonly();
+
 /** A key of the metadata store as it travels between hosts. */
 export const storeItemSchema = z
-  .object({ key: z.string(), value: z.string(), revision: count })
+  .object({ key: z.string(), value: z.string(), position: storePositionSchema })
   .readonly();
 
 /** A key that was removed from the metadata store. */
-export const removedKeySchema = z.object({ key: z.string(), revision: count }).readonly();
+export const removedKeySchema = z
+  .object({ key: z.string(), position: storePositionSchema })
+  .readonly();
 
 const storeDocumentsSchema = z
   .object({
--- a/packages/protocol/tests/store-documents.steps.ts
+++ b/packages/protocol/tests/store-documents.steps.ts
@@ -19,7 +19,7 @@
   ['deflated wrong fields', deflateRawSync('{"items":[{"name":"a"}],"removed":[]}')],
   [
     'deflated negative revision',
-    deflateRawSync('{"items":[],"removed":[{"key":"a","revision":-1}]}'),
+    deflateRawSync('{"items":[],"removed":[{"key":"a","position":{"era":0,"revision":-1}}]}'),
   ],
   ['deflated, cut in half', deflateRawSync(EMPTY.repeat(100)).subarray(0, 10)],
 ]);
@@ -29,8 +29,8 @@
   function (this: DocumentsWorld, length: number) {
     const value = JSON.stringify({ route: 'é', timeoutMs: 1000 }).repeat(length).slice(0, length);
     this.documents = {
-      items: [{ key: 'op/config', value, revision: 7 }],
-      removed: [{ key: 'servers/i-1', revision: 8 }],
+      items: [{ key: 'op/config', value, position: { era: 0, revision: 7 } }],
+      removed: [{ key: 'servers/i-1', position: { era: 1, revision: 8 } }],
     };
     const packed = packDocuments(this.documents);
     this.size = packed.length;
