feat(gateway): what the gateway has written is restored to a store that came back older, before it is relied on

Cause: records of primaries, the duty with its fence and hosts' entries that a copy lacks were simply gone: a host without memory of them could take a proof of a former primary, and a fence could be used twice. Ruled out: trusting the store at once and mending records when a host contradicts it (two primaries in use until then). Change: each era but the first is opened by a marker, written with the newest records and duty that more than half of the former hosts know, after a proof's life; proofs by the store count only in an opened era, claims and first records wait for it; each change asks that the next era is not opened; a record known only to a host that was not heard comes back as a claim; a host that starts waits for the configuration that the marker names, and asks the others for it; a host whose entry was lost lists itself again, and is covered by no proof before. Why it holds: a claim is acted on only once more than half of the hosts have acknowledged it, so any majority knows it.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -31,6 +31,7 @@
 export * from './authority/primary-record.js';
 export * from './authority/unreadable-documents.js';
 export * from './reads/upstream-choice.js';
+export * from './authority/era-opening.js';
 export * from './authority/failover.js';
 export * from './model/statement-terms.js';
 export * from './membership/host-retirement.js';
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -18,6 +18,7 @@
 import { ClaimLock } from './promotion/claim-lock.js';
 import { DocumentExchange } from './store/document-exchange.js';
 import { DocumentReader } from './store/document-reader.js';
+import { EraOpener } from './store/era-opener.js';
 import { GuardedStore } from './store/guarded-store.js';
 import { HostRound } from './hosts/host-round.js';
 import { HostRetirer } from './hosts/host-retirer.js';
@@ -79,6 +80,7 @@
   private readonly answers: SyncAnswers;
   private readonly renewer: PeerRenewer;
   private readonly retirer: HostRetirer;
+  private readonly opener: EraOpener;
   private readonly probe: UpstreamProbe;
   private readonly promotions: PromotionController;
   private timer: NodeJS.Timeout | undefined;
@@ -115,6 +117,7 @@
     this.answers = new SyncAnswers({ board, view, proofs: this.proofs });
     this.renewer = this.createRenewer();
     this.retirer = this.createRetirer();
+    this.opener = this.createOpener();
     this.probe = this.createProbe();
     this.promotions = this.createPromotions();
     const { sync, answers, renewer, retirer, promotions } = this;
@@ -132,6 +135,11 @@
     }
   }
 
+  /** Whether what the store shows of the gateway's own documents can be relied on. */
+  get isStoreSettled(): boolean {
+    return this.view.hasRead && this.view.isSettled;
+  }
+
   /** Listens for other hosts and begins to follow the store. */
   async start(): Promise<void> {
     const { self } = this.options;
@@ -160,6 +168,7 @@
     this.answers.tick(now);
     this.renewer.tick(now);
     this.retirer.tick(now);
+    this.opener.tick(now);
     this.view.review(now);
     this.founder.tick(now);
     this.promotions.tick(now);
@@ -225,6 +234,17 @@
     return new HostRetirer({ board, view, store, calls, round, rules: rules.retirement, log });
   }
 
+  private createOpener(): EraOpener {
+    const { self, board, metrics, rules } = this.options;
+    const { view, store, order, round, proofs, log } = this;
+    const { authority } = rules.home;
+    const readAgain = (): Promise<boolean> => proofs.read();
+    return new EraOpener({
+      ...{ self, board, view, store, order, round },
+      ...{ authority, readAgain, metrics, log },
+    });
+  }
+
   private createRenewer(): PeerRenewer {
     const { self, board, rules } = this.options;
     return new PeerRenewer({
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -105,6 +105,7 @@
     const placeOf = this.acting.places(now);
     monitor.tick(now, (group) => placeOf(group) === 0);
     if (board.draining || !view.hasRead || !board.hosts.has(board.host)) return;
+    if (!view.isSettled) return;
     for (const record of board.allRecords) {
       if (board.isConfigured(record.group)) this.review(record, placeOf(record.group), now);
     }
--- a/packages/gateway/src/control/promotion/record-claimer.ts
+++ b/packages/gateway/src/control/promotion/record-claimer.ts
@@ -45,6 +45,10 @@
     successor: NamedSuccessor | undefined,
     now: number,
   ): Promise<Result<RecordClaim, ClaimRefusal>> {
+    if (!this.ctx.view.isSettled) {
+      this.log.info('promotion-claim-unsettled', { era: this.ctx.view.ownPosition.era });
+      return err({ kind: 'not-written' });
+    }
     if (!this.isCurrent(former)) {
       this.log.info('promotion-claim-outdated', { former: former.primary });
       return err({ kind: 'not-written' });
--- a/packages/gateway/src/control/promotion/record-founder.ts
+++ b/packages/gateway/src/control/promotion/record-founder.ts
@@ -37,7 +37,7 @@
   /** Founds what is missing at `now` and due to this host. */
   tick(now: number): void {
     const { board, view } = this.options;
-    if (!view.hasRead || board.hosts.get(board.host) === undefined) return;
+    if (!view.hasRead || !view.isSettled || board.hosts.get(board.host) === undefined) return;
     for (const group of board.catalog?.groups.keys() ?? []) {
       if (board.record(group) !== undefined) continue;
       const since = this.missingSince.get(group) ?? now;
--- a/packages/gateway/src/control/promotion/successor-lead.ts
+++ b/packages/gateway/src/control/promotion/successor-lead.ts
@@ -47,11 +47,13 @@
    */
   async call(claim: RecordClaim, successor: UpstreamIdentity): Promise<CallEnd> {
     const upstream = successor.id;
-    const { port, self, rules, board } = this.ctx;
+    const { port, self, rules, board, view } = this.ctx;
     const windowEnd = claim.sentAt + rules.dutyWindowMs;
     for (let leftMs = windowEnd - performance.now(); leftMs > 0;) {
       if (entryOf(board, successor) === undefined) return CallEnd.Unsettled;
       if (isEvacuated(board, upstream)) return CallEnd.Unsettled;
+      // A store that came back from a copy may have lost the duty, and let another host take it.
+      if (view.ownPosition.era !== claim.item.position.era) return CallEnd.Unsettled;
       const answer = await port.promote({
         group: this.group,
         upstream,
--- a/packages/gateway/src/control/proofs/proof-keeper.ts
+++ b/packages/gateway/src/control/proofs/proof-keeper.ts
@@ -96,8 +96,10 @@
 
   /** Takes a proof, be it passed on; this host's own documents are complete up to its position. */
   takeProof(proof: PassableProof): void {
-    const { board, self } = this.options;
+    const { board, self, view } = this.options;
     const { sentAt, isFromStore } = proof;
+    // A store that came back from a copy may name a primary that another one has followed.
+    if (isFromStore && !view.isSettled) return;
     if (isFromStore) this.listedAt = Math.max(this.listedAt, sentAt);
     if (sentAt > (this.passable?.sentAt ?? Number.NEGATIVE_INFINITY)) this.passable = proof;
     if (this.covers(proof, self.host, self.incarnation)) board.prove(sentAt);
@@ -177,7 +179,10 @@
   async register(): Promise<void> {
     const { registrar, view } = this.options;
     const registration = await registrar.ensure();
-    if (registration === undefined) return;
+    if (registration === undefined) {
+      if (registrar.isRefused) await this.readDocuments();
+      return;
+    }
     const { item, sentAt } = registration;
     const { position } = item;
     const before = { ...position, revision: position.revision - 1 };
--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -91,6 +91,8 @@
   /** Whether the list of hosts has changed since the latest read of this host began. */
   private listChanged = false;
   private stopped = false;
+  /** Local time before which no other host is asked for its configuration. */
+  private fetchNotBefore = Number.NEGATIVE_INFINITY;
   private readonly startedAt = performance.now();
 
   constructor(private readonly options: SyncServiceOptions) {
@@ -106,6 +108,7 @@
     const { proofs, rules } = this.options;
     if (!this.isListed) void this.enlist();
     this.keepUp(now);
+    if (this.options.view.awaitsCatalog && now >= this.fetchNotBefore) void this.fetchCatalog(now);
     const { isReader } = this;
     const seeksHelp = this.isStale(now) || (isReader && proofs.failing);
     if (!seeksHelp || now - this.lastAskAt < rules.intervalMs) return;
@@ -120,6 +123,18 @@
     if (view.hasRead) await proofs.register();
   }
 
+  /** Asks the other hosts in turn for the configuration that they knew. */
+  private async fetchCatalog(now: number): Promise<void> {
+    const { board, documents, rules } = this.options;
+    this.fetchNotBefore = now + rules.waitMs;
+    this.turn += 1;
+    const peer = inTurn(
+      [...board.hosts.values()].filter(({ host }) => host !== board.host),
+      this.turn,
+    );
+    if (peer !== undefined) await documents.fetch(peer, STORE_START);
+  }
+
   /** Reads the store for all others, or asks the parent, whichever is this host's part. */
   private keepUp(now: number): void {
     const { proofs, follower, order } = this.options;
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -19,11 +19,22 @@
 import { LapsedUpstreams } from './lapsed-upstreams.js';
 import { groupOfKey, hostKey, hostOfKey } from './store-documents.js';
 
+/** What the present era of the store leaves in doubt. */
+export interface EraDoubts {
+  /** Whether a key is held that the present era does not have. */
+  isMissing(key: string): boolean;
+  /** Version of the oldest configuration that a host may begin with, which found one at `position`. */
+  oldestCatalog(position: StorePosition): number;
+}
+
 /** Publisher of one host. */
 export class BoardPublisher {
   private readonly lapsed: LapsedUpstreams;
   /** Evacuated zones, with the latest local time at which they were surely in use. */
   private readonly lastInUseAt = new Map<AzId, number>();
+  /** A configuration that is too old to be put in force; undefined while there is none. */
+  private catalogTooOld:
+    { readonly catalog: Catalog; readonly position: StorePosition } | undefined;
   /** Sections of the board that no longer show what is held. */
   private readonly outdated = new Set<BoardSection>();
 
@@ -32,8 +43,7 @@
     private readonly documents: HeldDocuments,
     private readonly log: Logger,
     lapse: LapseRules,
-    /** Whether a key is held that the present era of the store does not have. */
-    private readonly isMissing: (key: string) => boolean,
+    private readonly era: EraDoubts,
   ) {
     this.lapsed = new LapsedUpstreams(lapse, log);
   }
@@ -45,7 +55,7 @@
     position: StorePosition,
     now: number,
   ): void {
-    this.noteChange(former, document);
+    this.noteChange(former, document, position);
     switch (document.kind) {
       case 'catalog':
         this.takeCatalog(document.catalog, position);
@@ -105,6 +115,18 @@
     if (hostOfKey(key) !== undefined) this.outdated.add(BoardSection.Hosts);
   }
 
+  /** Whether the configuration that the store shows is older than one that other hosts knew, and none is in force. */
+  get awaitsCatalog(): boolean {
+    return this.catalogTooOld !== undefined;
+  }
+
+  /** Puts a configuration in force that was too old, if it is not any more. */
+  reviewCatalog(): void {
+    if (this.catalogTooOld === undefined) return;
+    const { catalog, position } = this.catalogTooOld;
+    this.takeCatalog(catalog, position);
+  }
+
   /** Notes that the store has lost this host's own entry. */
   noteOwnEntryLost(): void {
     this.outdated.add(BoardSection.Hosts);
@@ -133,6 +155,14 @@
 
   /** A catalog that names other groups than the one before can change which upstreams are used. */
   private takeCatalog(catalog: Catalog, position: StorePosition): void {
+    // Callers of the other hosts are served by a newer one, so a key or route of this one may be gone there.
+    const oldest = this.era.oldestCatalog(position);
+    if (this.board.catalog === undefined && catalog.version < oldest) {
+      this.catalogTooOld = { catalog, position };
+      this.log.info('catalog-too-old', { version: catalog.version, known: oldest });
+      return;
+    }
+    this.catalogTooOld = undefined;
     if (!this.board.putCatalog(catalog)) return;
     this.log.info('catalog-in-force', {
       version: catalog.version,
@@ -177,10 +207,16 @@
   }
 
   /** Notes which section of the board a document changes; one that was only written again changes none. */
-  private noteChange(former: HeldDocument | undefined, document: StoreDocument): void {
+  private noteChange(
+    former: HeldDocument | undefined,
+    document: StoreDocument,
+    { era }: StorePosition,
+  ): void {
     const section = SECTIONS.get(document.kind);
     if (section === undefined) return;
-    if (former !== undefined && sameEntry(former, document)) return;
+    // A host that lists itself again in a new era writes the same entry, and is listed only then.
+    const isOfEra = former?.item.position.era === era;
+    if (isOfEra && sameEntry(former, document)) return;
     this.outdated.add(section);
   }
 
@@ -203,7 +239,7 @@
     }
     // A host whose own entry can't be read, or was lost, has to write it again, as one that is not listed.
     const ownKey = hostKey(this.board.host);
-    const isListed = !this.documents.isUnreadable(ownKey) && !this.isMissing(ownKey);
+    const isListed = !this.documents.isUnreadable(ownKey) && !this.era.isMissing(ownKey);
     if (!isListed) hosts.delete(this.board.host);
     return hosts;
   }
--- a/packages/gateway/src/control/store/document-exchange.ts
+++ b/packages/gateway/src/control/store/document-exchange.ts
@@ -40,12 +40,12 @@
 
   constructor(private readonly options: DocumentExchangeOptions) {}
 
-  /** Fetches what `peer` has and this host lacks, unless a fetch is under way. */
-  async fetch(peer: PeerAddress): Promise<void> {
+  /** Fetches what `peer` has and a host lacks that is complete up to `since`, unless a fetch is under way. */
+  async fetch(peer: PeerAddress, since = this.options.view.position): Promise<void> {
     if (this.fetching) return;
     this.fetching = true;
     try {
-      await this.fetchOnce(peer);
+      await this.fetchOnce(peer, since);
     } finally {
       this.fetching = false;
     }
@@ -59,9 +59,8 @@
     // A lost link is a fetch without an answer; the next one goes to whoever has something newer.
   }
 
-  private async fetchOnce(peer: PeerAddress): Promise<void> {
+  private async fetchOnce(peer: PeerAddress, position: StorePosition): Promise<void> {
     const { view, calls, log } = this.options;
-    const { position } = view;
     const ask = (id: number) => ({ kind: FrameKind.DocumentsAsk, id, position }) as const;
     const result = await calls.ask(peer, ask, FETCH_TIMEOUT_MS);
     if (result.isErr() || result.value.kind !== FrameKind.DocumentsReply) {
--- /dev/null
+++ b/packages/gateway/src/control/store/era-opener.ts
@@ -0,0 +1,174 @@
+/**
+ * Opens a new era of the store, which has come back from a copy: gathers from the other hosts what the gateway had
+ * written and the copy lacks, writes it back, and marks the era as one whose documents can be relied on.
+ */
+import type { AuthorityRules, FormerHosts, StorePosition } from '@gladespool/coordination';
+import { claimedRecord, mayOpenEra, openingFence, UNKNOWN_HOST } from '@gladespool/coordination';
+import type { HostMetrics, Logger } from '@gladespool/observability';
+import { FrameKind } from '@gladespool/protocol';
+import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { RelayOrder } from '../../knowledge/relay-order.js';
+import type { HostRound } from '../hosts/host-round.js';
+import type { MetadataStore, StoreChange } from './metadata-store.js';
+import { changeEnd, StorePurpose } from './metadata-store.js';
+import { DUTY_KEY, eraKey } from './store-documents.js';
+import type { StoreView } from './store-view.js';
+
+/** What the opener works on. */
+export interface EraOpenerOptions {
+  readonly self: HostEntry;
+  readonly board: GatewayBoard;
+  readonly view: StoreView;
+  readonly store: MetadataStore;
+  readonly order: RelayOrder;
+  readonly round: HostRound;
+  readonly authority: AuthorityRules;
+  /** Reads the gateway's own documents anew. */
+  readonly readAgain: () => Promise<unknown>;
+  readonly metrics: HostMetrics;
+  readonly log: Logger;
+}
+
+type Write = StoreChange['writes'][number];
+
+/** Longest time for the other hosts' answers, milliseconds. */
+const ASK_TIMEOUT_MS = 700;
+/** Longest time for one change, milliseconds. */
+const WRITE_TIMEOUT_MS = 1500;
+/** Time between two tries, milliseconds. */
+const RETRY_MS = 250;
+/** Added for each zone and each host before this one in the order in which hosts read the store, milliseconds. */
+const PLACE_STEP_MS = 300;
+/** Documents in one change, the marker besides: each stands in it twice, and the platform's store takes 32 entries. */
+const MAX_WRITES = 12;
+/** Markers that are kept: a change that is made late asks for the one after its era. */
+const KEPT_MARKERS = 4;
+
+/** Opener of one host. */
+export class EraOpener {
+  private busy = false;
+  private notBefore = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: EraOpenerOptions) {}
+
+  /** Opens the present era, or writes back what an opened one lacks, if that is due at `now`. */
+  tick(now: number): void {
+    const { board, view, order } = this.options;
+    if (this.busy || view.isSettled || board.draining || now < this.notBefore) return;
+    const sinceMs = now - view.eraSince - (order.zonePlace + order.rank) * PLACE_STEP_MS;
+    if (sinceMs < 0) return;
+    void this.run(now);
+  }
+
+  private async run(now: number): Promise<void> {
+    this.busy = true;
+    const { view } = this.options;
+    const opened = view.isOpened ? await this.writeBackClaims() : await this.open(now);
+    this.notBefore = performance.now() + (opened ? 0 : RETRY_MS);
+    this.busy = false;
+  }
+
+  private async open(now: number): Promise<boolean> {
+    const { view, authority, log } = this.options;
+    const { era } = view.ownPosition;
+    // Nobody has to be asked before the earliest time for the answers to count.
+    const earliest = {
+      listed: view.formerHosts.size,
+      answered: view.formerHosts.size,
+      replaced: 0,
+    };
+    if (!mayOpenEra(earliest, now - view.eraSince, authority)) return false;
+    const former = await this.askFormer();
+    const sinceMs = performance.now() - view.eraSince;
+    if (view.isSettled) return true;
+    if (view.ownPosition.era !== era || !mayOpenEra(former, sinceMs, authority)) {
+      log.info('era-not-opened', { era, ...former });
+      return false;
+    }
+    const records = view.lostRecords.map(({ item: { key, value } }) => ({ key, value }));
+    const isDone = await this.writeBack([...this.dutyFor(former), ...records], era);
+    if (isDone) log.info('era-opened', { era, ...former, since_ms: Math.round(sinceMs) });
+    return isDone;
+  }
+
+  /** Asks the hosts that were listed in the era before for what they know, and takes it over. */
+  private async askFormer(): Promise<FormerHosts> {
+    const { self, board, view, round } = this.options;
+    const { formerHosts } = view;
+    if (formerHosts.size === 0) return { listed: 0, answered: 0, replaced: 0 };
+    const { host, incarnation } = self;
+    let answered = formerHosts.get(host) === incarnation ? 1 : 0;
+    const question = { kind: FrameKind.RenewAsk, id: 0, host, incarnation } as const;
+    await round.askAll(question, ASK_TIMEOUT_MS, (answer) => {
+      view.takeItems(answer.items, performance.now());
+      if (formerHosts.get(answer.host) === answer.incarnation) answered += 1;
+    });
+    const replaced = [...formerHosts].filter(([name, process]) => {
+      const listed = board.hosts.get(name);
+      return listed !== undefined && listed.incarnation !== process;
+    });
+    return { listed: formerHosts.size, answered, replaced: replaced.length };
+  }
+
+  /** The duty as the era begins with it, where the newest one known can't be left as the store has it. */
+  private dutyFor(former: FormerHosts): readonly Write[] {
+    const { view } = this.options;
+    const known = view.duty?.duty;
+    const fence = openingFence(known?.fence ?? 0, former);
+    const isHeard = fence === (known?.fence ?? 0);
+    if (isHeard && !view.isLost(DUTY_KEY)) return [];
+    const renewal = (known?.renewal ?? 0) + 1;
+    const unheard = { holder: UNKNOWN_HOST, incarnation: 0, fence, renewal };
+    return [{ key: DUTY_KEY, value: JSON.stringify(isHeard ? known : unheard) }];
+  }
+
+  /** Writes documents back, the marker of the era with the last ones. */
+  private async writeBack(documents: readonly Write[], era: number): Promise<boolean> {
+    const { board, view } = this.options;
+    let rest = documents;
+    for (; rest.length > MAX_WRITES; rest = rest.slice(MAX_WRITES)) {
+      if (!(await this.write(rest.slice(0, MAX_WRITES), []))) return false;
+    }
+    const catalogVersion = board.catalog?.version;
+    const marker = { key: eraKey(era), value: JSON.stringify({ catalogVersion }) };
+    const outdated = eraKey(era - KEPT_MARKERS);
+    return this.write([...rest, marker], view.has(outdated) ? [outdated] : []);
+  }
+
+  /**
+   * Writes records back that an opened era lacks, since nobody who was asked knew them, as claims: other hosts may
+   * use the primaries that the store names until they have given them up.
+   */
+  private async writeBackClaims(): Promise<boolean> {
+    const { self, view } = this.options;
+    for (const { record, item } of view.lostRecords) {
+      const claim = claimedRecord(record, self.host, record.successor);
+      if (!(await this.write([{ key: item.key, value: JSON.stringify(claim) }], []))) return false;
+    }
+    return true;
+  }
+
+  private async write(writes: readonly Write[], removals: readonly string[]): Promise<boolean> {
+    const { store, view, log, metrics } = this.options;
+    const conditions = writes.map(({ key }) => view.conditionOn(key));
+    const change = { conditions, writes, removals };
+    const result = await store.change(change, StorePurpose.Record, WRITE_TIMEOUT_MS);
+    if (result.isErr() || result.value.kind !== 'done') {
+      log.info('documents-not-restored', { result: changeEnd(result) });
+      await this.options.readAgain();
+      return false;
+    }
+    this.takeWritten(writes, result.value.position);
+    metrics.documentsRestored.inc(writes.length);
+    return true;
+  }
+
+  private takeWritten(writes: readonly Write[], position: StorePosition): void {
+    const { view, log } = this.options;
+    for (const { key } of writes) log.info('document-restored', { key, era: position.era });
+    view.takeItems(
+      writes.map((write) => ({ ...write, position })),
+      performance.now(),
+    );
+  }
+}
--- a/packages/gateway/src/control/store/guarded-store.ts
+++ b/packages/gateway/src/control/store/guarded-store.ts
@@ -16,6 +16,7 @@
   StoreRange,
   WatchResult,
 } from './metadata-store.js';
+import { eraKey } from './store-documents.js';
 
 /** What the guard knows of the present era. */
 export interface EraKnowledge {
@@ -70,7 +71,7 @@
     if (change.conditions.some(({ position }) => position.era !== era)) {
       return ok({ kind: 'conflict' });
     }
-    const result = await this.store.change(change, purpose, timeoutMs);
+    const result = await this.store.change(beforeNextEra(change, era), purpose, timeoutMs);
     if (result.isErr() || result.value.kind === 'conflict') return result;
     const { position } = result.value;
     if (position.era === era || change.conditions.length === 0) return result;
@@ -90,6 +91,15 @@
   }
 }
 
+/**
+ * The change under the condition that the next era is not opened. A call that got no answer may be carried out seconds
+ * later, when its conditions hold again by revisions that were given out anew.
+ */
+function beforeNextEra(change: StoreChange, era: number): StoreChange {
+  const next = { key: eraKey(era + 1), position: { era, revision: 0 } };
+  return { ...change, conditions: [...change.conditions, next] };
+}
+
 function place(step: Step): { readonly step: Step; readonly peer: string } {
   return { step, peer: 'metadata store' };
 }
--- a/packages/gateway/src/control/store/held-documents.ts
+++ b/packages/gateway/src/control/store/held-documents.ts
@@ -3,6 +3,7 @@
  */
 import type { StorePosition } from '@gladespool/coordination';
 import { isLater, laterOf, STORE_START } from '@gladespool/coordination';
+import { EraCounts } from './era-counts.js';
 import type { ForeignDocument } from './foreign-documents.js';
 import type { StoreItem } from './metadata-store.js';
 import type { OwnDocument } from './store-documents.js';
@@ -14,6 +15,14 @@
 /** A document with the key's version that it was read from. */
 export type HeldDocument = StoreDocument & { readonly item: StoreItem };
 
+/** A record of a primary that is held. */
+export type HeldRecord = Extract<HeldDocument, { readonly kind: 'primary' }>;
+
+/** Whether a document is the record of a primary. */
+export function isRecord(document: HeldDocument): document is HeldRecord {
+  return document.kind === 'primary';
+}
+
 /** Longest unreadable text that is kept, characters; a longer one is kept and passed on as an empty one. */
 const MAX_KEPT_CHARS = 4096;
 
@@ -25,6 +34,10 @@
   ownNewest = STORE_START;
   /** Position of the latest change of a document that is none of the gateway's own. */
   foreignNewest = STORE_START;
+  /** Eras of the records of primaries. */
+  readonly recordEras = new EraCounts();
+  /** Eras of all readable documents. */
+  readonly eras = new EraCounts();
   private readonly held = new Map<string, HeldDocument>();
   /** Newest versions that can't be read; the last readable one stays in `held`, except an upstream's. */
   private readonly unreadable = new Map<string, StoreItem>();
@@ -55,7 +68,7 @@
 
   /** Holds a document in place of the key's former one. */
   put(document: StoreDocument, item: StoreItem): void {
-    this.held.set(item.key, { ...document, item });
+    this.exchange(item.key, { ...document, item });
     this.unreadable.delete(item.key);
     this.notePosition(item.key, item.position);
   }
@@ -74,13 +87,13 @@
 
   /** Stops to hold a key's document, whose newest version can't be read. */
   discard(key: string): void {
-    this.held.delete(key);
+    this.exchange(key, undefined);
   }
 
   /** Drops a key that was removed at `position`; returns what was held of it. */
   drop(key: string, position: StorePosition): HeldDocument | undefined {
     const held = this.held.get(key);
-    this.held.delete(key);
+    this.exchange(key, undefined);
     this.unreadable.delete(key);
     this.notePosition(key, position);
     return held;
@@ -107,9 +120,21 @@
     this.foreignNewest = laterOf(this.foreignNewest, position);
   }
 
+  private exchange(key: string, next: HeldDocument | undefined): void {
+    const former = this.held.get(key);
+    this.eras.replace(former?.item.position.era, next?.item.position.era);
+    this.recordEras.replace(recordEraOf(former), recordEraOf(next));
+    if (next === undefined) this.held.delete(key);
+    else this.held.set(key, next);
+  }
+
   private notePosition(key: string, position: StorePosition): void {
     this.newest = laterOf(this.newest, position);
     if (key.startsWith(OWN_PREFIX)) this.ownNewest = laterOf(this.ownNewest, position);
     else this.foreignNewest = laterOf(this.foreignNewest, position);
   }
 }
+
+function recordEraOf(document: HeldDocument | undefined): number | undefined {
+  return document?.kind === 'primary' ? document.item.position.era : undefined;
+}
--- a/packages/gateway/src/control/store/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -30,6 +30,8 @@
 
 /** Registers one host. */
 export class Registrar {
+  /** Whether the store's present era refused the latest try: this host knows a former one only. */
+  isRefused = false;
   private writing = false;
   private notBefore = Number.NEGATIVE_INFINITY;
   /** Round trip to the store, milliseconds; undefined before it is measured, and where it need not be. */
@@ -66,6 +68,7 @@
     const write = { key: hostKey(this.self.host), value: JSON.stringify(entry) };
     const change = { conditions: [], writes: [write], removals: [] };
     const result = await this.store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
+    this.isRefused = result.isOk() && result.value.kind === 'conflict';
     if (result.isOk() && result.value.kind === 'done') {
       const { position } = result.value;
       const { incarnation } = this.self;
--- a/packages/gateway/src/control/store/store-documents.ts
+++ b/packages/gateway/src/control/store/store-documents.ts
@@ -15,6 +15,7 @@
 export const OWN_PREFIX = 'gladespool/';
 const HOST_PREFIX = `${OWN_PREFIX}host/`;
 const PRIMARY_PREFIX = `${OWN_PREFIX}primary/`;
+const ERA_PREFIX = `${OWN_PREFIX}era/`;
 /** Key of the record of who may call for promotions. */
 export const DUTY_KEY = `${OWN_PREFIX}duty`;
 
@@ -59,6 +60,11 @@
   renewal: count,
 });
 
+const eraMarkerSchema = z.object({
+  /** Version of the configuration that the hosts knew as the era was opened; missing where they knew none. */
+  catalogVersion: z.int().optional(),
+});
+
 /** Who may call for promotions. */
 export type DutyRecord = z.infer<typeof dutyRecordSchema>;
 
@@ -66,7 +72,9 @@
 export type OwnDocument =
   | { readonly kind: 'host'; readonly entry: HostEntry }
   | { readonly kind: 'primary'; readonly record: PrimaryRecord }
-  | { readonly kind: 'duty'; readonly duty: DutyRecord };
+  | { readonly kind: 'duty'; readonly duty: DutyRecord }
+  /** Marks an era of the store as one whose documents of the gateway can be relied on. */
+  | { readonly kind: 'era'; readonly catalogVersion: number | undefined };
 
 /** Key of a host's entry. */
 export function hostKey(host: string): string {
@@ -78,6 +86,11 @@
   return `${PRIMARY_PREFIX}${group}`;
 }
 
+/** Key of the marker of an era of the store. */
+export function eraKey(era: number): string {
+  return `${ERA_PREFIX}${era}`;
+}
+
 /** The group whose record lies under `key`; undefined when it is no record's key. */
 export function groupOfKey(key: string): GroupId | undefined {
   return key.startsWith(PRIMARY_PREFIX) ? groupId(key.slice(PRIMARY_PREFIX.length)) : undefined;
@@ -94,6 +107,12 @@
   if (host !== undefined) return readingOf(decodeHost(host, text));
   const group = groupOfKey(key);
   if (group !== undefined) return readingOf(decodeRecord(group, text));
+  if (key.startsWith(ERA_PREFIX)) {
+    const marker = parseStored(eraMarkerSchema, text, MAX_ENTRY_CHARS);
+    return readingOf(
+      marker.map(({ catalogVersion }) => ({ kind: 'era', catalogVersion }) as const),
+    );
+  }
   if (key !== DUTY_KEY) return OF_NO_CONCERN;
   const duty = parseStored(dutyRecordSchema, text, MAX_ENTRY_CHARS);
   return readingOf(duty.map((decoded) => ({ kind: 'duty', duty: decoded }) as const));
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -2,7 +2,7 @@
  * The store's documents as this host has seen them, and their effect on the board.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { LapseRules, SeenDuty, StorePosition } from '@gladespool/coordination';
+import type { HostId, LapseRules, SeenDuty, StorePosition } from '@gladespool/coordination';
 import {
   dutyInDoubt,
   isLater,
@@ -17,14 +17,14 @@
 import { BoardPublisher } from './board-publisher.js';
 import { isOlderDocument } from './document-order.js';
 import type { DocumentReader } from './document-reader.js';
-import type { HeldDocument, StoreDocument } from './held-documents.js';
-import { HeldDocuments } from './held-documents.js';
+import type { HeldDocument, HeldRecord, StoreDocument } from './held-documents.js';
+import { HeldDocuments, isRecord } from './held-documents.js';
 import type { StoreCondition, StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
 import { keptForMs, OlderCopies, unusedForMs } from './older-copies.js';
 import type { RemovedKey } from './removed-keys.js';
 import { RemovedKeys } from './removed-keys.js';
 import type { DutyRecord } from './store-documents.js';
-import { DUTY_KEY, groupOfKey, hostKey, hostOfKey, OWN_PREFIX } from './store-documents.js';
+import { DUTY_KEY, eraKey, groupOfKey, hostKey, hostOfKey, OWN_PREFIX } from './store-documents.js';
 
 /** The duty record with what is needed to replace it and to wait it out. */
 export interface HeldDuty {
@@ -56,6 +56,16 @@
 /** Age from which the documents held may no longer be those of the store, milliseconds: two failed renewals. */
 const OUTDATED_AFTER_MS = 1000;
 
+/** Time between two looks at documents that are kept against what the store shows, milliseconds. */
+const KEPT_REVIEW_MS = 500;
+/** Incarnation that no process has, for hosts whose entries can't be read. */
+const UNKNOWN_INCARNATION = -1;
+/**
+ * Time for which a host that starts waits for a configuration that others knew and the store has lost, milliseconds. All
+ * hosts that knew it may be gone.
+ */
+const CATALOG_MS = 15_000;
+
 /** What a view works with. */
 export interface StoreViewOptions {
   readonly board: GatewayBoard;
@@ -77,11 +87,19 @@
   duty: HeldDuty | undefined;
   /** Local time since which the gateway's own documents held are those of the present era. */
   eraSince: number;
+  /** Hosts, with their incarnations, that may know what the present era has lost of the gateway's documents. */
+  formerHosts: ReadonlyMap<HostId, number> = new Map();
   private currentAt = Number.NEGATIVE_INFINITY;
   private hostGoneAt: number;
   private ownKnown = STORE_START;
   /** Local time from which documents count that are kept against what the store shows. */
   private keptSince: number;
+  /** Local time before which these are not looked at once more. */
+  private reviewNotBefore = Number.NEGATIVE_INFINITY;
+  /** Whether no newer configuration than what the store shows is waited for any more. */
+  private takesAnyCatalog = false;
+  /** Whether the first documents of the present era are being taken. */
+  private isEraNew = false;
   private readonly held = new HeldDocuments();
   private readonly copies = new OlderCopies();
   private readonly removed = new RemovedKeys();
@@ -95,7 +113,10 @@
     this.board = board;
     this.reader = reader;
     this.log = log;
-    this.publisher = new BoardPublisher(board, this.held, log, lapse, (key) => this.isMissing(key));
+    this.publisher = new BoardPublisher(board, this.held, log, lapse, {
+      isMissing: (key) => this.isMissing(key),
+      oldestCatalog: (position) => this.oldestCatalog(position),
+    });
     this.hostGoneAt = startedAt;
     this.eraSince = startedAt;
     this.keptSince = startedAt;
@@ -106,6 +127,38 @@
     return this.position.revision > 0;
   }
 
+  /** Whether the present era of the store is marked as one that holds all that was acted on before it. */
+  get isOpened(): boolean {
+    const { era } = this.ownPosition;
+    return era === STORE_START.era || this.has(eraKey(era));
+  }
+
+  /** Whether what the store shows of the gateway's own documents can be relied on. */
+  get isSettled(): boolean {
+    return this.isOpened && !this.held.recordEras.hasBefore(this.ownPosition.era);
+  }
+
+  /** The records that the present era of the store lacks, or has older versions of. */
+  get lostRecords(): readonly HeldRecord[] {
+    return this.held.all.filter(isRecord).filter(({ item }) => this.isLost(item.key));
+  }
+
+  /** Whether the present era of the store lacks one of the gateway's own documents, or has an older version. */
+  isLost(key: string): boolean {
+    const heldAt = this.held.positionOf(key);
+    return heldAt !== undefined && heldAt.era < this.ownPosition.era;
+  }
+
+  /** Whether a key is there. */
+  has(key: string): boolean {
+    return this.held.positionOf(key) !== undefined;
+  }
+
+  /** Whether this host has still to learn of a configuration that hosts knew before the present era. */
+  get awaitsCatalog(): boolean {
+    return this.publisher.awaitsCatalog;
+  }
+
   /** Position of the store of the latest change that this view has heard of. */
   get newest(): StorePosition {
     return this.held.newest;
@@ -174,15 +227,17 @@
     for (const key of this.held.keys) {
       if (key.startsWith(prefix) && !present.has(key)) this.noteMissing(key, range.position, now);
     }
-    for (const item of range.items) this.write(item, now);
+    for (const item of ownFirst(range.items)) this.write(item, now);
     if (prefix === '') this.noteComplete(range.position);
     if (prefix === OWN_PREFIX) this.noteOwnComplete(range.position);
     this.publisher.publish();
+    this.noteFormerHosts();
   }
 
-  /** The records of primaries, as stored. */
+  /** The records of primaries and the duty, as stored. */
   recordItems(): readonly StoreItem[] {
-    return this.held.items.filter((item) => groupOfKey(item.key) !== undefined);
+    const isRecordKey = (key: string): boolean => groupOfKey(key) !== undefined;
+    return this.held.items.filter(({ key }) => isRecordKey(key) || key === DUTY_KEY);
   }
 
   /** What has changed of the gateway's own documents since `since`; undefined if that is not known. */
@@ -242,6 +297,7 @@
     for (const removal of changes.removed) this.removeOlder(removal, now);
     this.noteOwnComplete(changes.position);
     this.publisher.publish();
+    this.noteFormerHosts();
   }
 
   /** Notes that the gateway's own documents held are all that there were at `position`. */
@@ -276,12 +332,21 @@
 
   /** Takes the store's word on what others have not changed in this era for long enough. */
   private reviewKept(now: number): void {
+    const { era } = this.ownPosition;
+    const isKept = this.copies.all.length > 0 || this.held.eras.hasBefore(era);
+    const isDue = isKept || this.awaitsCatalog;
+    if (!isDue || now < this.reviewNotBefore) return;
+    this.reviewNotBefore = now + KEPT_REVIEW_MS;
     const keptMs = now - this.keptSince;
     for (const { document, item } of this.copies.all) {
       if (keptMs < unusedForMs(document)) continue;
       this.log.info('store-copy-taken', { key: item.key, kept_ms: Math.round(keptMs) });
       this.take(document, this.held.get(item.key), item, now);
     }
+    if (keptMs >= CATALOG_MS) {
+      this.takesAnyCatalog = true;
+      this.publisher.reviewCatalog();
+    }
     for (const document of this.held.all) {
       const { key } = document.item;
       if (keptMs < keptForMs(document) || !this.isMissing(key)) continue;
@@ -297,24 +362,50 @@
     return heldAt !== undefined && heldAt.era < era && this.copies.get(key) === undefined;
   }
 
+  /** Before an era is opened, nobody tells which configurations were known; after that, its marker does. */
+  private oldestCatalog(position: StorePosition): number {
+    const { era } = laterOf(position, this.ownPosition);
+    if (era === STORE_START.era || this.takesAnyCatalog) return Number.NEGATIVE_INFINITY;
+    const marker = this.held.get(eraKey(era));
+    if (marker?.kind !== 'era') return Number.POSITIVE_INFINITY;
+    return marker.catalogVersion ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Notes the era of what was read under `prefix`, before it is applied. */
   private noteEra(prefix: string, { era }: StorePosition, now: number): void {
     if (prefix === '' && era > this.position.era) this.keptSince = now;
     const former = this.ownPosition;
     if (era <= former.era) return;
     this.eraSince = now;
+    this.isEraNew = true;
+    this.formerHosts = this.listedProcesses();
     this.copies.forgetBefore(era);
     if (former.revision === 0) return;
     this.log.warn('store-came-back-older', { era, former: storePositionText(former) });
     this.options.metrics.storeReturns.inc();
   }
 
+  /** Hosts that the new era lists may know more than it does as well. */
+  private noteFormerHosts(): void {
+    if (!this.isEraNew) return;
+    this.isEraNew = false;
+    this.formerHosts = new Map([...this.listedProcesses(), ...this.formerHosts]);
+  }
+
+  /** The listed hosts with their incarnations; those whose entries can't be read tell none. */
+  private listedProcesses(): ReadonlyMap<HostId, number> {
+    const { hosts, unknownHosts } = this.board;
+    const unknown = [...unknownHosts].map((host) => [host, UNKNOWN_INCARNATION] as const);
+    const known = [...hosts.values()].map((entry) => [entry.host, entry.incarnation] as const);
+    return new Map([...unknown, ...known]);
+  }
+
   /** A key that a read did not show: it is gone, unless only the present era has lost it. */
   private noteMissing(key: string, position: StorePosition, now: number): void {
     const heldAt = this.held.positionOf(key);
     if (heldAt === undefined || isLater(heldAt, position)) return;
     const kind = this.held.get(key)?.kind;
-    const endsByItself = kind === undefined || kind === 'upstream';
+    const endsByItself = kind === undefined || kind === 'upstream' || kind === 'era';
     if (heldAt.era === position.era || endsByItself) this.remove({ key, position }, now);
     else if (key === hostKey(this.board.host)) this.publisher.noteOwnEntryLost();
   }
@@ -405,6 +496,7 @@
     this.copies.delete(key);
     // An evacuation is told by its key alone; its value may be long, and is neither kept nor passed on.
     this.held.put(document, document.kind === 'evacuation' ? { ...item, value: '' } : item);
+    if (document.kind === 'era') this.publisher.reviewCatalog();
     if (document.kind === 'duty') this.duty = { duty: document.duty, seenAt: now };
     this.publisher.take(document, former, position, now);
   }
@@ -456,3 +548,9 @@
     if (held !== undefined) this.publisher.takeRemoval(held, position, now);
   }
 }
+
+/** The gateway's own documents first: they tell what others have to be waited for. */
+function ownFirst(items: readonly StoreItem[]): readonly StoreItem[] {
+  const isOwn = ({ key }: StoreItem): boolean => key.startsWith(OWN_PREFIX);
+  return [...items.filter(isOwn), ...items.filter((item) => !isOwn(item))];
+}
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -104,6 +104,11 @@
     });
   }
 
+  /** Whether what the store shows of the gateway's own documents can be relied on. */
+  get isStoreSettled(): boolean {
+    return this.control.isStoreSettled;
+  }
+
   /** Whether callers should come here at `now`. */
   isReady(now: number): boolean {
     if (this.board.draining || this.board.catalog === undefined) return false;
--- a/packages/gateway/tests/fakes/action-world.ts
+++ b/packages/gateway/tests/fakes/action-world.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
-import type { UpstreamId } from '@gladespool/coordination';
+import type { PrimaryRecord, UpstreamId } from '@gladespool/coordination';
 import { upstreamId } from '@gladespool/coordination';
 import type { Outcome } from '../../src/index.js';
 import type { FakeDeployment, FakeHost } from './fake-deployment.js';
@@ -18,6 +18,8 @@
   /** The upstream that was first called for. */
   firstCalled: UpstreamId | undefined;
   other: FakeHost;
+  /** The record that the store has lost. */
+  lost: PrimaryRecord;
   /** Outcomes of writes that go on until the primary has changed, a list for each host. */
   writing: readonly Promise<readonly Outcome[]>[];
 }
--- a/packages/gateway/tests/fakes/fake-store.ts
+++ b/packages/gateway/tests/fakes/fake-store.ts
@@ -23,7 +23,7 @@
 /** What the store holds. */
 export class FakeStore {
   /** How often it has come back from a copy. */
-  era = 1;
+  era = 0;
   revision = 1;
   away = false;
   /** Whether it answers reads but refuses every change. */
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -152,6 +152,12 @@
     registers: [this.registry],
   });
 
+  readonly documentsRestored = new Counter({
+    name: 'gladespool_documents_restored_total',
+    help: 'Documents that this host wrote back to a metadata store that had come back from a copy',
+    registers: [this.registry],
+  });
+
   readonly storeReturns = new Counter({
     name: 'gladespool_store_returns_total',
     help: 'Times at which this host learnt that the metadata store had come back from a copy',
