--- /dev/null
+++ b/packages/measure/src/era-model/era-model.ts
@@ -0,0 +1,294 @@
+/**
+ * The steps of the model of a store that loses its last changes, taken by the library's own decisions.
+ */
+import type { FormerHosts, PrimaryRecord } from '@gladespool/coordination';
+import {
+  claimedRecord,
+  hasAuthority,
+  hostId,
+  isGivenUp,
+  isMajority,
+  isNewerRecord,
+  mayOpenEra,
+  namedRecord,
+  openingFence,
+  recordRank,
+  silentHostFreeAt,
+  upstreamId,
+} from '@gladespool/coordination';
+import type { Model, ModelStep } from '../model/breadth-first.js';
+import type { EraHost, EraState, ModelStore } from './era-state.js';
+import { ERA_RULES, FIRST_FENCE, FORMER, HOSTS, initialEra } from './era-state.js';
+
+/** What is done as designed, or wrongly on purpose. */
+export enum EraVariant {
+  Designed = 'designed',
+  /** A read of the store proves a record before the era is opened. */
+  ProofBeforeOpening = 'proof before the era is opened',
+  /** The era is opened without writing records back. */
+  NothingWrittenBack = 'opened with the records of the copy',
+  /** The era is opened by whoever sees it, without asking. */
+  OpenedAlone = 'opened without a majority',
+  /** The fence goes on from the copy's, whoever was heard. */
+  FenceNotRaised = 'fence not raised',
+  /** A claim that the store has lost meanwhile is gone on with. */
+  LostClaimUsed = 'claim lost while its call is under way',
+}
+
+type Step = ModelStep<EraState>;
+
+/** Host that changes the primary first. */
+const CHANGER = 0;
+/** Host that opens eras, and calls for a promotion after that. */
+const OPENER = 1;
+/** Hosts that read the store; the changer hears of it by its own changes. */
+const READERS: readonly number[] = [OPENER, 2];
+/** Age from which nothing depends on how old something is, ticks. */
+const OLD = ERA_RULES.proofLifeMs + 1;
+/** Changes that the store loses at most. */
+const MAX_LOST = 3;
+const SUCCESSOR = {
+  id: upstreamId('u1'),
+  isPrimary: false,
+  term: 1,
+  received: { term: 1, offset: 1 },
+};
+
+/** The model of one variant, in which the store comes back from a copy `returns` times at most, at any time. */
+export function eraModel(variant: EraVariant, returns: number): Model<EraState> {
+  return {
+    initial: initialEra(),
+    stepsFrom: (state) => stepsOf(state, variant, returns),
+    faultOf,
+    keyOf,
+  };
+}
+
+/** States that differ in nothing but how long ago something old was are the same. */
+function keyOf({ now, hosts, change, history, ...rest }: EraState): string {
+  const ageOf = (at: number | undefined): number | undefined => at && Math.min(OLD, now - at);
+  const aged = hosts.map((host) => ({
+    ...host,
+    provedAt: Math.min(OLD, now - host.provedAt),
+    eraSince: Math.min(OLD, now - host.eraSince),
+  }));
+  const kept = change && { ...change, majorityAt: ageOf(change.majorityAt) };
+  return JSON.stringify([aged, kept, history.slice(-MAX_LOST), rest]);
+}
+
+function faultOf({ hosts, change, now, secondFence }: EraState): string | undefined {
+  const usesFormer = hosts.some(
+    ({ record, provedAt }) =>
+      record.epoch === FORMER.epoch && hasAuthority({ record, provedAt }, now, ERA_RULES),
+  );
+  if (change?.isCalled === true && usesFormer) return 'former primary in use after the call';
+  if (change?.isCalled === true && secondFence === FIRST_FENCE) return 'fence used twice';
+  return undefined;
+}
+
+function stepsOf(state: EraState, variant: EraVariant, returns: number): readonly Step[] {
+  const steps: Step[] = [{ name: 'tick', next: { ...state, now: state.now + 1 } }];
+  if (state.store.era < returns) steps.push(...returnSteps(state));
+  for (const index of READERS) steps.push(readStep(state, index, variant));
+  steps.push(...renewalSteps(state));
+  steps.push(...changeSteps(state, variant));
+  steps.push(...openingSteps(state, variant));
+  steps.push(...secondCallSteps(state));
+  return steps;
+}
+
+/** The store loses its last changes. */
+function returnSteps(state: EraState): readonly Step[] {
+  const { store, history } = state;
+  const copies = [...history, store].slice(-1 - MAX_LOST);
+  return copies.map((copy, index) => {
+    const restored = { ...copy, era: store.era + 1, isOpened: false };
+    const name = `store comes back without ${copies.length - 1 - index} changes`;
+    return { name, next: { ...state, store: restored, history: [] } };
+  });
+}
+
+/** A host reads the store; the read proves its record where the era can be relied on. */
+function readStep(state: EraState, index: number, variant: EraVariant): Step {
+  const { store, now } = state;
+  const host = hostAt(state, index);
+  const isSettled = store.isOpened && recordRank(store.record) >= recordRank(host.record);
+  const proves = isSettled || variant === EraVariant.ProofBeforeOpening;
+  const taken = take(host, store.record, store.fence);
+  const read = {
+    ...taken,
+    era: store.era,
+    eraSince: store.era === host.era ? host.eraSince : now,
+    provedAt: proves ? now : taken.provedAt,
+  };
+  return { name: `${index} reads`, next: withHost(state, index, read) };
+}
+
+/** Another host renews the proof of host 2: two of three are more than half. */
+function renewalSteps(state: EraState): readonly Step[] {
+  return [CHANGER, OPENER].map((other) => {
+    const told = hostAt(state, other);
+    const renewed = take(hostAt(state, 2), told.record, told.fence);
+    const next = withHost(state, 2, { ...renewed, provedAt: state.now });
+    return { name: `${other} renews the proof of 2`, next };
+  });
+}
+
+/** Claims the record, revokes the former primary, names another one and calls for it. */
+function changeSteps(state: EraState, variant: EraVariant): readonly Step[] {
+  const { change, store } = state;
+  if (change === undefined) return beginSteps(state);
+  if (change.isCalled) return [];
+  if (change.era === undefined) return [claimArrives(state)];
+  const isPresent = store.era === change.era || variant === EraVariant.LostClaimUsed;
+  const steps = [...state.hosts.keys()]
+    .filter((index) => !change.acknowledged.includes(index))
+    .map((index) => revoke(state, index));
+  if (!isFree(state)) return steps;
+  if (!change.isNamed && isPresent) steps.push(nameStep(state, variant));
+  if (change.isNamed) {
+    steps.push({ name: 'call', next: { ...state, change: { ...change, isCalled: true } } });
+  }
+  return steps;
+}
+
+/** A claim is sent only in an era that can be relied on. */
+function beginSteps(state: EraState): readonly Step[] {
+  const host = hostAt(state, CHANGER);
+  if (host.era !== 0 || recordRank(host.record) !== recordRank(FORMER)) return [];
+  const change = {
+    era: undefined,
+    acknowledged: [CHANGER],
+    majorityAt: undefined,
+    isNamed: false,
+    isCalled: false,
+  };
+  return [{ name: 'claim is sent', next: { ...state, change } }];
+}
+
+/** The claim arrives, be it late: it is made if the record is as it was and the next era is not opened. */
+function claimArrives(state: EraState): Step {
+  const { change, store } = state;
+  const holds = recordRank(store.record) === recordRank(FORMER) && isFirstEra(store);
+  if (change === undefined || !holds) {
+    return { name: 'claim is refused', next: { ...state, change: undefined } };
+  }
+  const claim = claimedRecord(FORMER, hostId('0'), undefined);
+  const changed = changeStore(state, { record: claim, fence: FIRST_FENCE });
+  // What was done in another era than the conditions are of counts as not done.
+  if (store.era !== 0)
+    return { name: 'claim is made late', next: { ...changed, change: undefined } };
+  const claimed = { ...changed, change: { ...change, era: store.era } };
+  const host = take(hostAt(state, CHANGER), claim, FIRST_FENCE);
+  return { name: 'claim is made', next: withHost(claimed, CHANGER, host) };
+}
+
+function isFirstEra({ era, isOpened }: ModelStore): boolean {
+  return era === 0 || !isOpened;
+}
+
+function revoke(state: EraState, index: number): Step {
+  const name = `${index} gives up`;
+  const { change } = state;
+  const claim = claimedRecord(FORMER, hostId('0'), undefined);
+  const host = take(hostAt(state, index), claim, 0);
+  if (change === undefined || !isGivenUp(host.record, claim)) return { name, next: state };
+  const acknowledged = [...change.acknowledged, index].sort();
+  const majorityAt =
+    change.majorityAt ?? (isMajority(acknowledged.length, HOSTS) ? state.now : undefined);
+  const next = { ...state, change: { ...change, acknowledged, majorityAt } };
+  return { name, next: withHost(next, index, host) };
+}
+
+/** Whether every host has surely given the former primary up, as the changer sees it. */
+function isFree({ change, now }: EraState): boolean {
+  if (change?.majorityAt === undefined) return false;
+  if (change.acknowledged.length === HOSTS) return true;
+  return now >= silentHostFreeAt(change.majorityAt, ERA_RULES);
+}
+
+/** Names the successor under the condition that the claim is what the store holds. */
+function nameStep(state: EraState, variant: EraVariant): Step {
+  const { change, store } = state;
+  const claim = claimedRecord(FORMER, hostId('0'), undefined);
+  const named = namedRecord(claim, SUCCESSOR);
+  const isClaimed = recordRank(store.record) === recordRank(claim);
+  if (change === undefined) return { name: 'naming fails', next: state };
+  if (variant === EraVariant.LostClaimUsed) {
+    return { name: 'named', next: { ...state, change: { ...change, isNamed: true } } };
+  }
+  if (!isClaimed) return { name: 'naming fails', next: state };
+  const changed = changeStore(state, { record: named });
+  return { name: 'named', next: { ...changed, change: { ...change, isNamed: true } } };
+}
+
+/** The opener opens the era that it has seen, with the answers of any of the other hosts. */
+function openingSteps(state: EraState, variant: EraVariant): readonly Step[] {
+  const { store, now } = state;
+  const opener = hostAt(state, OPENER);
+  if (store.isOpened || opener.era !== store.era) return [];
+  const heard = [[], [CHANGER], [2], [CHANGER, 2]];
+  return heard
+    .map((others) => ({ others, former: formerOf(others.length) }))
+    .filter(
+      ({ former }) =>
+        variant === EraVariant.OpenedAlone || mayOpenEra(former, now - opener.eraSince, ERA_RULES),
+    )
+    .map(({ others, former }) => openStep(state, others, former, variant));
+}
+
+function formerOf(others: number): FormerHosts {
+  return { listed: HOSTS, answered: 1 + others, replaced: 0 };
+}
+
+function openStep(
+  state: EraState,
+  others: readonly number[],
+  former: FormerHosts,
+  variant: EraVariant,
+): Step {
+  const told = others.map((index) => hostAt(state, index));
+  const knows = told.reduce(
+    (host, { record, fence }) => take(host, record, fence),
+    take(hostAt(state, OPENER), state.store.record, state.store.fence),
+  );
+  const raised = openingFence(knows.fence, former);
+  const isKept = variant === EraVariant.NothingWrittenBack;
+  const opened = {
+    record: isKept ? state.store.record : knows.record,
+    fence: variant === EraVariant.FenceNotRaised ? state.store.fence : raised,
+    isOpened: true,
+  };
+  const name = `opened with ${others.join(' and ') || 'nobody'}`;
+  return { name, next: withHost(changeStore(state, opened), OPENER, knows) };
+}
+
+/** The opener takes the duty over, once the window of any holder before is over, and calls. */
+function secondCallSteps(state: EraState): readonly Step[] {
+  const { store, now, secondFence } = state;
+  const { era, eraSince } = hostAt(state, OPENER);
+  const isDue = store.era > 0 && store.isOpened && era === store.era;
+  if (!isDue || secondFence !== undefined || now < eraSince + ERA_RULES.proofLifeMs) return [];
+  return [{ name: 'second call', next: { ...state, secondFence: store.fence + 1 } }];
+}
+
+function changeStore(state: EraState, change: Partial<ModelStore>): EraState {
+  const { store, history } = state;
+  return { ...state, store: { ...store, ...change }, history: [...history, store] };
+}
+
+function take(host: EraHost, record: PrimaryRecord, fence: number): EraHost {
+  const newest = isNewerRecord(host.record, record) ? record : host.record;
+  return { ...host, record: newest, fence: Math.max(host.fence, fence) };
+}
+
+function hostAt(state: EraState, index: number): EraHost {
+  const host = state.hosts[index];
+  if (host === undefined) throw new RangeError(`no host ${index}`);
+  return host;
+}
+
+function withHost(state: EraState, index: number, change: Partial<EraHost>): EraState {
+  const hosts = state.hosts.map((host, at) => (at === index ? { ...host, ...change } : host));
+  return { ...state, hosts };
+}
--- /dev/null
+++ b/packages/measure/tests/era-model.feature
@@ -0,0 +1,21 @@
+Feature: The model of a store that loses its last changes, driven by the library's own decisions
+
+  Scenario Outline: No host uses the former primary after the call for another one, and no fence is used twice
+    When every state with <returns> returns of the store from a copy is visited
+    Then all of them are without a fault
+
+    Examples:
+      | returns |
+      | 1       |
+
+  Scenario Outline: A broken variant of the opening is caught
+    When the variant "<variant>" of the opening is visited
+    Then the fault "<fault>" is found
+
+    Examples:
+      | variant                                | fault                                |
+      | proof before the era is opened         | former primary in use after the call |
+      | opened with the records of the copy    | former primary in use after the call |
+      | opened without a majority              | former primary in use after the call |
+      | claim lost while its call is under way | former primary in use after the call |
+      | fence not raised                       | fence used twice                     |
