--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -482,7 +482,7 @@
     if (document.kind !== 'upstream') return document;
     const { entry } = document;
     const known = former?.kind === 'upstream' ? former.entry : this.publisher.lapsedEntry(entry.id);
-    return { kind: 'upstream', entry: withKnownBirth(known, entry) };
+    return { ...document, entry: withKnownBirth(known, entry) };
   }
 
   private take(
--- a/packages/gateway/tests/fakes/fake-documents.ts
+++ b/packages/gateway/tests/fakes/fake-documents.ts
@@ -30,6 +30,12 @@
   readonly groups: readonly string[];
 }
 
+/** An entry of an upstream with the number of its write, where it tells one. */
+interface CountedEntry {
+  readonly entry: UpstreamEntry;
+  readonly sequence?: number;
+}
+
 /** Reads the documents of the tests. */
 export class FakeDocuments implements ForeignDocuments {
   read(key: string, text: string): DocumentReading<ForeignDocument> {
@@ -52,9 +58,10 @@
 }
 
 function decode(key: string, value: unknown): ForeignDocument {
-  return key === CONFIG_KEY
-    ? { kind: 'catalog', catalog: catalogOf(value as StoredConfig) }
-    : { kind: 'upstream', entry: value as UpstreamEntry };
+  if (key === CONFIG_KEY) return { kind: 'catalog', catalog: catalogOf(value as StoredConfig) };
+  const isCounted = typeof value === 'object' && value !== null && 'entry' in value;
+  if (!isCounted) return { kind: 'upstream', entry: value as UpstreamEntry };
+  return { kind: 'upstream', ...(value as CountedEntry) };
 }
 
 function catalogOf({ version, groups }: StoredConfig): Catalog {
