fix(proxy): no term is used twice after the store has come back from a copy

What callers would see: a primary of a term whose record the store has lost, and another one promoted under the same term, with another log; confirmed writes of one of them discarded. Found by reading for it; never seen. Ruled out: configurations (signed versions never go down on a host), watches (each begins with a full read), the host list (the platform's own). Change: a promotion claims a term above the newest record known and all fences reported, and ends if a fenced log has gone through its term. Why it holds: a promotion that took effect has fenced a majority at its term, one of which is in any majority fenced later.

--- a/packages/coordination/src/authority/promotion.ts
+++ b/packages/coordination/src/authority/promotion.ts
@@ -75,10 +75,12 @@
 
 /** What starts an attempt. */
 export interface PromotionStart {
-  /** Record in force. */
+  /** Newest record that the promoter knows. */
   readonly record: GroupRecord;
-  /** Its store revision. */
+  /** Store revision of the record that lies there, be it an older one. */
   readonly revision: number;
+  /** Highest term that an upstream is known to be fenced at. */
+  readonly fencedTerm: number;
   readonly members: readonly UpstreamId[];
   readonly avoid: readonly UpstreamId[];
   readonly promoter: HostId;
@@ -86,11 +88,14 @@
   readonly attempt: string;
 }
 
-/** Begins an attempt under the term after the record's. */
+/**
+ * Begins an attempt under the term after all that are known to have been used: a store that came back from a copy may
+ * have lost the records of the latest ones.
+ */
 export function startPromotion(start: PromotionStart): PromotionStep {
   const record: GroupRecord = {
     ...start.record,
-    term: start.record.term + 1,
+    term: Math.max(start.record.term, start.fencedTerm) + 1,
     phase: GroupPhase.Fencing,
     attempt: start.attempt,
     promoter: start.promoter,
@@ -155,6 +160,8 @@
   if (state.stage !== PromotionStage.Fencing) return stay(state);
   if (report.fencedTerm > state.record.term) return abandon(state);
   if (report.fencedTerm < state.record.term) return stay(state);
+  // Its log went through this term under a record that the store has lost; another log must not do so again.
+  if (hasReached(report, state.record.term)) return abandon(state);
   const others = state.reports.filter((held) => held.upstream !== report.upstream);
   const reports = [...others, report];
   const next = { ...state, reports };
@@ -163,6 +170,10 @@
   return reports.length === state.members.length ? promoteHighest(next, reports) : stay(next);
 }
 
+function hasReached({ received, lineage }: UpstreamReport, term: number): boolean {
+  return received.term >= term || lineage.some((entry) => entry.term >= term);
+}
+
 /**
  * Any fenced majority may choose. A suspect primary that still answers has the longest log, so it
  * is left out of the choice while a majority of the others can be had; a promotion that chose it
--- a/packages/coordination/tests/promotion.feature
+++ b/packages/coordination/tests/promotion.feature
@@ -19,6 +19,7 @@
       | swapped, read mine, fenced b 1/9, fenced c 1/7             | promoting  | swap, read-record, fence, promote b                  | highest of the majority                  |
       | swapped, read mine, fenced b 1/7, fenced c 1/9             | promoting  | swap, read-record, fence, promote c                  | highest, whoever came first              |
       | swapped, read mine, fenced b 1/9 at 3                      | abandoned  | swap, read-record, fence                             | a later term fenced it first             |
+      | swapped, read mine, fenced b 2/9                           | abandoned  | swap, read-record, fence                             | its log went through this term already   |
       | swapped, read mine, fenced b 1/9, fenced c 1/7, promote-failed | abandoned | swap, read-record, fence, promote b               | chosen one died; same term never again   |
       | swapped, read mine, fenced b 1/9, fenced c 1/7, promoted b | publishing | swap, read-record, fence, promote b, swap            | promoted                                 |
       | swapped, read mine, fenced b 1/9, fenced c 1/7, promoted b, swap-unknown, read mine | done | swap, read-record, fence, promote b, swap, read-record | published, reply lost      |
@@ -28,6 +29,17 @@
       | swapped, read mine, fenced a 1/12, fenced b 1/9, fenced c 1/7 | promoting | swap, read-record, fence, promote b               | the suspect is not chosen again          |
       | swapped, read mine, fenced a 1/12, fenced b 1/9, grace-over | promoting | swap, read-record, fence, promote a                  | no majority without it: better than none |
 
+  Scenario Outline: Terms that the store's record does not tell of
+    When it begins anew, with upstreams that are fenced at term <fenced>
+    Then it claims term <term>
+
+    Examples:
+      | fenced | term |
+      | 0      | 2    |
+      | 1      | 2    |
+      | 2      | 3    |
+      | 7      | 8    |
+
   Scenario: The lineage is that of the chosen log
     When the events are "swapped, read mine, fenced b 1/9, fenced c 1/7, promoted b"
     Then the record written last names primary "b", term 2 and lineage "1:0, 2:9"
--- a/packages/coordination/tests/promotion.steps.ts
+++ b/packages/coordination/tests/promotion.steps.ts
@@ -10,17 +10,33 @@
 }
 
 Given('a promotion of group {string} from term 1', function (this: PromotionWorld, ids: string) {
+  begin(this, ids, 0);
+});
+
+When(
+  'it begins anew, with upstreams that are fenced at term {int}',
+  function (this: PromotionWorld, fencedTerm: number) {
+    begin(this, 'a, b, c', fencedTerm);
+  },
+);
+
+Then('it claims term {int}', function (this: PromotionWorld, term: number) {
+  assert.equal(this.state.record.term, term);
+});
+
+function begin(world: PromotionWorld, ids: string, fencedTerm: number): void {
   const step = startPromotion({
     record: recordWith(parseLineage('1:0')),
     revision: 7,
+    fencedTerm,
     members: ids.split(', ').map(upstreamId),
     avoid: [upstreamId('a')],
     promoter: hostId('h'),
     attempt: 'mine',
   });
-  this.state = step.state;
-  this.actions = [...step.actions];
-});
+  world.state = step.state;
+  world.actions = [...step.actions];
+}
 
 When('the events are {string}', function (this: PromotionWorld, events: string) {
   for (const text of events.split(', ')) {
--- a/packages/measure/src/model/model-steps.ts
+++ b/packages/measure/src/model/model-steps.ts
@@ -208,6 +208,7 @@
     const started = startPromotion({
       record: state.record,
       revision: state.revision,
+      fencedTerm: 0,
       members: MEMBERS,
       avoid: [state.record.primary],
       promoter: hostId(`p${index}`),
--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -222,14 +222,22 @@
       this.options.onRecord(record);
       if (record.phase === GroupPhase.Serving) return;
     }
+    const isLost = known !== undefined && record.term < known.term;
+    if (isLost) {
+      const lost = { group: spec.id, term: known.term, stored_term: record.term };
+      log.warn('store-record-older', lost);
+    }
     this.lastAttempt += 1;
+    const newest = isLost ? known : record;
+    const fenced = home.reports(spec).map(({ report }) => report.fencedTerm);
     const leaving = spec.upstreams.filter((entry) => entry.state === UpstreamState.Leaving);
     const result = await runPromotion(
       {
-        record,
+        record: newest,
         revision: stored.revision,
+        fencedTerm: Math.max(0, ...fenced),
         members: spec.upstreams.map((upstream) => upstream.id),
-        avoid: [record.primary, ...leaving.map((upstream) => upstream.id)],
+        avoid: [newest.primary, ...leaving.map((upstream) => upstream.id)],
         promoter: home.context.board.host,
         attempt: `${home.context.board.host}/${Date.now()}/${this.lastAttempt}`,
       },
