--- /dev/null
+++ b/packages/coordination/tests/era-opening.feature
@@ -0,0 +1,41 @@
+Feature: When a new era of the metadata store may be relied on
+
+  Scenario Outline: Who has to be heard, and how long silent hosts are waited for
+    Given <listed> hosts were listed before, of which <answered> answer and <replaced> are replaced
+    Then <ms> ms after the era was first seen it <may> be opened
+
+    Examples:
+      | listed | answered | replaced | ms    | may     | because                                             |
+      | 0      | 0        | 0        | 0     | may     | nobody can know more                                |
+      | 3      | 3        | 0        | 999   | may not | a proof of the era before may be in use             |
+      | 3      | 3        | 0        | 1000  | may     | all have told what they know                        |
+      | 3      | 2        | 0        | 1000  | may     | more than half have                                 |
+      | 3      | 1        | 0        | 1000  | may not | two may know of a claim                             |
+      | 4      | 2        | 0        | 1000  | may not | half is not more than half                          |
+      | 3      | 1        | 2        | 1000  | may     | new processes know nothing of before                |
+      | 3      | 0        | 3        | 1000  | may     | all were replaced                                   |
+      | 3      | 0        | 2        | 1000  | may not | the third may know of a claim                       |
+      | 3      | 1        | 0        | 20999 | may not | a list of the era before may still renew a proof    |
+      | 3      | 1        | 0        | 21000 | may     | no silent host can hold a proof                     |
+
+  Scenario Outline: The fence from which the era goes on
+    Given <listed> hosts were listed before, of which <answered> answer and 0 are replaced
+    Then the fence goes on from <known> at <fence>
+
+    Examples:
+      | listed | answered | known | fence  |
+      | 0      | 0        | 0     | 0      |
+      | 3      | 3        | 7     | 7      |
+      | 3      | 2        | 7     | 100007 |
+      | 3      | 2        | 0     | 100000 |
+
+  Scenario Outline: Numbers that stand in for what can't be read lie above all that were used before
+    Given a record of epoch <epoch> that can't be read at <era>.<revision> any more
+    Then it counts as claimed under epoch <doubt>
+
+    Examples:
+      | epoch | era | revision | doubt  |
+      | 2     | 0   | 5        | 5      |
+      | 9     | 0   | 5        | 10     |
+      | 2     | 1   | 5        | 200005 |
+      | 2     | 3   | 1        | 600001 |
--- /dev/null
+++ b/packages/coordination/tests/era-opening.steps.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { Given, Then } from '@cucumber/cucumber';
+import type { FormerHosts, PrimaryRecord } from '../src/index.js';
+import {
+  DEFAULT_AUTHORITY,
+  groupId,
+  hostId,
+  mayOpenEra,
+  openingFence,
+  recordInDoubt,
+  RecordPhase,
+  upstreamId,
+} from '../src/index.js';
+
+interface OpeningWorld {
+  former: FormerHosts;
+  doubted: PrimaryRecord;
+}
+
+Given(
+  '{int} hosts were listed before, of which {int} answer and {int} are replaced',
+  function (this: OpeningWorld, listed: number, answered: number, replaced: number) {
+    this.former = { listed, answered, replaced };
+  },
+);
+
+Then(
+  /^(\d+) ms after the era was first seen it (may|may not) be opened$/,
+  function (this: OpeningWorld, ms: string, may: string) {
+    assert.equal(mayOpenEra(this.former, Number(ms), DEFAULT_AUTHORITY), may === 'may');
+  },
+);
+
+Then(
+  'the fence goes on from {int} at {int}',
+  function (this: OpeningWorld, known: number, fence: number) {
+    assert.equal(openingFence(known, this.former), fence);
+  },
+);
+
+Given(
+  /^a record of epoch (\d+) that can't be read at (\d+)\.(\d+) any more$/,
+  function (this: OpeningWorld, epoch: string, era: string, revision: string) {
+    const group = groupId('g1');
+    const former = {
+      group,
+      epoch: Number(epoch),
+      phase: RecordPhase.Serving,
+      primary: upstreamId('u1'),
+      holder: hostId('h1'),
+    };
+    const position = { era: Number(era), revision: Number(revision) };
+    this.doubted = recordInDoubt(group, former, position);
+  },
+);
+
+Then('it counts as claimed under epoch {int}', function (this: OpeningWorld, epoch: number) {
+  assert.deepEqual([this.doubted.phase, this.doubted.epoch], [RecordPhase.Claimed, epoch]);
+});
