fix(gateway): an era is opened also where the store holds nothing

What callers would see: no host of a deployment comes to serve, for ever, if the store was emptied by its return. Cause: the guard of the store knew the era by the latest document only, the view by its reads; conditions and guard never agreed. Found by asking what an empty store does. Change: both ask the view for its era.

--- a/packages/gateway/src/control/store/guarded-store.ts
+++ b/packages/gateway/src/control/store/guarded-store.ts
@@ -20,8 +20,8 @@
 
 /** What the guard knows of the present era. */
 export interface EraKnowledge {
-  /** Position of the latest change that this host has heard of. */
-  readonly newest: StorePosition;
+  /** Latest era that this host has heard of. */
+  readonly era: number;
 }
 
 /** A store whose answers and changes are of one era. */
@@ -67,7 +67,7 @@
     purpose: StorePurpose,
     timeoutMs: number,
   ): Promise<Result<ChangeResult, GladespoolError>> {
-    const { era } = this.known.newest;
+    const { era } = this.known;
     if (change.conditions.some(({ position }) => position.era !== era)) {
       return ok({ kind: 'conflict' });
     }
@@ -84,9 +84,9 @@
     { era }: StorePosition,
     step: Step,
   ): Result<Answer, GladespoolError> {
-    const { newest } = this.known;
-    if (era >= newest.era) return ok(answer);
-    this.log.warn('store-answer-of-former-era', { step, era, present: newest.era });
+    const { era: present } = this.known;
+    if (era >= present) return ok(answer);
+    this.log.warn('store-answer-of-former-era', { step, era, present });
     return err(gladespoolError(place(step), 'answer of a former era of the store'));
   }
 }
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -127,6 +127,11 @@
     return this.position.revision > 0;
   }
 
+  /** Latest era of the store that this view has heard of, be it by a read that showed nothing. */
+  get era(): number {
+    return laterOf(this.newest, this.ownPosition).era;
+  }
+
   /** Whether the present era of the store is marked as one that holds all that was acted on before it. */
   get isOpened(): boolean {
     const { era } = this.ownPosition;
--- a/packages/gateway/tests/guarded-store.feature
+++ b/packages/gateway/tests/guarded-store.feature
@@ -28,6 +28,10 @@
       | 2         | 3   | 3      | conflict     | not made |
       | 2         | 3   | 2      | not certain  | made     |
 
+  Scenario: A store that holds nothing after it has come back from a copy
+    Given a host that reads a store which is empty in era 3
+    Then the host marks era 3 as opened
+
   Scenario: A claim that nobody who was asked knew comes back as a claim
     Given a host that knows era 0 of the store, with a primary of epoch 6
     When the store comes back in era 1 with the primary of epoch 5, and is opened by others
--- a/packages/gateway/tests/guarded-store.steps.ts
+++ b/packages/gateway/tests/guarded-store.steps.ts
@@ -40,16 +40,14 @@
 
 const KEY = 'gladespool/some';
 const TIMEOUT_MS = 100;
-const KNOWN_REVISION = 40;
 const GROUP = groupId('g1');
 const STEP_MS = 20;
 
 Given('a host that knows era {int} of the store', function (this: GuardWorld, era: number) {
   this.store = new FakeStore();
   this.store.put(KEY, 1);
-  const known = { newest: at(KNOWN_REVISION, era) };
   const client = new FakeStoreClient(this.store);
-  this.guarded = new GuardedStore(client, known, createLogger('test'));
+  this.guarded = new GuardedStore(client, { era }, createLogger('test'));
 });
 
 When(
@@ -100,42 +98,63 @@
 Given(
   'a host that knows era 0 of the store, with a primary of epoch {int}',
   async function (this: GuardWorld, epoch: number) {
-    const self = {
-      host: hostId('h1'),
-      az: azId('z1'),
-      address: '127.0.0.1',
-      port: 1,
-      incarnation: 1,
-      linkMbps: 20,
-    };
-    const board = new GatewayBoard(self.host, self.az);
-    const metrics = new HostMetrics();
-    const log = createLogger('test');
     this.store = new FakeStore();
     this.store.put(primaryKey(GROUP), recordOf(epoch - 1));
     this.store.put(primaryKey(GROUP), recordOf(epoch));
-    const view = new StoreView({
-      board,
-      reader: fakeReader(board, metrics),
-      metrics,
-      log,
-      startedAt: performance.now(),
-      lapse: lapseRules(1000),
-    });
-    const store = new GuardedStore(new FakeStoreClient(this.store), view, log);
-    const order = new RelayOrder(board);
-    const calls = { ask: unasked, tell: unasked, isReachable: () => false };
-    const round = new HostRound({ board, order, calls });
-    this.view = view;
-    this.opener = new EraOpener({
-      ...{ self, board, view, store, order, round, metrics, log },
-      authority: DEFAULT_AUTHORITY,
-      readAgain: () => readAll(this),
-    });
+    createOpener(this);
+    await readAll(this);
+  },
+);
+
+Given(
+  'a host that reads a store which is empty in era {int}',
+  async function (this: GuardWorld, era: number) {
+    this.store = new FakeStore();
+    this.store.era = era;
+    createOpener(this);
     await readAll(this);
   },
 );
 
+Then('the host marks era {int} as opened', async function (this: GuardWorld, era: number) {
+  while (!this.store.items.has(eraKey(era))) {
+    this.opener.tick(performance.now());
+    await pause(STEP_MS);
+  }
+});
+
+function createOpener(world: GuardWorld): void {
+  const self = {
+    host: hostId('h1'),
+    az: azId('z1'),
+    address: '127.0.0.1',
+    port: 1,
+    incarnation: 1,
+    linkMbps: 20,
+  };
+  const board = new GatewayBoard(self.host, self.az);
+  const metrics = new HostMetrics();
+  const log = createLogger('test');
+  const view = new StoreView({
+    board,
+    reader: fakeReader(board, metrics),
+    metrics,
+    log,
+    startedAt: performance.now(),
+    lapse: lapseRules(1000),
+  });
+  const store = new GuardedStore(new FakeStoreClient(world.store), view, log);
+  const order = new RelayOrder(board);
+  const calls = { ask: unasked, tell: unasked, isReachable: () => false };
+  const round = new HostRound({ board, order, calls });
+  world.view = view;
+  world.opener = new EraOpener({
+    ...{ self, board, view, store, order, round, metrics, log },
+    authority: DEFAULT_AUTHORITY,
+    readAgain: () => readAll(world),
+  });
+}
+
 function unasked(): never {
   throw new Error('no other host is asked');
 }
