refactor(gateway): the present era and what others lack have modules of their own

Change: no behaviour; deltas in view-delta.ts, the era's begin and its former hosts in present-era.ts.

--- a/packages/gateway/src/control/store/era-opener.ts
+++ b/packages/gateway/src/control/store/era-opener.ts
@@ -55,7 +55,7 @@
   tick(now: number): void {
     const { board, view, order } = this.options;
     if (this.busy || view.isSettled || board.draining || now < this.notBefore) return;
-    const sinceMs = now - view.eraSince - (order.zonePlace + order.rank) * PLACE_STEP_MS;
+    const sinceMs = now - view.presentEra.since - (order.zonePlace + order.rank) * PLACE_STEP_MS;
     if (sinceMs < 0) return;
     void this.run(now);
   }
@@ -73,13 +73,13 @@
     const { era } = view.ownPosition;
     // Nobody has to be asked before the earliest time for the answers to count.
     const earliest = {
-      listed: view.formerHosts.size,
-      answered: view.formerHosts.size,
+      listed: view.presentEra.formerHosts.size,
+      answered: view.presentEra.formerHosts.size,
       replaced: 0,
     };
-    if (!mayOpenEra(earliest, now - view.eraSince, authority)) return false;
+    if (!mayOpenEra(earliest, now - view.presentEra.since, authority)) return false;
     const former = await this.askFormer();
-    const sinceMs = performance.now() - view.eraSince;
+    const sinceMs = performance.now() - view.presentEra.since;
     if (view.isSettled) return true;
     if (view.ownPosition.era !== era || !mayOpenEra(former, sinceMs, authority)) {
       log.info('era-not-opened', { era, ...former });
@@ -94,7 +94,7 @@
   /** Asks the hosts that were listed in the era before for what they know, and takes it over. */
   private async askFormer(): Promise<FormerHosts> {
     const { self, board, view, round } = this.options;
-    const { formerHosts } = view;
+    const { formerHosts } = view.presentEra;
     if (formerHosts.size === 0) return { listed: 0, answered: 0, replaced: 0 };
     const { host, incarnation } = self;
     let answered = formerHosts.get(host) === incarnation ? 1 : 0;
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -2,7 +2,7 @@
  * The store's documents as this host has seen them, and their effect on the board.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { HostId, LapseRules, SeenDuty, StorePosition } from '@gladespool/coordination';
+import type { LapseRules, SeenDuty, StorePosition } from '@gladespool/coordination';
 import {
   dutyInDoubt,
   isLater,
@@ -21,10 +21,13 @@
 import { HeldDocuments, isRecord } from './held-documents.js';
 import type { StoreCondition, StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
 import { keptForMs, OlderCopies, unusedForMs } from './older-copies.js';
+import { PresentEra } from './present-era.js';
 import type { RemovedKey } from './removed-keys.js';
 import { RemovedKeys } from './removed-keys.js';
 import type { DutyRecord } from './store-documents.js';
 import { DUTY_KEY, eraKey, groupOfKey, hostKey, hostOfKey, OWN_PREFIX } from './store-documents.js';
+import type { OwnChanges, ViewDelta } from './view-delta.js';
+import { DeltaSource } from './view-delta.js';
 
 /** The duty record with what is needed to replace it and to wait it out. */
 export interface HeldDuty {
@@ -33,33 +36,12 @@
   readonly seenAt: number;
 }
 
-/** What another host is missing. */
-export interface ViewDelta {
-  /** Whether `items` are all there are. */
-  readonly complete: boolean;
-  /** Position up to which the other host is complete with it. */
-  readonly position: StorePosition;
-  readonly items: readonly StoreItem[];
-  readonly removed: readonly RemovedKey[];
-}
-
-/** What has changed of the gateway's own documents since some position. */
-export interface OwnChanges {
-  /** Position of the store up to which these and what was held before are all of them. */
-  readonly position: StorePosition;
-  readonly items: readonly StoreItem[];
-  readonly removed: readonly RemovedKey[];
-}
-
 /** Time between two looks at whether a change has arrived, milliseconds: about a round trip of the store. */
 const WAIT_STEP_MS = 5;
 /** Age from which the documents held may no longer be those of the store, milliseconds: two failed renewals. */
 const OUTDATED_AFTER_MS = 1000;
-
 /** Time between two looks at documents that are kept against what the store shows, milliseconds. */
 const KEPT_REVIEW_MS = 500;
-/** Incarnation that no process has, for hosts whose entries can't be read. */
-const UNKNOWN_INCARNATION = -1;
 /**
  * Time for which a host that starts waits for a configuration that others knew and the store has lost, milliseconds. All
  * hosts that knew it may be gone.
@@ -85,10 +67,7 @@
   /** Position of the store up to which this view is complete; the start before the first read. */
   position = STORE_START;
   duty: HeldDuty | undefined;
-  /** Local time since which the gateway's own documents held are those of the present era. */
-  eraSince: number;
-  /** Hosts, with their incarnations, that may know what the present era has lost of the gateway's documents. */
-  formerHosts: ReadonlyMap<HostId, number> = new Map();
+  readonly presentEra: PresentEra;
   private currentAt = Number.NEGATIVE_INFINITY;
   private hostGoneAt: number;
   private ownKnown = STORE_START;
@@ -98,18 +77,17 @@
   private reviewNotBefore = Number.NEGATIVE_INFINITY;
   /** Whether no newer configuration than what the store shows is waited for any more. */
   private takesAnyCatalog = false;
-  /** Whether the first documents of the present era are being taken. */
-  private isEraNew = false;
   private readonly held = new HeldDocuments();
   private readonly copies = new OlderCopies();
   private readonly removed = new RemovedKeys();
+  private readonly deltas = new DeltaSource(this.held, this.copies, this.removed);
   private readonly publisher: BoardPublisher;
   private readonly board: GatewayBoard;
   private readonly reader: DocumentReader;
   private readonly log: Logger;
 
-  constructor(private readonly options: StoreViewOptions) {
-    const { board, reader, log, startedAt, lapse } = options;
+  constructor(options: StoreViewOptions) {
+    const { board, reader, metrics, log, startedAt, lapse } = options;
     this.board = board;
     this.reader = reader;
     this.log = log;
@@ -118,7 +96,7 @@
       oldestCatalog: (position) => this.oldestCatalog(position),
     });
     this.hostGoneAt = startedAt;
-    this.eraSince = startedAt;
+    this.presentEra = new PresentEra(board, metrics, log, startedAt);
     this.keptSince = startedAt;
   }
 
@@ -236,7 +214,7 @@
     if (prefix === '') this.noteComplete(range.position);
     if (prefix === OWN_PREFIX) this.noteOwnComplete(range.position);
     this.publisher.publish();
-    this.noteFormerHosts();
+    this.presentEra.noteTaken();
   }
 
   /** The records of primaries and the duty, as stored. */
@@ -247,33 +225,12 @@
 
   /** What has changed of the gateway's own documents since `since`; undefined if that is not known. */
   ownChangesSince(since: StorePosition): OwnChanges | undefined {
-    if (!this.removed.reachesBackTo(since)) return undefined;
-    const position = this.ownPosition;
-    if (!isLater(this.held.ownNewest, since)) return { position, items: [], removed: [] };
-    const isNews = (change: { readonly key: string; readonly position: StorePosition }): boolean =>
-      isLater(change.position, since) && change.key.startsWith(OWN_PREFIX);
-    return {
-      position,
-      items: this.held.items.filter(isNews),
-      removed: this.removed.all.filter(isNews),
-    };
+    return this.deltas.ownChanges(since, this.ownPosition);
   }
 
   /** What a host lacks that is complete up to `since`. */
   deltaSince(since: StorePosition): ViewDelta {
-    const { position } = this;
-    if (!this.removed.reachesBackTo(since)) {
-      const unused = this.copies.all.map(({ item }) => item);
-      return { complete: true, position, items: [...this.held.items, ...unused], removed: [] };
-    }
-    const isNews = (change: { readonly position: StorePosition }): boolean =>
-      isLater(change.position, since);
-    return {
-      complete: false,
-      position,
-      items: this.held.items.filter(isNews),
-      removed: this.removed.all.filter(isNews),
-    };
+    return this.deltas.delta(since, this.position);
   }
 
   /** Takes what another host passed on. */
@@ -302,7 +259,7 @@
     for (const removal of changes.removed) this.removeOlder(removal, now);
     this.noteOwnComplete(changes.position);
     this.publisher.publish();
-    this.noteFormerHosts();
+    this.presentEra.noteTaken();
   }
 
   /** Notes that the gateway's own documents held are all that there were at `position`. */
@@ -381,28 +338,8 @@
     if (prefix === '' && era > this.position.era) this.keptSince = now;
     const former = this.ownPosition;
     if (era <= former.era) return;
-    this.eraSince = now;
-    this.isEraNew = true;
-    this.formerHosts = this.listedProcesses();
+    this.presentEra.begin(era, former, now);
     this.copies.forgetBefore(era);
-    if (former.revision === 0) return;
-    this.log.warn('store-came-back-older', { era, former: storePositionText(former) });
-    this.options.metrics.storeReturns.inc();
-  }
-
-  /** Hosts that the new era lists may know more than it does as well. */
-  private noteFormerHosts(): void {
-    if (!this.isEraNew) return;
-    this.isEraNew = false;
-    this.formerHosts = new Map([...this.listedProcesses(), ...this.formerHosts]);
-  }
-
-  /** The listed hosts with their incarnations; those whose entries can't be read tell none. */
-  private listedProcesses(): ReadonlyMap<HostId, number> {
-    const { hosts, unknownHosts } = this.board;
-    const unknown = [...unknownHosts].map((host) => [host, UNKNOWN_INCARNATION] as const);
-    const known = [...hosts.values()].map((entry) => [entry.host, entry.incarnation] as const);
-    return new Map([...unknown, ...known]);
   }
 
   /** A key that a read did not show: it is gone, unless only the present era has lost it. */
--- /dev/null
+++ b/packages/gateway/src/control/store/view-delta.ts
@@ -0,0 +1,71 @@
+/**
+ * What other hosts are missing of the documents that a host holds.
+ */
+import type { StorePosition } from '@gladespool/coordination';
+import { isLater } from '@gladespool/coordination';
+import type { HeldDocuments } from './held-documents.js';
+import type { StoreItem } from './metadata-store.js';
+import type { OlderCopies } from './older-copies.js';
+import type { RemovedKey, RemovedKeys } from './removed-keys.js';
+import { OWN_PREFIX } from './store-documents.js';
+
+/** What another host is missing. */
+export interface ViewDelta {
+  /** Whether `items` are all there are. */
+  readonly complete: boolean;
+  /** Position up to which the other host is complete with it. */
+  readonly position: StorePosition;
+  readonly items: readonly StoreItem[];
+  readonly removed: readonly RemovedKey[];
+}
+
+/** What has changed of the gateway's own documents since some position. */
+export interface OwnChanges {
+  /** Position of the store up to which these and what was held before are all of them. */
+  readonly position: StorePosition;
+  readonly items: readonly StoreItem[];
+  readonly removed: readonly RemovedKey[];
+}
+
+/** A change with the position at which it was made. */
+interface Change {
+  readonly key: string;
+  readonly position: StorePosition;
+}
+
+/** Works out what others lack. */
+export class DeltaSource {
+  constructor(
+    private readonly held: HeldDocuments,
+    private readonly copies: OlderCopies,
+    private readonly removed: RemovedKeys,
+  ) {}
+
+  /** What has changed of the gateway's own documents from `since` to `position`; undefined if not known. */
+  ownChanges(since: StorePosition, position: StorePosition): OwnChanges | undefined {
+    if (!this.removed.reachesBackTo(since)) return undefined;
+    if (!isLater(this.held.ownNewest, since)) return { position, items: [], removed: [] };
+    return {
+      position,
+      ...this.changes((change) => isLater(change.position, since) && isOwn(change)),
+    };
+  }
+
+  /** What a host lacks that is complete up to `since`, from a host that is complete up to `position`. */
+  delta(since: StorePosition, position: StorePosition): ViewDelta {
+    if (this.removed.reachesBackTo(since)) {
+      const changes = this.changes((change) => isLater(change.position, since));
+      return { complete: false, position, ...changes };
+    }
+    const unused = this.copies.all.map(({ item }) => item);
+    return { complete: true, position, items: [...this.held.items, ...unused], removed: [] };
+  }
+
+  private changes(isNews: (change: Change) => boolean): Pick<ViewDelta, 'items' | 'removed'> {
+    return { items: this.held.items.filter(isNews), removed: this.removed.all.filter(isNews) };
+  }
+}
+
+function isOwn({ key }: Change): boolean {
+  return key.startsWith(OWN_PREFIX);
+}
