feat(gateway): logs tell a proof read late from one passed on late or not taken, and a paused process

Cause: not named yet. The logs could not tell its hypotheses apart: a proof read late, passed on late, or refused; and whether the process ran at all. Change: `proof-late` tells the ages of proof and documents, this host's own latest read, and its latest question: how long ago it was asked and answered, with which proof. `host-paused` tells that ticks came more than one late (`LoopDelay`; nothing is decided by it yet).

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -35,6 +35,7 @@
 export * from './authority/failover.js';
 export * from './model/statement-terms.js';
 export * from './membership/host-retirement.js';
+export * from './membership/loop-delay.js';
 export * from './membership/upstream-lapse.js';
 export * from './membership/upstream-identity.js';
 export * from './model/workspace.js';
--- /dev/null
+++ b/packages/coordination/tests/loop-delay.feature
@@ -0,0 +1,14 @@
+Feature: A host that did not run for a while reads what others sent before it judges them
+
+  Scenario Outline: Ticks due each 100 ms
+    When ticks come at <ticks> ms
+    Then others are judged in <judged>
+
+    Examples:
+      | ticks               | judged              | why                                            |
+      | 0,100,200           | 0,100,200           | in time                                        |
+      | 0,100,290           | 0,100,290           | late by less than another tick                 |
+      | 0,100,301           | 0,100               | nothing that came meanwhile has been read      |
+      | 0,100,800,900       | 0,100,900           | by the next one it has                         |
+      | 0,100,800,1500,1600 | 0,100,1500,1600     | a host that is always slow judges as well      |
+      | 0,700,1400,2100     | 0,1400              | every second time                              |
--- /dev/null
+++ b/packages/coordination/tests/loop-delay.steps.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { LoopDelay } from '../src/index.js';
+
+interface LoopDelayWorld {
+  judged: number[];
+}
+
+const INTERVAL_MS = 100;
+
+function timesOf(text: string): number[] {
+  return text.split(',').map(Number);
+}
+
+When(/^ticks come at ([\d,]+) ms$/, function (this: LoopDelayWorld, ticks: string) {
+  const loop = new LoopDelay(INTERVAL_MS);
+  this.judged = timesOf(ticks).filter((at) => loop.noteTick(at));
+});
+
+Then(/^others are judged in ([\d,]+)$/, function (this: LoopDelayWorld, judged: string) {
+  assert.deepEqual(this.judged, timesOf(judged));
+});
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -3,7 +3,7 @@
  */
 import { connect } from 'node:net';
 import type { GroupId } from '@gladespool/coordination';
-import { azId } from '@gladespool/coordination';
+import { azId, LoopDelay } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { ControlTraffic, createLogger, DISTANCE_LABELS } from '@gladespool/observability';
 import type { PeerAddress } from '@gladespool/peers';
@@ -83,6 +83,7 @@
   private readonly opener: EraOpener;
   private readonly probe: UpstreamProbe;
   private readonly promotions: PromotionController;
+  private readonly loop = new LoopDelay(TICK_MS);
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ControlPlaneOptions) {
@@ -163,6 +164,9 @@
 
   private tick(): void {
     const now = performance.now();
+    if (!this.loop.noteTick(now)) {
+      this.log.info('host-paused', { late_ms: Math.round(this.loop.delayMs) });
+    }
     this.calls.tick(now);
     this.sync.tick(now);
     this.answers.tick(now);
@@ -225,6 +229,7 @@
       calls: this.calls,
       seeds,
       rules: rules.sync,
+      log: this.log,
     });
   }
 
--- a/packages/gateway/src/control/proofs/proof-keeper.ts
+++ b/packages/gateway/src/control/proofs/proof-keeper.ts
@@ -79,6 +79,11 @@
     return answered;
   }
 
+  /** Time since this host's latest read began, milliseconds; undefined before the first. */
+  readMsAgo(now: number): number | undefined {
+    return Number.isFinite(this.lastSentAt) ? Math.round(now - this.lastSentAt) : undefined;
+  }
+
   /** The newest list of hosts that this host knows; undefined before the first. */
   get newestList(): HostList | undefined {
     if (!Number.isFinite(this.listedAt)) return undefined;
--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -6,6 +6,7 @@
  */
 import type { AzId } from '@gladespool/coordination';
 import { isLater, laterOf, STORE_START } from '@gladespool/coordination';
+import type { Logger } from '@gladespool/observability';
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
@@ -14,6 +15,7 @@
 import type { DocumentExchange } from '../store/document-exchange.js';
 import type { PeerCalls } from '../../peering/peer-calls.js';
 import type { ProofKeeper } from './proof-keeper.js';
+import { ProofEnd, ProofTrail } from './proof-trail.js';
 import type { RelayOrder } from '../../knowledge/relay-order.js';
 import type { StoreFollower } from '../store/store-follower.js';
 import type { StoreView } from '../store/store-view.js';
@@ -73,6 +75,7 @@
   /** Hosts to ask before any is known. */
   readonly seeds: readonly PeerAddress[];
   readonly rules: SyncRules;
+  readonly log: Logger;
 }
 
 /** Asking side of one host. */
@@ -94,6 +97,9 @@
   /** Local time before which no other host is asked for its configuration. */
   private fetchNotBefore = Number.NEGATIVE_INFINITY;
   private readonly startedAt = performance.now();
+  private readonly trail = new ProofTrail();
+  /** Whether the proof was late when it was last looked at. */
+  private wasLate = false;
 
   constructor(private readonly options: SyncServiceOptions) {
     // Hosts that are new on the list hold no proof before there is one that covers them.
@@ -109,6 +115,7 @@
     if (!this.isListed) void this.enlist();
     this.keepUp(now);
     if (this.options.view.awaitsCatalog && now >= this.fetchNotBefore) void this.fetchCatalog(now);
+    this.noteLateness(now);
     const { isReader } = this;
     const seeksHelp = this.isStale(now) || (isReader && proofs.failing);
     if (!seeksHelp || now - this.lastAskAt < rules.intervalMs) return;
@@ -180,6 +187,22 @@
     return this.ageAt(now) > this.options.rules.staleMs;
   }
 
+  /** Tells when this host's proof becomes late, and how its latest ones came. */
+  private noteLateness(now: number): void {
+    const { board, view, proofs, log } = this.options;
+    const isLate = this.isStale(now);
+    if (isLate === this.wasLate || !Number.isFinite(board.provenSince)) return;
+    this.wasLate = isLate;
+    if (!isLate) return;
+    log.info('proof-late', {
+      proof_age_ms: Math.round(now - board.provenSince),
+      documents_age_ms: Math.round(now - view.currentSince),
+      read_ms_ago: proofs.readMsAgo(now),
+      parent: this.options.order.parent?.host,
+      ...this.trail.fields(now),
+    });
+  }
+
   private ageAt(now: number): number {
     const { board, view } = this.options;
     return now - Math.min(board.provenSince, view.currentSince + FETCH_MS);
@@ -244,6 +267,7 @@
     const sentAt = performance.now();
     const { host, incarnation } = self;
     const { provenSince } = board;
+    if (waitMs > 0) this.trail.noteAsked(sentAt);
     const question = {
       host,
       incarnation,
@@ -267,15 +291,12 @@
 
   /** Takes the answer to a question that was sent at `sentAt`. */
   private take(reply: SyncReply, peer: PeerAddress, sentAt: number): void {
-    const { view, proofs, documents } = this.options;
+    const { view, documents } = this.options;
     const { own, proof, documentsAgeMs } = reply;
     this.heard = laterOf(this.heard, reply.newest);
     if (own !== undefined) view.takeOwn(own, performance.now());
-    // The age counts from the arrival of the question, which was not before its sending.
-    if (proof !== undefined && !isLater(proof.position, view.ownPosition)) {
-      const { ageMs, position, isFromStore } = proof;
-      proofs.takeProof({ sentAt: sentAt - ageMs, position, isFromStore });
-    }
+    if (proof === undefined) this.trail.noteAnswer(performance.now(), ProofEnd.None);
+    else this.takeProof(proof, sentAt);
     if (own !== undefined && !isLater(reply.documentsPosition, view.position)) {
       view.noteNothingElse(reply.position);
     } else if (isLater(reply.position, view.position)) {
@@ -284,6 +305,21 @@
     const isComplete = !isLater(reply.position, view.position);
     if (isComplete && documentsAgeMs !== undefined) view.noteCurrent(sentAt - documentsAgeMs);
   }
+
+  /** Takes the proof in the answer to a question that was sent at `askedAt`. */
+  private takeProof(proof: NonNullable<SyncReply['proof']>, askedAt: number): void {
+    const { view, proofs } = this.options;
+    const { ageMs, position, isFromStore } = proof;
+    // The age counts from the arrival of the question, which was not before its sending.
+    const sentAt = askedAt - ageMs;
+    const now = performance.now();
+    if (isLater(position, view.ownPosition)) {
+      this.trail.noteAnswer(now, ProofEnd.AheadOfDocuments, now - sentAt);
+      return;
+    }
+    this.trail.noteAnswer(now, ProofEnd.Taken, now - sentAt);
+    proofs.takeProof({ sentAt, position, isFromStore });
+  }
 }
 
 function inTurn<Value>(values: readonly Value[], turn: number): Value | undefined {
