fix(gateway): the age of documents is noted before the proof that sends it off

What callers saw: nothing by itself; hosts whose proofs were young asked hosts all over the deployment, in regions far away too. Cause: a proof that is taken answers at once the questions that wait for it, and the answer tells how old the documents are. The read that the proof came with was noted as the documents' age only after that, so at each of the up to three hosts that a proof passes the documents counted as one read (0.3 to 0.4 s) older than they were: 1,500 ms and more, at which a host takes itself for late. Evidence: `proof-late` lines with proof_age_ms 101 to 405 and documents_age_ms 1,500 to 1,630. This is the case in which proofs were young. Ruled out: documents not fetched (no change was under way). Change: the age is noted first, where a read ends and where an answer is taken. Why it holds: answers are made of what the view holds when the proof is taken, which is the age just noted.

--- a/packages/gateway/src/control/proofs/proof-keeper.ts
+++ b/packages/gateway/src/control/proofs/proof-keeper.ts
@@ -151,9 +151,10 @@
       await view.waitForOwn(position, rules.watchLagMs);
     }
     if (isLater(position, view.ownPosition)) return this.readDocuments();
+    // Questions that wait are answered as the proof is taken, and their answers tell how old the documents are.
+    if (!isLater(position, view.position)) view.noteCurrent(sentAt);
     this.takeProof({ sentAt, position, isFromStore: true });
-    if (isLater(position, view.position)) this.checkWatch(position);
-    else view.noteCurrent(sentAt);
+    this.checkWatch(position);
     return true;
   }
 
--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -191,7 +191,7 @@
   private noteLateness(now: number): void {
     const { board, view, proofs, log } = this.options;
     const isLate = this.isStale(now);
-    if (isLate === this.wasLate || !Number.isFinite(board.provenSince)) return;
+    if (isLate === this.wasLate || !Number.isFinite(view.currentSince)) return;
     this.wasLate = isLate;
     if (!isLate) return;
     log.info('proof-late', {
@@ -295,8 +295,6 @@
     const { own, proof, documentsAgeMs } = reply;
     this.heard = laterOf(this.heard, reply.newest);
     if (own !== undefined) view.takeOwn(own, performance.now());
-    if (proof === undefined) this.trail.noteAnswer(performance.now(), ProofEnd.None);
-    else this.takeProof(proof, sentAt);
     if (own !== undefined && !isLater(reply.documentsPosition, view.position)) {
       view.noteNothingElse(reply.position);
     } else if (isLater(reply.position, view.position)) {
@@ -304,6 +302,9 @@
     }
     const isComplete = !isLater(reply.position, view.position);
     if (isComplete && documentsAgeMs !== undefined) view.noteCurrent(sentAt - documentsAgeMs);
+    // Questions that wait here are answered as the proof is taken, and their answers tell how old the documents are.
+    if (proof === undefined) this.trail.noteAnswer(performance.now(), ProofEnd.None);
+    else this.takeProof(proof, sentAt);
   }
 
   /** Takes the proof in the answer to a question that was sent at `askedAt`. */
--- /dev/null
+++ b/packages/gateway/tests/news-passed-on.steps.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+import { setImmediate as turn, setTimeout as pause } from 'node:timers/promises';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { GladespoolError } from '@gladespool/coordination';
+import { azId, gladespoolError, hostId, Step, STORE_START } from '@gladespool/coordination';
+import { createLogger, HostMetrics } from '@gladespool/observability';
+import { FrameKind } from '@gladespool/protocol';
+import type { FrameOf } from '@gladespool/protocol';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { BoardSection, DEFAULT_SYNC, GatewayBoard, RelayOrder } from '../src/index.js';
+import type { HostEntry } from '../src/index.js';
+import type { SyncServiceOptions } from '../src/control/proofs/sync-service.js';
+import { SyncService } from '../src/control/proofs/sync-service.js';
+import { StoreView } from '../src/control/store/store-view.js';
+import type { ActionWorld } from './fakes/action-world.js';
+import { fakeReader } from './fakes/fake-documents.js';
+
+/** How old the documents were known to be at most, and the proof, each by the local time since which. */
+interface Taken {
+  readonly provenSince: number;
+  readonly documentsSince: number;
+}
+
+interface NewsWorld extends ActionWorld {
+  /** What each host held as it took each proof. */
+  taken: readonly (readonly Taken[])[];
+  asked: number;
+}
+
+type Answer = Result<FrameOf<FrameKind.SyncReply>, GladespoolError>;
+
+/** Time for which a question waits, milliseconds. */
+const WAIT_MS = 20;
+const LAPSE = { leavingAfterMs: 1000, goneAfterMs: 2000 };
+const UNREACHABLE = gladespoolError({ step: Step.PeerConnect, peer: 'parent' }, 'no link in time');
+
+When(
+  'each host has taken {int} more proofs',
+  { timeout: 20_000 },
+  async function (this: NewsWorld, count: number) {
+    const { hosts } = this.deployment;
+    const taken = hosts.map(() => [] as Taken[]);
+    // The documents of the start have reached every host.
+    const startedAt = performance.now();
+    await this.deployment.until(() =>
+      hosts.every(({ gateway }) => gateway.board.catalogConfirmedAt > startedAt),
+    );
+    hosts.forEach(({ gateway: { board } }, index) => {
+      board.onChange(BoardSection.Proof, () => {
+        const { provenSince, catalogConfirmedAt: documentsSince } = board;
+        taken[index]?.push({ provenSince, documentsSince });
+      });
+    });
+    await this.deployment.until(() => taken.every((each) => each.length >= count));
+    this.taken = taken;
+  },
+);
+
+Then(
+  'the documents of each host were known to be as recent as each of these proofs',
+  function (this: NewsWorld) {
+    for (const { provenSince, documentsSince } of this.taken.flat()) {
+      assert.ok(documentsSince >= provenSince, `${provenSince - documentsSince} ms older`);
+    }
+  },
+);
+
+function entry(name: string): HostEntry {
+  const address = '127.0.0.1';
+  return { host: hostId(name), az: azId('z'), address, port: 1, incarnation: 1, linkMbps: 1 };
+}
+
+/** Starts a host that is no relay, whose parent answers as `answer` does. */
+function startAsking(world: NewsWorld, answer: () => Promise<Answer>): void {
+  const entries = [entry('h0'), entry('h1')];
+  const listed = new Map(entries.map((each) => [each.host, each] as const));
+  const parent = new RelayOrder(boardOf(entry('h0'), listed)).hosts[0];
+  const self = entries.find((each) => each.host !== parent?.host);
+  assert.ok(self);
+  const board = boardOf(self, listed);
+  world.asked = 0;
+  const now = performance.now();
+  const view = new StoreView({
+    board,
+    reader: fakeReader(board),
+    metrics: new HostMetrics(),
+    log: createLogger('test'),
+    startedAt: now,
+    lapse: LAPSE,
+  });
+  // With a young proof it asks nobody but its parent.
+  view.noteCurrent(now);
+  board.prove(now);
+  const options = {
+    self,
+    board,
+    view,
+    order: new RelayOrder(board),
+    follower: { setActive: () => undefined },
+    proofs: { failing: false, tick: () => false, readMsAgo: () => undefined },
+    calls: {
+      ask: () => {
+        world.asked += 1;
+        return answer();
+      },
+    },
+    seeds: [],
+    rules: { ...DEFAULT_SYNC, waitMs: WAIT_MS },
+    log: createLogger('test'),
+  };
+  new SyncService(options as unknown as SyncServiceOptions).tick(now);
+}
+
+function boardOf(self: HostEntry, listed: GatewayBoard['hosts']): GatewayBoard {
+  const board = new GatewayBoard(self.host, self.az);
+  board.putHosts(listed);
+  return board;
+}
+
+Given('a host that asks its parent for news, which has none', function (this: NewsWorld) {
+  const nothing = {
+    kind: FrameKind.SyncReply,
+    id: 1,
+    position: STORE_START,
+    newest: STORE_START,
+    documentsPosition: STORE_START,
+  } as const;
+  startAsking(this, async () => {
+    await pause(WAIT_MS + 1);
+    return ok(nothing);
+  });
+});
+
+Given("a host that asks its parent for news, which can't be reached", function (this: NewsWorld) {
+  startAsking(this, () => Promise.resolve(err(UNREACHABLE)));
+});
+
+When('its question has waited in vain', async function () {
+  await pause(WAIT_MS);
+});
+
+When('its question has failed', async function () {
+  await turn();
+});
+
+Then('it asks again', async function (this: NewsWorld) {
+  while (this.asked < 2) await pause(WAIT_MS);
+});
+
+Then('it does not ask again', function (this: NewsWorld) {
+  assert.equal(this.asked, 1);
+});
