fix(gateway): a question for news that has waited in vain is asked again at once

Cause: a question waits 400 ms at the host asked; if the next proof came a moment later, the answer without news ended the asking until the next tick. Evidence: a trial with each question traced: the parent answered with the old proof in the tick in which it began its read, 0.1 ms before that ended; the asking host reached 597 ms and asked others. Ruled out: a refused proof (no answer's proof was ahead of the documents held in any trace). Change: the question is asked again once it has waited its time; one that failed sooner waits for a tick as before, so nobody is asked without a pause. Why it holds: between two questions lies either news or the whole wait.

--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -245,14 +245,18 @@
     return inTurn(others, this.turn);
   }
 
-  /** Asks the parent for what is newer, and again for as long as it answers. */
+  /** Asks the parent for what is newer, and again once it has answered or the question has waited in vain. */
   private async askParent(parent: PeerAddress): Promise<void> {
+    const { waitMs } = this.options.rules;
     this.waiting = true;
     let next: PeerAddress | undefined = parent;
     while (next !== undefined) {
+      const askedAt = performance.now();
       const heardBefore = this.heard;
-      const renewed = await this.ask(next, this.options.rules.waitMs);
-      next = renewed || isLater(this.heard, heardBefore) ? this.parentToAsk() : undefined;
+      const renewed = await this.ask(next, waitMs);
+      const hasNews = renewed || isLater(this.heard, heardBefore);
+      const hasWaited = performance.now() - askedAt >= waitMs;
+      next = hasNews || hasWaited ? this.parentToAsk() : undefined;
     }
     this.waiting = false;
   }
