fix: answers that arrived while a process was paused count, in both programs

What callers saw: a statement that its upstream had answered in time was in doubt, a call to the platform that was carried out counted as unanswered, after a pause of the host's own process. Ruled out: limits on how long callers wait for room or authority are no judgement of others and stay as they are. Not covered by a test of their own: the exchanges of the PostgreSQL program, which use the same class. Why it holds: an answer that is there is read before its limit can run out.

--- a/packages/proxy/src/control/membership-service.ts
+++ b/packages/proxy/src/control/membership-service.ts
@@ -6,6 +6,7 @@
 import {
   heartbeatIntervalMs,
   joinViews,
+  LoopDelay,
   MemberState,
   relaysOf,
   sameMember,
@@ -66,14 +67,19 @@
   private readonly askedAt = new Map<HostId, number>();
   private listed: readonly ListedHost[] = [];
   private readonly timer: NodeJS.Timeout;
+  private readonly loop: LoopDelay;
+  /** Whether hosts that don't answer count as silent; not right after a pause of this process. */
+  private mayJudge = true;
   private readonly startedAt = performance.now();
   private lastBeatAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: MembershipOptions) {
     options.network.addHandler(this);
+    const tickMs = options.rules.heartbeatMs / TICKS_PER_BEAT;
+    this.loop = new LoopDelay(tickMs, performance.now());
     this.timer = setInterval(() => {
       this.tick(performance.now());
-    }, options.rules.heartbeatMs / TICKS_PER_BEAT);
+    }, tickMs);
   }
 
   /** Whether this host is a relay of its zone as it sees it. */
@@ -98,6 +104,7 @@
   }
 
   private tick(now: number): void {
+    this.mayJudge = this.loop.noteTick(now);
     const { board, rules } = this.options;
     const members = workingHosts(board.members, board.az).length;
     const interval = heartbeatIntervalMs(rules.heartbeatMs, members, rules.expireMs);
@@ -107,7 +114,7 @@
   /** Sends heartbeats now. */
   beat(now: number): void {
     this.lastBeatAt = now;
-    this.noteSilence(now);
+    if (this.mayJudge) this.noteSilence(now);
     const { board } = this.options;
     const targets = new Set(this.relaysIn(board.az));
     if (targets.has(board.host)) {
--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -18,6 +18,7 @@
   GroupPhase,
   homesOf,
   isAgreed,
+  LoopDelay,
   neededSuspicionMs,
   PromotionStage,
   rankCandidates,
@@ -88,13 +89,15 @@
   private readonly poll: SuspicionPoll;
   private readonly progress = new Map<GroupId, GroupProgress>();
   private readonly timer: NodeJS.Timeout;
+  private readonly loop = new LoopDelay(TICK_MS, performance.now());
   private lastAttempt = 0;
 
   constructor(private readonly options: PromotionServiceOptions) {
     this.poll = new SuspicionPoll(options.network, (group, term) => this.seconds(group, term));
     options.network.addHandler(this);
     this.timer = setInterval(() => {
-      this.tick(performance.now());
+      const now = performance.now();
+      if (this.loop.noteTick(now)) this.tick(now);
     }, TICK_MS);
   }
 
--- a/packages/proxy/src/control/relay-service.ts
+++ b/packages/proxy/src/control/relay-service.ts
@@ -4,7 +4,14 @@
  * ones are follows from membership.
  */
 import type { AzId, HeardMember, HostId, Member } from '@gladespool/coordination';
-import { azId, expiredMembers, hostId, MemberState, takeHeartbeat } from '@gladespool/coordination';
+import {
+  azId,
+  expiredMembers,
+  hostId,
+  LoopDelay,
+  MemberState,
+  takeHeartbeat,
+} from '@gladespool/coordination';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
@@ -28,6 +35,7 @@
   private readonly versions = new Map<HostId, number>();
   private readonly sentUpTo = new Map<PeerLink, number>();
   private readonly expiry: NodeJS.Timeout;
+  private readonly loop: LoopDelay;
   private pushTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -36,9 +44,12 @@
     private readonly rules: RelayRules,
     private readonly parts: PartSource,
   ) {
+    const checkMs = rules.expireMs / EXPIRY_CHECKS;
+    this.loop = new LoopDelay(checkMs, performance.now());
     this.expiry = setInterval(() => {
-      this.expire(performance.now());
-    }, rules.expireMs / EXPIRY_CHECKS);
+      const now = performance.now();
+      if (this.loop.noteTick(now)) this.expire(now);
+    }, checkMs);
   }
 
   /** Hosts that send heartbeats here. */
--- a/packages/proxy/src/control/suspicion-poll.ts
+++ b/packages/proxy/src/control/suspicion-poll.ts
@@ -3,7 +3,7 @@
  */
 import type { AzId, GroupId, Member, ZoneOpinion } from '@gladespool/coordination';
 import type { Frame } from '@gladespool/protocol';
-import { FrameKind } from '@gladespool/protocol';
+import { FrameKind, TimeLimit } from '@gladespool/protocol';
 import type { PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 
 /** Tells whether this host, as a home of the group, suspects the primary of a term. */
@@ -52,13 +52,13 @@
     const az: AzId = home.az;
     return new Promise((resolve) => {
       const done = (opinion: ZoneOpinion | undefined): void => {
-        clearTimeout(timer);
+        limit.clear();
         this.pending.delete(id);
         resolve(opinion);
       };
-      const timer = setTimeout(() => {
+      const limit = new TimeLimit(ANSWER_TIMEOUT_MS, () => {
         done(undefined);
-      }, ANSWER_TIMEOUT_MS);
+      });
       this.pending.set(id, (suspects) => {
         done({ az, suspects });
       });
--- a/packages/proxy/src/entry/remote-homes.ts
+++ b/packages/proxy/src/entry/remote-homes.ts
@@ -5,7 +5,7 @@
 import type { GroupId, Member } from '@gladespool/coordination';
 import { RefusalReason, refuse } from '@gladespool/coordination';
 import type { Frame, FrameOf } from '@gladespool/protocol';
-import { FrameKind, RunIntent } from '@gladespool/protocol';
+import { FrameKind, RunIntent, TimeLimit } from '@gladespool/protocol';
 import type { RunOutcome, RunRequest } from '../home/run-request.js';
 import type { PeerHandler, PeerLink, PeerNetwork } from '@gladespool/peers';
 
@@ -47,11 +47,11 @@
       const onCancel = (): void => {
         link.value.send({ kind: FrameKind.Cancel, id });
       };
-      const timer = setTimeout(() => {
+      const limit = new TimeLimit(timeoutMs + ANSWER_GRACE_MS, () => {
         this.settle(id, lost(req.intent));
-      }, timeoutMs + ANSWER_GRACE_MS);
+      });
       const settle = (outcome: RunOutcome): void => {
-        clearTimeout(timer);
+        limit.clear();
         req.cancel.removeEventListener('abort', onCancel);
         resolve(outcome);
       };
--- /dev/null
+++ b/packages/proxy/tests/paused-relay.steps.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { setTimeout as pause } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { azId, hostId, MemberState } from '@gladespool/coordination';
+import type { PeerLink } from '@gladespool/peers';
+import { FrameKind } from '@gladespool/protocol';
+import { RelayService } from '../src/control/relay-service.js';
+
+interface RelayWorld {
+  relay: RelayService;
+  /** Whether the host counted as live when the relay was about to read. */
+  isLive: boolean;
+}
+
+const EXPIRE_MS = 100;
+const HOST = hostId('h1');
+const AZ = azId('z1');
+
+Given('a relay that hears a host', function (this: RelayWorld) {
+  const rules = { expireMs: EXPIRE_MS, pushDelayMs: 1 };
+  this.relay = new RelayService(AZ, 1, rules, () => undefined);
+  const link = { host: HOST, send: () => true } as unknown as PeerLink;
+  const address = '127.0.0.1';
+  const state = MemberState.Live;
+  this.relay.onFrame(link, {
+    kind: FrameKind.Heartbeat,
+    self: { host: HOST, az: AZ, address, port: 1, incarnation: 1, state },
+    bundleVersion: 1,
+    heardUpTo: 0,
+    heardOf: 0,
+  });
+});
+
+After(function (this: Partial<RelayWorld>) {
+  this.relay?.stop();
+});
+
+When('it is paused for longer than hosts may be silent', async function (this: RelayWorld) {
+  await pause(1);
+  const until = performance.now() + 2 * EXPIRE_MS;
+  while (performance.now() < until);
+  // Timers that are due go off in their order, the relay's before this one.
+  await pause(1);
+  this.isLive = this.relay.hostVersions.has(HOST);
+});
+
+When('that host is silent', function () {
+  // It sends nothing more.
+});
+
+Then('the host still counts as live when the relay reads on', function (this: RelayWorld) {
+  assert.equal(this.isLive, true);
+});
+
+Then('the host counts as gone in the end', async function (this: RelayWorld) {
+  while (this.relay.hostVersions.has(HOST)) await pause(1);
+});
--- a/packages/upstreams/src/upstream-connection.ts
+++ b/packages/upstreams/src/upstream-connection.ts
@@ -11,6 +11,7 @@
   MessageSplitter,
   TransactionStatus,
   transactionStatusOf,
+  TimeLimit,
 } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -141,16 +142,16 @@
   ): Promise<Result<readonly AnswerSegment[], ExchangeFailure>> {
     if (!this.usable) return Promise.resolve(err(ExchangeFailure.Lost));
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
+      const limit = new TimeLimit(timeoutMs, () => {
         this.fail(ExchangeFailure.Deadline);
-      }, timeoutMs);
+      });
       this.pending = {
         expected: segments,
         segments: [],
         messages: [],
         bytes: 0,
         settle: (result) => {
-          clearTimeout(timer);
+          limit.clear();
           resolve(result);
         },
       };
