fix(gateway): a host that stops leaves the list within its grace, also while the store is silent

Cause: callers' statements may be under way until 0.8 of the grace, and the removal from the list of hosts had 1.5 s of its own after that, so with 6 s of grace a host whose store did not answer ended after 6.3 s. Evidence: hosts as processes, a silent store and a statement that does not end: the process had to be killed; with either alone it ended in time. Ruled out: links and their handshakes, which are closed at once. Change: the removal has the time that is left until 0.95 of the grace, at most as much as before. Why it holds: every wait of a stop now ends at a share of the grace counted from its begin. What it costs: an entry whose removal was not taken stays listed until the others retire it, as after a kill; its proofs are given up before.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -151,13 +151,13 @@
     }, TICK_MS);
   }
 
-  /** Gives every proof up, takes this host off the list, and closes everything. */
-  async stop(): Promise<void> {
+  /** Gives every proof up, takes this host off the list within `timeoutMs`, and closes everything. */
+  async stop(timeoutMs: number): Promise<void> {
     clearInterval(this.timer);
     this.probe.stop();
     this.sync.stop();
     this.options.board.endProofs();
-    await this.registrar.remove();
+    await this.registrar.remove(timeoutMs);
     this.follower.setActive(false);
     await this.network.stop();
   }
--- a/packages/gateway/src/control/store/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -18,6 +18,9 @@
  */
 const MEASURE_TIMEOUT_MS = 300;
 
+/** Time for removing the entry where none is left, milliseconds: the store mostly answers within it. */
+const LEAST_REMOVAL_MS = 100;
+
 /** Time between two tries that failed, milliseconds: a store that is down is not called by all hosts at each tick. */
 const RETRY_MS = 250;
 
@@ -96,12 +99,16 @@
     this.storeRoundTripMs = Math.round(performance.now() - sentAt);
   }
 
-  /** Removes the entry; only when this host uses no primary any more. */
-  async remove(): Promise<void> {
+  /**
+   * Removes the entry; only when this host uses no primary any more. A host that waited longer than `timeoutMs` would be
+   * killed while it stops; its entry is taken off the list by others then.
+   */
+  async remove(timeoutMs: number): Promise<void> {
     const isUnreadable = this.board.unknownHosts.has(this.self.host);
     if (!this.isListed && !isUnreadable) return;
     const change = { conditions: [], writes: [], removals: [hostKey(this.self.host)] };
-    const result = await this.store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
+    const limitMs = Math.max(LEAST_REMOVAL_MS, Math.min(WRITE_TIMEOUT_MS, timeoutMs));
+    const result = await this.store.change(change, StorePurpose.Register, limitMs);
     if (result.isErr()) this.log.warn('unregistering-failed', { error: result.error.message });
   }
 }
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -28,8 +28,10 @@
   readonly acceptMs: number;
   /** Until then open transactions may go on. */
   readonly transactionsMs: number;
-  /** Everything is over by then. */
+  /** Until then statements that are under way may end. */
   readonly endMs: number;
+  /** The host ends by then, be it that the store has not answered to its leaving the list. */
+  readonly leaveMs: number;
 }
 
 /** Connections that may wait to be accepted. */
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -133,9 +133,11 @@
     this.log.info('draining');
     this.board.draining = true;
     clearInterval(this.timer);
-    await this.callers.drain(this.options.rules.drain);
+    const { drain } = this.options.rules;
+    const leaveAt = performance.now() + drain.leaveMs;
+    await this.callers.drain(drain);
     this.executor.stop();
-    await this.control.stop();
+    await this.control.stop(leaveAt - performance.now());
     this.log.info('stopped');
   }
 
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -76,7 +76,7 @@
   tolerance: NO_TOLERANCE,
   warmupTolerance: { overrun: 1, slack: 0 },
   evacuationMs: 5000,
-  drain: { acceptMs: 0, transactionsMs: 10, endMs: 20 },
+  drain: { acceptMs: 0, transactionsMs: 10, endMs: 20, leaveMs: 2000 },
   maxCallers: 10,
   startTimeoutMs: 1000,
 };
