--- a/packages/coordination/src/places/region-order.ts
+++ b/packages/coordination/src/places/region-order.ts
@@ -6,6 +6,7 @@
 import type { AzId, HostId, RegionId } from '../model/ids.js';
 import { rankCandidates } from './rendezvous.js';
 import type { Topology } from './topology.js';
+import { Distance } from './topology.js';
 
 /** What the order of zones is made from. */
 export interface PlacedHost {
@@ -26,6 +27,12 @@
 /** Hosts of a group's region that act before all others: one may be gone, and the rest waits for each. */
 const FIRST_ACTING_HOSTS = 3;
 
+/**
+ * Age of a proof from which a late host asks hosts of other regions as well, milliseconds: a link to one takes three
+ * round trips to open, and a proof lives for 1 s.
+ */
+const FAR_HELP_AGE_MS = 600;
+
 /** A region with the median round trip of its hosts. */
 interface RegionDistance {
   readonly region: RegionId | undefined;
@@ -59,6 +66,20 @@
   return first === az ? reading : first;
 }
 
+/**
+ * The zones among `zones` whose hosts a host of `own` asks that is late, its proof being `ageMs` old. At first those of
+ * its region: mostly one of them has a younger proof, and the path to another region is narrow and shared.
+ */
+export function zonesToAskForHelp(
+  own: AzId,
+  zones: readonly AzId[],
+  topology: Topology,
+  ageMs: number,
+): readonly AzId[] {
+  if (ageMs >= FAR_HELP_AGE_MS) return zones;
+  return zones.filter((az) => topology.distance(own, az) !== Distance.OtherRegion);
+}
+
 /** The region in which more of `zones` lie than in any other, one count for each mention; else undefined. */
 export function regionOfMost(zones: readonly AzId[], topology: Topology): RegionId | undefined {
   const counted = topology.regions.map((region) => ({
--- a/packages/coordination/tests/region-order.feature
+++ b/packages/coordination/tests/region-order.feature
@@ -31,3 +31,14 @@
       | a1-1,b1-1,b1-2,b1-3,b1-4,b1-5 | b      | b1-1,b1-2,b1-3,a1-1,b1-4,b1-5 | three, so that others soon come  |
       | a1-1,b1-1                     | none   | a1-1,b1-1                     | as many upstreams in each region |
       | a1-1,a1-2                     | b      | a1-1,a1-2                     | no host is listed there          |
+
+  # Guards against late hosts that all open links to other regions.
+  Scenario Outline: Whose hosts a host of zone "a1" asks that is late
+    Given the regions "<regions>"
+    Then at an age of <age> ms it asks among hosts of zones "<asked>" of "a1,a2,b1,x1"
+
+    Examples:
+      | regions        | age | asked       | why                              |
+      | a1:a,a2:a,b1:b | 520 | a1,a2,x1    | x1's region is not told          |
+      | a1:a,a2:a,b1:b | 600 | a1,a2,b1,x1 | its own region has not helped    |
+      | none           | 520 | a1,a2,b1,x1 | one region                       |
--- a/packages/coordination/tests/region-order.steps.ts
+++ b/packages/coordination/tests/region-order.steps.ts
@@ -1,7 +1,15 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { AzId, HostId, RegionId } from '../src/index.js';
-import { azId, hostId, regionFirst, regionId, regionOfMost, Topology } from '../src/index.js';
+import {
+  azId,
+  hostId,
+  regionFirst,
+  regionId,
+  regionOfMost,
+  Topology,
+  zonesToAskForHelp,
+} from '../src/index.js';
 
 interface RegionWorld {
   topology: Topology;
@@ -37,3 +45,12 @@
 Then('they take their turns as {string}', function (this: RegionWorld, order: string) {
   assert.equal(this.order.join(','), order);
 });
+
+Then(
+  'at an age of {int} ms it asks among hosts of zones {string} of {string}',
+  function (this: RegionWorld, ageMs: number, asked: string, zones: string) {
+    const all = zones.split(',').map(azId);
+    const found = zonesToAskForHelp(azId('a1'), all, this.topology, ageMs);
+    assert.equal(found.join(','), asked);
+  },
+);
