fix(gateway): the time in which a host did not run does not make others late

Cause, from the logs: pauses of 129, 199 and 777 ms in a row left 200 to 300 ms in which anything ran; the proof was 1,286 ms old and the tick that looked at it only 75 to 99 ms late, so it judged. Ruled out: a longer put-off (the same picture with three). Change: the age by which a host seeks help, stands in or renews by others is counted without the time in which its own process did not run (`LoopDelay.pausedMsSince`). What a proof is good for is counted by the clock as before. Tests: a table.

--- a/packages/coordination/src/membership/loop-delay.ts
+++ b/packages/coordination/src/membership/loop-delay.ts
@@ -6,11 +6,21 @@
 /** Late ticks in a row that leave judging to the next one: a process that is always slow has to judge as well. */
 const MAX_PUT_OFF = 3;
 
+/** Time for which pauses are remembered, milliseconds: longer than a proof lives. */
+const REMEMBERED_MS = 2000;
+
+/** A time in which the process did not run. */
+interface Pause {
+  readonly from: number;
+  readonly to: number;
+}
+
 /** Ticks of one process, due at a fixed interval. */
 export class LoopDelay {
   /** Ticks in a row that have left judging to the next one. */
   private putOff = 0;
   private latestDelayMs = 0;
+  private pauses: readonly Pause[] = [];
 
   /**
    * @param intervalMs time between two ticks, milliseconds
@@ -26,6 +36,11 @@
     return this.latestDelayMs;
   }
 
+  /** Time since `at` in which this process did not run, milliseconds; others are not late for it. */
+  pausedMsSince(at: number): number {
+    return this.pauses.reduce((sum, { from, to }) => sum + Math.max(0, to - Math.max(from, at)), 0);
+  }
+
   /**
    * Notes a tick at `now`.
    *
@@ -35,6 +50,9 @@
   noteTick(now: number): boolean {
     const dueAt = this.lastTickAt + this.intervalMs;
     this.lastTickAt = now;
+    this.pauses = [...this.pauses, { from: dueAt, to: now }].filter(
+      ({ from, to }) => to > from && to > now - REMEMBERED_MS,
+    );
     this.latestDelayMs = Math.max(0, now - dueAt);
     const isLate = this.latestDelayMs > this.intervalMs;
     this.putOff = isLate && this.putOff < MAX_PUT_OFF ? this.putOff + 1 : 0;
--- a/packages/coordination/tests/loop-delay.feature
+++ b/packages/coordination/tests/loop-delay.feature
@@ -1,5 +1,18 @@
 Feature: A host that did not run for a while reads what others sent before it judges them
 
+  Scenario Outline: Time in which the host did not run does not count
+    When ticks come at <ticks> ms
+    Then <paused> ms since <at> ms were pauses
+
+    Examples:
+      | ticks            | at   | paused | why                        |
+      | 100,200,300      | 0    | 0      |                            |
+      | 100,800,900      | 0    | 600    |                            |
+      | 100,800,900      | 500  | 300    | the part of it since then  |
+      | 100,800,900      | 800  | 0      | before that                |
+      | 100,800,900,1250 | 0    | 850    |                            |
+      | 100,800,900,2900 | 2850 | 50     |                            |
+
   Scenario Outline: Ticks due each 100 ms
     When ticks come at <ticks> ms
     Then others are judged in <judged>
--- a/packages/coordination/tests/loop-delay.steps.ts
+++ b/packages/coordination/tests/loop-delay.steps.ts
@@ -3,6 +3,7 @@
 import { LoopDelay } from '../src/index.js';
 
 interface LoopDelayWorld {
+  loop: LoopDelay;
   judged: number[];
 }
 
@@ -13,10 +14,17 @@
 }
 
 When(/^ticks come at ([\d,]+) ms$/, function (this: LoopDelayWorld, ticks: string) {
-  const loop = new LoopDelay(INTERVAL_MS, 0);
-  this.judged = timesOf(ticks).filter((at) => loop.noteTick(at));
+  this.loop = new LoopDelay(INTERVAL_MS, 0);
+  this.judged = timesOf(ticks).filter((at) => this.loop.noteTick(at));
 });
 
 Then(/^others are judged in ([\d,]+)$/, function (this: LoopDelayWorld, judged: string) {
   assert.deepEqual(this.judged, timesOf(judged));
 });
+
+Then(
+  '{int} ms since {int} ms were pauses',
+  function (this: LoopDelayWorld, pausedMs: number, at: number) {
+    assert.equal(this.loop.pausedMsSince(at), pausedMs);
+  },
+);
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -83,6 +83,7 @@
   private readonly opener: EraOpener;
   private readonly probe: UpstreamProbe;
   private readonly promotions: PromotionController;
+  private readonly loop = new LoopDelay(TICK_MS, performance.now());
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ControlPlaneOptions) {
@@ -144,10 +145,9 @@
   async start(): Promise<void> {
     const { self } = this.options;
     await this.network.listen(self.address, self.port);
-    const loop = new LoopDelay(TICK_MS, performance.now());
-    this.tick(loop);
+    this.tick();
     this.timer = setInterval(() => {
-      this.tick(loop);
+      this.tick();
     }, TICK_MS);
   }
 
@@ -162,12 +162,12 @@
     await this.network.stop();
   }
 
-  private tick(loop: LoopDelay): void {
+  private tick(): void {
     const now = performance.now();
-    const mayJudge = loop.noteTick(now);
+    const mayJudge = this.loop.noteTick(now);
     this.sync.tick(now);
     if (mayJudge) this.judgeOthers(now);
-    else this.log.info('host-paused', { late_ms: Math.round(loop.delayMs) });
+    else this.log.info('host-paused', { late_ms: Math.round(this.loop.delayMs) });
   }
 
   /** Acts on whatever is late at `now`. */
@@ -232,6 +232,7 @@
       order: this.order,
       documents: this.documents,
       calls: this.calls,
+      loop: this.loop,
       seeds,
       rules: rules.sync,
       log: this.log,
@@ -264,6 +265,7 @@
       order: this.order,
       proofs: this.proofs,
       round: this.round,
+      loop: this.loop,
       authority: rules.home.authority,
       log: this.log,
     });
--- a/packages/gateway/src/control/proofs/peer-renewer.ts
+++ b/packages/gateway/src/control/proofs/peer-renewer.ts
@@ -3,7 +3,7 @@
  * listed hosts, and counts if more than half of them answer. Mostly one host of the deployment asks; the
  * rest get the proof from it, and ask for themselves only once that is late.
  */
-import type { AuthorityRules } from '@gladespool/coordination';
+import type { AuthorityRules, LoopDelay } from '@gladespool/coordination';
 import { hostId, renewalCounts, renewalDueAge, renewalPause } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
@@ -24,6 +24,7 @@
   readonly order: RelayOrder;
   readonly proofs: ProofKeeper;
   readonly round: HostRound;
+  readonly loop: Pick<LoopDelay, 'pausedMsSince'>;
   readonly authority: AuthorityRules;
   readonly log: Logger;
 }
@@ -45,9 +46,9 @@
 
   /** Starts a round if one is due at `now`. */
   tick(now: number): void {
-    const { board, order } = this.options;
+    const { board, order, loop } = this.options;
     const place = { zone: order.zonePlace, rank: order.rank };
-    const ageMs = now - board.provenSince;
+    const ageMs = now - board.provenSince - loop.pausedMsSince(board.provenSince);
     if (ageMs < renewalDueAge(place, board.topology.isSpread)) {
       if (ageMs < this.firstDueAge) this.noteStore(now);
       return;
--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -4,7 +4,7 @@
  * Questions wait at the other host until it has something newer. Whoever loses the store asks any host
  * that still has it, and hosts stand in for those before them in order.
  */
-import type { AzId } from '@gladespool/coordination';
+import type { AzId, LoopDelay } from '@gladespool/coordination';
 import { hostId, isLater, laterOf, STORE_START, zonesToAskForHelp } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { PeerAddress, PeerHandler, PeerLink } from '@gladespool/peers';
@@ -72,6 +72,7 @@
   readonly order: RelayOrder;
   readonly documents: DocumentExchange;
   readonly calls: PeerCalls;
+  readonly loop: Pick<LoopDelay, 'pausedMsSince'>;
   /** Hosts to ask before any is known. */
   readonly seeds: readonly PeerAddress[];
   readonly rules: SyncRules;
@@ -207,9 +208,11 @@
     });
   }
 
+  /** Age of what is older, proof or documents, by the time in which this process ran. */
   private ageAt(now: number): number {
-    const { board, view } = this.options;
-    return now - Math.min(board.provenSince, view.currentSince + FETCH_MS);
+    const { board, view, loop } = this.options;
+    const since = Math.min(board.provenSince, view.currentSince + FETCH_MS);
+    return now - since - loop.pausedMsSince(since);
   }
 
   /** The same, where a host that has just started is not late yet: those before it may still help. */
--- a/packages/gateway/tests/news-passed-on.steps.ts
+++ b/packages/gateway/tests/news-passed-on.steps.ts
@@ -105,6 +105,7 @@
         return answer();
       },
     },
+    loop: { pausedMsSince: () => 0 },
     seeds: [],
     rules: { ...DEFAULT_SYNC, waitMs: WAIT_MS },
     log: createLogger('test'),
