fix(proxy): a relay that was stopped while it read everything does not watch the store again

What was seen: a run of the tests did not end after its last scenario, 1 of about 15 runs, with a repeating timer left; the guard ended it. What callers saw: nothing; a host of the PostgreSQL program that was no relay any more could go on watching the store. Cause, from a run of the whole suite with the stack of each timer kept: the timer left was `StoreRelay.retryLater`, from the end of a watch. A read of everything that fails after `stop` armed the retry; its watch failed at the closed client, which armed the next one, each 5 s, for good. Ruled out: sockets (none was left by it); other repeating timers (none). Change: a read whose watch is not the present one any more is dropped. Test: packages/proxy/tests/store-relay.feature, which failed before (still active after the stop). Why it holds: after `stop` there is no present watch, and nothing else arms the retry.

--- a/packages/gateway/tests/news-passed-on.steps.ts
+++ b/packages/gateway/tests/news-passed-on.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { setImmediate as turn, setTimeout as pause } from 'node:timers/promises';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { GladespoolError } from '@gladespool/coordination';
 import { azId, gladespoolError, hostId, Step, STORE_START } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
@@ -26,6 +26,7 @@
   /** What each host held as it took each proof. */
   taken: readonly (readonly Taken[])[];
   asked: number;
+  sync: SyncService;
 }
 
 type Answer = Result<FrameOf<FrameKind.SyncReply>, GladespoolError>;
@@ -110,7 +111,8 @@
     rules: { ...DEFAULT_SYNC, waitMs: WAIT_MS },
     log: createLogger('test'),
   };
-  new SyncService(options as unknown as SyncServiceOptions).tick(now);
+  world.sync = new SyncService(options as unknown as SyncServiceOptions);
+  world.sync.tick(now);
 }
 
 function boardOf(self: HostEntry, listed: GatewayBoard['hosts']): GatewayBoard {
@@ -137,6 +139,10 @@
   startAsking(this, () => Promise.resolve(err(UNREACHABLE)));
 });
 
+After(function (this: Partial<NewsWorld>) {
+  this.sync?.stop();
+});
+
 When('its question has waited in vain', async function () {
   await pause(WAIT_MS);
 });
--- a/packages/proxy/src/control/store-relay.ts
+++ b/packages/proxy/src/control/store-relay.ts
@@ -78,14 +78,17 @@
 
   /** Reads everything once the watch stands, so that nothing falls between. */
   private async readAll(): Promise<void> {
+    const watch = this.stopWatch;
     const values = await this.options.store.readPrefix(ROOT_PREFIX);
+    // A relay that was stopped meanwhile would open its watch again, for good.
+    if (watch === undefined || this.stopWatch !== watch) return;
     if (values.isOk()) {
       for (const value of values.value) this.take(value);
       return;
     }
     const { step, peer, message } = values.error;
     this.options.log.warn('store-read-failed', { step, peer, error: message });
-    this.stopWatch?.();
+    watch();
     this.retryLater(RetryReason.StoreFailed);
   }
 
