--- a/packages/platform/src/host-list.ts
+++ b/packages/platform/src/host-list.ts
@@ -11,6 +11,7 @@
 import * as z from 'zod';
 import type { Dial } from './dialed-agent.js';
 import { dialedAgent } from './dialed-agent.js';
+import { timeLimited } from './time-limited.js';
 
 /** A host as the platform lists it. */
 export interface ListedHost {
@@ -59,11 +60,14 @@
   async list(): Promise<Result<readonly ListedHost[], GladespoolError>> {
     const { address, port, timeoutMs } = this.options;
     try {
-      const res = await request(`http://${address}:${port}/v1/hosts`, {
-        dispatcher: this.agent,
-        signal: AbortSignal.timeout(timeoutMs),
+      const answer = await timeLimited(timeoutMs, async (signal) => {
+        const res = await request(`http://${address}:${port}/v1/hosts`, {
+          dispatcher: this.agent,
+          signal,
+        });
+        return res.body.json();
       });
-      const listed = hostListSchema.parse(await res.body.json());
+      const listed = hostListSchema.parse(answer);
       return ok(
         listed.hosts.map((entry) => ({
           host: hostId(entry.host),
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -19,6 +19,7 @@
   txnResponseSchema,
   watchResponseSchema,
 } from './store-schema.js';
+import { timeLimited } from './time-limited.js';
 
 /** A value with the revision that last changed it. */
 export interface StoredValue {
@@ -138,14 +139,16 @@
     step: Step,
   ): Promise<Result<z.output<Schema>, GladespoolError>> {
     try {
-      const res = await request(this.origin + path, {
-        method: 'POST',
-        body: JSON.stringify(body),
-        dispatcher: this.agent,
-        signal: AbortSignal.timeout(this.options.timeoutMs),
+      const { statusCode, text } = await timeLimited(this.options.timeoutMs, async (signal) => {
+        const res = await request(this.origin + path, {
+          method: 'POST',
+          body: JSON.stringify(body),
+          dispatcher: this.agent,
+          signal,
+        });
+        return { statusCode: res.statusCode, text: await res.body.text() };
       });
-      const text = await res.body.text();
-      if (res.statusCode !== HTTP_OK) return err(this.fail(step, `status ${res.statusCode}`));
+      if (statusCode !== HTTP_OK) return err(this.fail(step, `status ${statusCode}`));
       const parsed = schema.safeParse(JSON.parse(text));
       if (!parsed.success) return err(this.fail(step, z.prettifyError(parsed.error)));
       return ok(parsed.data);
