--- a/packages/measure/tests/extended-driver.ts
+++ b/packages/measure/tests/extended-driver.ts
@@ -30,13 +30,24 @@
   });
 }
 
+/** Texts of the errors among the answers. */
+function errorsOf(answers: readonly Buffer[]): readonly string[] {
+  return answers
+    .filter((message) => message[0] === BackendType.Error)
+    .map((message) => message.toString('latin1').replaceAll('\0', ' '));
+}
+
 function valuesOf(answers: readonly Buffer[]): readonly string[] {
   return answers
     .filter((message) => message[0] === BackendType.DataRow)
     .map((row) => firstRowOf({ messages: [row], status: TransactionStatus.Idle })?.[0] ?? '');
 }
 
-/** Writes and reads by two named statements, every request sent before any answer is read. */
+/**
+ * Writes and reads by two named statements, every request sent before any answer is read.
+ *
+ * @returns the values read, and the texts of errors, which tell a refused statement from a read that found nothing
+ */
 export async function pipelineNamed(caller: Caller, count: number): Promise<readonly string[]> {
   const write = 'INSERT INTO deeds (id, state) VALUES ($1, $2)';
   const read = 'SELECT state FROM deeds WHERE id = $1';
@@ -55,7 +66,8 @@
       serialize.sync(),
     );
   }
-  return valuesOf(await exchange(caller, messages, 1 + 2 * count));
+  const answers = await exchange(caller, messages, 1 + 2 * count);
+  return [...valuesOf(answers), ...errorsOf(answers)];
 }
 
 /** Fetches the rows whose key begins with `p`, `size` at a time, in one transaction. */
