feat(gateway): tell when an upstream leaves, and until when it receives new work

Callers saw nothing of it; operators could not tell how long an upstream that leaves was used: no line said when a host learned of it, how old that news may be, nor for how long new work was to go there.

The end is told only; statements are still sent as before.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -36,6 +36,7 @@
 export * from './model/statement-types.js';
 export * from './membership/host-retirement.js';
 export * from './membership/event-loop-monitor.js';
+export * from './membership/departure.js';
 export * from './membership/upstream-expiry.js';
 export * from './membership/upstream-identity.js';
 export * from './model/workspace.js';
--- a/packages/coordination/src/membership/upstream-expiry.ts
+++ b/packages/coordination/src/membership/upstream-expiry.ts
@@ -5,12 +5,19 @@
  * gone.
  */
 
-/** Time limits for missing entries. */
+/** Time limits for missing entries and for upstreams that leave. */
 export interface ExpiryRules {
   /** Time without an entry after which an upstream counts as leaving, milliseconds. */
   readonly leavingAfterMs: number;
   /** Time without an entry after which it is no longer used, milliseconds. */
   readonly goneAfterMs: number;
+  /** Time after the start of its departure for which an upstream receives new work, milliseconds. */
+  readonly newWorkMs: number;
+  /**
+   * Time for which a draining upstream receives new work after a host has learned of it, whenever its departure
+   * started, milliseconds.
+   */
+  readonly lateNewsMs: number;
 }
 
 /**
@@ -30,12 +37,26 @@
  * change.
  */
 const GONE_SHARE = 0.7;
+/**
+ * Share of that time for which it receives new work: 5.95 s of 7 s. The rest is for statements on their way and for
+ * hosts that run late.
+ */
+const NEW_WORK_SHARE = 0.85;
+/**
+ * A host that has just started, or was without the store, can't know when a departure started; meanwhile a planned
+ * change of primary, which is tried every 0.5 to 2 s, keeps the group served.
+ */
+const LATE_NEWS_MS = 1500;
+/** Limit of that time as a share of the time for which a leaving upstream accepts work. */
+const LATE_NEWS_SHARE = 0.25;
 
 /** Limits for upstreams that accept work for `servesOnMs` after they are known to leave. */
 export function expiryRules(servesOnMs: number): ExpiryRules {
   return {
     leavingAfterMs: Math.min(LEAVING_AFTER_MS, servesOnMs * LEAVING_SHARE),
     goneAfterMs: Math.min(GONE_AFTER_MS, servesOnMs * GONE_SHARE),
+    newWorkMs: servesOnMs * NEW_WORK_SHARE,
+    lateNewsMs: Math.min(LATE_NEWS_MS, servesOnMs * LATE_NEWS_SHARE),
   };
 }
 
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -10,12 +10,13 @@
   StorePosition,
   UpstreamId,
 } from '@gladespool/coordination';
-import { placeholderRecord, formatStorePosition } from '@gladespool/coordination';
+import { DepartureCause, placeholderRecord, formatStorePosition } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import { BoardSection } from '../../knowledge/board.js';
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
 import type { Catalog, UpstreamEntry } from '../../model/catalog.js';
 import type { CachedDocument, DocumentCache, StoreDocument } from './document-cache.js';
+import { Departures } from './departures.js';
 import { ExpiredUpstreams } from './expired-upstreams.js';
 import { groupOfKey, hostKey, hostOfKey } from './store-documents.js';
 
@@ -29,6 +30,7 @@
 
 /** Publishes the documents of the store to the board of one host. */
 export class BoardPublisher {
+  private readonly departures: Departures;
   private readonly expired: ExpiredUpstreams;
   /** Evacuated zones, with the latest local time at which each was certainly not yet evacuated. */
   private readonly lastInUseAt = new Map<AzId, number>();
@@ -45,7 +47,9 @@
     expiry: ExpiryRules,
     private readonly era: EraState,
   ) {
-    this.expired = new ExpiredUpstreams(expiry, log);
+    this.departures = new Departures(expiry, log);
+    this.expired = new ExpiredUpstreams(expiry, this.departures, log);
+    board.departures = this.departures.all;
   }
 
   /** Applies a document that replaces `former`. */
@@ -72,7 +76,7 @@
         return;
       }
       case 'upstream':
-        this.expired.remove(document.entry.id);
+        this.applyUpstream(document.entry, now);
         return;
       case 'evacuation':
         this.startEvacuation(document.az, position, now);
@@ -90,7 +94,7 @@
   applyRemoval(document: CachedDocument, position: StorePosition, now: number): void {
     const section = SECTIONS.get(document.kind);
     if (section !== undefined) this.outdated.add(section);
-    if (document.kind === 'upstream') this.expired.add(document.entry, now);
+    if (document.kind === 'upstream') this.removeUpstream(document.entry, now);
     if (document.kind === 'evacuation') this.endEvacuation(document.az, position);
   }
 
@@ -135,6 +139,7 @@
   /** Advances the expiry of upstreams whose entries are missing; `current` while the cache matches the store. */
   updateExpiredUpstreams(current: boolean, now: number): void {
     if (this.expired.updateStages(current, now)) this.outdated.add(BoardSection.Upstreams);
+    this.departures.tick(now);
   }
 
   /**
@@ -153,6 +158,22 @@
     this.outdated.clear();
   }
 
+  /** Latest local time at which the documents cached at `now` were known to be current. */
+  private lastConfirmedAt(now: number): number {
+    return Math.min(now, this.board.catalogConfirmedAt);
+  }
+
+  private applyUpstream(entry: UpstreamEntry, now: number): void {
+    this.expired.remove(entry.id);
+    if (!entry.draining) this.departures.remove(entry.id);
+    else this.departures.start(entry, DepartureCause.Draining, this.lastConfirmedAt(now), now);
+  }
+
+  private removeUpstream(entry: UpstreamEntry, now: number): void {
+    this.departures.start(entry, DepartureCause.EntryMissing, this.lastConfirmedAt(now), now);
+    this.expired.add(entry, now);
+  }
+
   /** Upstreams are published again where the catalog adds or removes groups, since that changes which are used. */
   private applyCatalog(catalog: Catalog, position: StorePosition): void {
     // Other hosts already serve callers by a newer one, which may have dropped a key or route of this one.
@@ -193,7 +214,7 @@
    */
   private startEvacuation(az: AzId, position: StorePosition, now: number): void {
     if (this.lastInUseAt.has(az)) return;
-    const inUseAt = Math.min(now, this.board.catalogConfirmedAt);
+    const inUseAt = this.lastConfirmedAt(now);
     this.lastInUseAt.set(az, inUseAt);
     this.log.info('zone-evacuated', {
       az,
--- a/packages/gateway/src/control/store/expired-upstreams.ts
+++ b/packages/gateway/src/control/store/expired-upstreams.ts
@@ -5,6 +5,7 @@
 import { ExpiryStage, expiryStage } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { UpstreamEntry } from '../../model/catalog.js';
+import type { Departures } from './departures.js';
 
 /** An upstream whose entry has disappeared. */
 interface Expiry {
@@ -21,6 +22,7 @@
 
   constructor(
     private readonly rules: ExpiryRules,
+    private readonly departures: Departures,
     private readonly log: Logger,
   ) {}
 
@@ -73,7 +75,10 @@
       group,
       missing_ms: Math.round(missingMs),
     });
-    if (stage === ExpiryStage.Gone) this.expiries.delete(id);
+    if (stage === ExpiryStage.Gone) {
+      this.expiries.delete(id);
+      this.departures.remove(id);
+    }
     return true;
   }
 }
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -166,7 +166,7 @@
 
 /**
  * Counts and logs a caller's statement: the upstream, the required and the reported position, the epoch of the
- * record, the age of the proof, and the result.
+ * record, the age of the proof, the result, and the time since this host learned that the upstream leaves.
  */
 function recordStatement(
   home: GroupHome,
@@ -184,6 +184,7 @@
     home.context.metrics.statements.inc({ served_by: servedBy });
   }
   const after = 'after' in command ? command.after : undefined;
+  const departure = home.context.board.departures.get(pool.entry.id);
   home.context.log.info('statement-ran', {
     request: command.id,
     group: home.group,
@@ -194,6 +195,7 @@
     at: answer.kind === 'lost' ? undefined : answer.position && formatPosition(answer.position),
     end: resultText(answer),
     ms: Math.round(now - sentAt),
+    leaving_ms: departure && Math.round(sentAt - departure.learnedAt),
     proof_age_ms: isPrimary ? Math.round(now - home.context.board.latestProofAt) : undefined,
   });
 }
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -6,6 +6,7 @@
   AuthorityRules,
   AuthorityView,
   AzId,
+  Departure,
   GroupId,
   HostId,
   PrimaryRecord,
@@ -56,6 +57,8 @@
    * -Infinity if this host never knew it to be in use.
    */
   evacuations: ReadonlyMap<AzId, number> = new Map();
+  /** Upstreams that are draining or whose entries are missing; an upstream that is gone is not listed any more. */
+  departures: ReadonlyMap<UpstreamId, Departure> = new Map();
   /** Latest local time at which the configuration in force was known to be the newest; -Infinity before the first. */
   catalogConfirmedAt = Number.NEGATIVE_INFINITY;
   /** Whether this host is stopping. */
