fix(gateway): end new work at leaving upstreams before their time to leave is over

Cause: the limit held only for upstreams whose entries vanish. `planAtPrimary` did not look at the state of the entry, `planRead` fell back to draining upstreams without an end, and what was planned in time could wait for a connection, its setup or a slow begin past any end.

With 3,000 ms to leave, hosts went on from 3,001 ms to the end of the play, 300 ms later, in 8 of the 9 ways in action, and in all 8 ways of being on the way. The ninth, a plain vanished entry, was bounded before.

Ruled out: a refusal only when planning (the 8 ways on the way fail); the stage of the entry as the limit (it changes with ticks, and starts over).

Change: `exclusionOf` excludes an upstream from the end of its departure's new work on, and one that is no longer listed. It is asked again after the setup of a connection, and before the first statement of a transaction and after its setup; later statements and commits go on. Work that no other upstream can serve is refused at once as not run, `upstream-leaving`, with a retry time of 500 to 750 ms, as a planned change is tried every 0.5 to 2 s; it is not tried on other hosts, which decide alike.

After: all 42 scenarios pass, with evacuation, primary-leaving, session, bound-regions and line-protocol 182 of 182, at a load of 22 on 8 cores.

Why it holds: all work passes `borrow`, and from its last check to the write nothing is awaited. The end counts from the latest time at which the documents were current without the news, so it is before 0.85 of the time after the store took it. A host that is only slow for 4.45 s or more is not exempt and may exceed the time; it can't know.

--- a/packages/coordination/src/model/refusal.ts
+++ b/packages/coordination/src/model/refusal.ts
@@ -56,6 +56,7 @@
   KeysUnconfirmed = 'keys-unconfirmed',
   ZoneEvacuated = 'zone-evacuated',
   NoPermittedRegion = 'no-permitted-region',
+  UpstreamLeaving = 'upstream-leaving',
 }
 
 /** What a refusal reports to the caller. */
@@ -70,6 +71,8 @@
 
 const SOON_MS = 200;
 const LATER_MS = 1000;
+/** About the interval between two tries of a planned change of primary. */
+const PLANNED_CHANGE_MS = 500;
 
 /** The rule of each reason; docs/INTERFACES.md shows this table. */
 export const REFUSAL_RULES: Readonly<Record<RefusalReason, RefusalRule>> = {
@@ -282,6 +285,12 @@
     'no upstream that could run it is in a region that the data may be in',
     0,
   ),
+  [RefusalReason.UpstreamLeaving]: rule(
+    ExecutionStatus.No,
+    '57P03',
+    'every upstream that could run it is leaving',
+    PLANNED_CHANGE_MS,
+  ),
   [RefusalReason.AlreadyRan]: rule(ExecutionStatus.Yes, '23505', 'request id has run before', 0),
 };
 
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -64,18 +64,23 @@
   const leased = await pool.acquire(priority, now, waitMs, job.workspace);
   if (leased.isErr()) return err(leased.error);
   const lease = leased.value;
-  // The zone of the upstream may have been evacuated while the statement waited for a connection.
+  // The upstream may have been excluded while the statement waited for a connection.
   const excludedMeanwhile = exclusionOf(home, pool.entry, job, performance.now());
   if (excludedMeanwhile !== undefined) {
     lease.release();
     return err(excludedMeanwhile);
   }
   const failed = await lease.connection.setUp(job.values, work, Math.max(MIN_EXCHANGE_MS, leftMs));
-  if (failed === undefined) return ok({ lease, pool, record });
-  recordHealth(pool, failed, performance.now(), undefined);
-  lease.connection.close();
+  if (failed !== undefined) {
+    recordHealth(pool, failed, performance.now(), undefined);
+    lease.connection.close();
+    lease.release();
+    return err(RefusalReason.UpstreamUnreachable);
+  }
+  const excludedSinceSetUp = exclusionOf(home, pool.entry, job, performance.now());
+  if (excludedSinceSetUp === undefined) return ok({ lease, pool, record });
   lease.release();
-  return err(RefusalReason.UpstreamUnreachable);
+  return err(excludedSinceSetUp);
 }
 
 /** Sends one command on a borrowed connection, and records the answer. */
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -14,7 +14,7 @@
 import type { GroupHome, WatchedTransaction } from './group-home.js';
 import type { BeginJob, OpenTransaction, StepJob } from './job.js';
 import type { ReadTarget } from './read-plan.js';
-import { mayContinue } from './upstream-exclusion.js';
+import { exclusionOf, mayContinue, refuseExcluded } from './upstream-exclusion.js';
 import { writeOutcome, refuseWithoutConnection } from './write-flow.js';
 
 /** Timeout of a rollback, milliseconds; after it the connection is closed instead. */
@@ -61,6 +61,8 @@
 /** An open transaction on a connection of this host. */
 export class PinnedTransaction implements OpenTransaction, WatchedTransaction {
   private hasWritten = false;
+  /** Whether a statement of the transaction was sent. */
+  private hasRun = false;
   private isEnded = false;
   /** Whether a statement is running. */
   private isRunning = false;
@@ -96,11 +98,16 @@
 
   private async runStep(step: StepJob): Promise<Outcome> {
     const { connection } = this.borrowed.lease;
+    const excluded = this.refuseFirst(performance.now());
+    if (excluded !== undefined) return excluded;
     const leftMs = step.arrivedAt + this.begin.route.timeoutMs - performance.now();
     const failed = await connection.setUp(step.values, step.work, leftMs);
     if (failed !== undefined) return this.fail(refused(RefusalReason.TransactionLost));
     if (!this.mayContinue(performance.now())) this.evacuate();
     if (this.isEnded) return this.refuseLost();
+    const excludedMeanwhile = this.refuseFirst(performance.now());
+    if (excludedMeanwhile !== undefined) return excludedMeanwhile;
+    this.hasRun = true;
     if (accessOf(step.work) === Access.Write) this.hasWritten = true;
     const command = connection.commandFor(step.work, step.id, undefined);
     const { answer } = await send(this.home, this.borrowed, command, leftMs);
@@ -113,6 +120,14 @@
     return this.fail({ kind: 'faulted', fault, code, text });
   }
 
+  /** Refuses the first statement if its upstream receives no new work at `now`; later statements continue. */
+  private refuseFirst(now: number): Outcome | undefined {
+    if (this.hasRun) return undefined;
+    const excluded = exclusionOf(this.home, this.borrowed.pool.entry, this.begin, now);
+    if (excluded === undefined) return undefined;
+    return this.fail({ kind: 'refused', refusal: refuseExcluded(this.home, excluded) });
+  }
+
   async commit(id: string, arrivedAt: number): Promise<Outcome> {
     this.endIfEvacuated(performance.now());
     if (this.isEnded) return this.refuseLost();
--- a/packages/gateway/src/home/upstream-exclusion.ts
+++ b/packages/gateway/src/home/upstream-exclusion.ts
@@ -1,12 +1,13 @@
 /**
- * Excludes upstreams that a job must not be sent to: those outside the regions in which its data may be stored, and
- * those in evacuated zones.
+ * Excludes upstreams that a job must not be sent to: those outside the regions in which its data may be stored, those
+ * that leave, once their time for new work has ended, and those in evacuated zones.
  */
 import type { Refusal } from '@gladespool/coordination';
 import {
   EvacuationStage,
   evacuationStage,
   isPermitted,
+  receivesNewWork,
   RecordPhase,
   refuse,
   RefusalReason,
@@ -18,7 +19,14 @@
 import type { Job } from './job.js';
 
 /** Reason for which an upstream is excluded. */
-export type Exclusion = RefusalReason.ZoneEvacuated | RefusalReason.NoPermittedRegion;
+export type Exclusion =
+  RefusalReason.ZoneEvacuated | RefusalReason.NoPermittedRegion | RefusalReason.UpstreamLeaving;
+
+/** Exclusions that end without a change of the configuration, in the order in which they are reported. */
+const TEMPORARY_EXCLUSIONS: readonly Exclusion[] = [
+  RefusalReason.ZoneEvacuated,
+  RefusalReason.UpstreamLeaving,
+];
 
 /** Reason for which an upstream must not receive a new job at `now`; undefined if it may. */
 export function exclusionOf(
@@ -29,6 +37,7 @@
 ): Exclusion | undefined {
   const { topology } = home.context.board;
   if (!isPermitted(entry.az, job.regions, topology)) return RefusalReason.NoPermittedRegion;
+  if (!isInUse(home, entry, now)) return RefusalReason.UpstreamLeaving;
   const stage = stageOf(home, entry, now);
   if (stage === EvacuationStage.None) return undefined;
   const isPrimary = home.record?.primary === entry.id;
@@ -51,10 +60,11 @@
   now: number,
 ): Exclusion | undefined {
   const { board } = home.context;
-  if (job.regions === undefined && board.evacuations.size === 0) return undefined;
+  const hasNone = board.evacuations.size === 0 && board.departures.size === 0;
+  if (job.regions === undefined && hasNone) return undefined;
   const reasons = board.upstreamsOf(home.group).map((entry) => exclusionOf(home, entry, job, now));
   if (reasons.includes(undefined)) return undefined;
-  return reasons.find((reason) => reason === RefusalReason.ZoneEvacuated) ?? reasons[0];
+  return TEMPORARY_EXCLUSIONS.find((reason) => reasons.includes(reason)) ?? reasons[0];
 }
 
 /**
@@ -73,16 +83,26 @@
   return entry && exclusionOf(home, entry, job, now);
 }
 
-/** Refusal for an exclusion; an evacuation is temporary, so callers are told when to retry. */
+/** Refusal for an exclusion; callers are told when to retry where it is temporary. */
 export function refuseExcluded(home: GroupHome, reason: Exclusion): Refusal {
   const refusal = refuse(reason, home.group);
-  if (reason === RefusalReason.NoPermittedRegion) return refusal;
+  if (!isTemporary(reason)) return refusal;
   return { ...refusal, retryAfterMs: home.retryAfterWithJitter(retryAfterMsOf(refusal)) };
 }
 
 /** Whether a reason is an exclusion; all hosts decide alike, so forwarding to another host would not help. */
 export function isExclusion(reason: RefusalReason): reason is Exclusion {
-  return reason === RefusalReason.ZoneEvacuated || reason === RefusalReason.NoPermittedRegion;
+  return reason === RefusalReason.NoPermittedRegion || isTemporary(reason);
+}
+
+function isTemporary(reason: RefusalReason): reason is Exclusion {
+  return TEMPORARY_EXCLUSIONS.some((temporary) => temporary === reason);
+}
+
+/** Whether an upstream is listed, and receives new work if it leaves. */
+function isInUse(home: GroupHome, { id }: UpstreamEntry, now: number): boolean {
+  const { board } = home.context;
+  return board.upstreams.has(id) && receivesNewWork(board.departures.get(id), now);
 }
 
 function stageOf(home: GroupHome, { az }: UpstreamEntry, now: number): EvacuationStage {
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -16,6 +16,7 @@
   DEFAULT_AUTHORITY,
   DEFAULT_FAILOVER,
   DEFAULT_OUTAGE_ESTIMATES,
+  expiryRules,
   groupId,
   hashKey,
   hostId,
@@ -114,6 +115,9 @@
   /** Time for which upstreams of an evacuated zone may be used in part, milliseconds. */
   evacuationMs = 5000;
 
+  /** Time for which leaving upstreams accept work, milliseconds; undefined if it does not end in a scenario. */
+  servesOnMs: number | undefined;
+
   /** Topology of zones and regions. */
   topology: Topology = SINGLE_REGION;
 
@@ -227,6 +231,7 @@
       rules: {
         ...RULES,
         evacuationMs: this.evacuationMs,
+        expiry: this.servesOnMs === undefined ? RULES.expiry : expiryRules(this.servesOnMs),
         retirement: { ...RULES.retirement, pingMs: this.pingMs },
       },
       topology: this.topology,
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -37,6 +37,8 @@
   sheds = 0;
   /** Commits that it has received but not applied, so that reads don't show them. */
   unapplied = 0;
+  /** Time that it needs for commands of a kind in addition, milliseconds. */
+  readonly delaysMs = new Map<UpstreamCommand['kind'], number>();
   /** Increases with each start; a connection is usable only in the life in which it was opened. */
   life = 1;
 
@@ -61,6 +63,12 @@
   onShed: () => void = () => undefined;
   /** Promotion requests that were executed, with the time of their arrival. */
   readonly promotions: { readonly req: PromotionRequest; readonly at: number }[] = [];
+  /** Commands that reached an upstream. */
+  readonly received: {
+    readonly upstream: UpstreamId;
+    readonly kind: UpstreamCommand['kind'];
+    readonly at: number;
+  }[] = [];
   /** Statements that ran, by upstream. */
   readonly ran: {
     readonly upstream: UpstreamId;
@@ -95,6 +103,8 @@
   readonly connected = new Set<UpstreamId>();
   /** Upstreams that accept new connections but start no session. */
   readonly unserved = new Set<UpstreamId>();
+  /** Time that opening a connection takes, milliseconds. */
+  connectMs = 0;
 
   constructor(private readonly group: FakeGroup) {}
 
@@ -105,6 +115,7 @@
     workspace: WorkspaceId | undefined,
   ): Promise<Result<DriverConnection, GladespoolError>> {
     this.connected.add(entry.id);
+    if (this.connectMs > 0) await pause(this.connectMs);
     const upstream = this.group.upstreams.get(entry.id);
     if (upstream !== undefined && !this.isUnreachable(upstream)) {
       return ok(
@@ -155,7 +166,10 @@
   }
 
   async exchange(command: UpstreamCommand, timeoutMs: number): Promise<UpstreamAnswer> {
-    await pause(1);
+    const { id, delaysMs } = this.upstream;
+    const { kind } = command;
+    this.group.received.push({ upstream: id, kind, at: performance.now() });
+    await pause(1 + (delaysMs.get(kind) ?? 0));
     if (!this.usable) return { kind: 'lost', loss: ConnectionLoss.Closed };
     if (this.isUnreachable()) {
       await pause(Math.min(timeoutMs, NO_ANSWER_MS));
