--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -64,18 +64,23 @@
   const leased = await pool.acquire(priority, now, waitMs, job.workspace);
   if (leased.isErr()) return err(leased.error);
   const lease = leased.value;
-  // The zone of the upstream may have been evacuated while the statement waited for a connection.
+  // The upstream may have been excluded while the statement waited for a connection.
   const excludedMeanwhile = exclusionOf(home, pool.entry, job, performance.now());
   if (excludedMeanwhile !== undefined) {
     lease.release();
     return err(excludedMeanwhile);
   }
   const failed = await lease.connection.setUp(job.values, work, Math.max(MIN_EXCHANGE_MS, leftMs));
-  if (failed === undefined) return ok({ lease, pool, record });
-  recordHealth(pool, failed, performance.now(), undefined);
-  lease.connection.close();
+  if (failed !== undefined) {
+    recordHealth(pool, failed, performance.now(), undefined);
+    lease.connection.close();
+    lease.release();
+    return err(RefusalReason.UpstreamUnreachable);
+  }
+  const excludedSinceSetUp = exclusionOf(home, pool.entry, job, performance.now());
+  if (excludedSinceSetUp === undefined) return ok({ lease, pool, record });
   lease.release();
-  return err(RefusalReason.UpstreamUnreachable);
+  return err(excludedSinceSetUp);
 }
 
 /** Sends one command on a borrowed connection, and records the answer. */
@@ -166,7 +171,7 @@
 
 /**
  * Counts and logs a caller's statement: the upstream, the required and the reported position, the epoch of the
- * record, the age of the proof, and the result.
+ * record, the age of the proof, the result, and the time since this host learned that the upstream leaves.
  */
 function recordStatement(
   home: GroupHome,
@@ -184,6 +189,7 @@
     home.context.metrics.statements.inc({ served_by: servedBy });
   }
   const after = 'after' in command ? command.after : undefined;
+  const departure = home.context.board.departures.get(pool.entry.id);
   home.context.log.info('statement-ran', {
     request: command.id,
     group: home.group,
@@ -194,6 +200,7 @@
     at: answer.kind === 'lost' ? undefined : answer.position && formatPosition(answer.position),
     end: resultText(answer),
     ms: Math.round(now - sentAt),
+    leaving_ms: departure && Math.round(sentAt - departure.learnedAt),
     proof_age_ms: isPrimary ? Math.round(now - home.context.board.latestProofAt) : undefined,
   });
 }
