fix(gateway): a draining primary whose replicas lag under writes is not replaced

Callers saw a group that kept a leaving primary until its last moment, and then none: with replicas 300 ms behind and hosts that write all the time no replica is ever within eight commits of the primary, and the planned change was put off every 500 ms without an end (successor-behind).

Cause: readiness was counted in commits while writes went on. What decides is whether a replica receives everything in the time for which writes can be held.

Evidence: the scenario "No replica is ever within a few commits of a draining primary while hosts write" failed before for lags of 300 and of 800 ms: no promotion in 20 s. Ruled out: the promotion lease and the store (both free in the scenario).

Change: the replication lag is measured first, as the time in which a successor receives what the primary holds, up to 1 s and with no write held. Writes are then held for at most that time and 350 ms, and the positions are compared before anything is claimed.

No write failed, and the new primary held every acknowledged commit.

Holds because a held write adds nothing to what the replica has to receive, so that a replica with a lag of L has everything L after the last write in flight.

--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -16,7 +16,8 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { StoreItem } from '../store/metadata-store.js';
 import { changeResultText, StorePurpose } from '../store/metadata-store.js';
-import { PromotionCause } from './promotion-cause.js';
+import type { PromotionCause } from './promotion-cause.js';
+import { isPlanned } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
 import { PromotionLog } from './promotion-log.js';
 import type { RecordClaim } from './record-claimer.js';
@@ -25,22 +26,17 @@
 import { SuccessorSearch } from './successor-search.js';
 import { currentEntryOf, isInEvacuatedZone } from './upstream-lookup.js';
 
-/** Causes for which the former primary still serves. */
-const PLANNED: ReadonlySet<PromotionCause> = new Set([
-  PromotionCause.Draining,
-  PromotionCause.Evacuated,
-]);
 /** Timeout of a write that names an upstream in the record, milliseconds. */
 const WRITE_TIMEOUT_MS = 1000;
 /** Time after which a host that has not acknowledged the revocation counts as unresponsive, milliseconds. */
 const REVOKE_TIMEOUT_MS = 700;
-/** Time for which writes are held before a planned change, milliseconds; callers wait no longer. */
+/** Time for which writes are held before a planned change besides the replication lag, milliseconds. */
 const HOLD_MS = 350;
 /** Pause before a planned change whose successor was behind is retried, milliseconds: a few replication lags. */
 const DEFER_MS = 500;
 /** The same after writes were held for it: callers must not spend most of the time waiting. */
 const DEFER_AFTER_HOLD_MS = 2000;
-/** Time for the reply of a host that held its writes for the full `HOLD_MS`, milliseconds. */
+/** Time for the reply of a host that held its writes for the full time, milliseconds. */
 const HOLD_REPLY_MS = 100;
 /** Time left to other hosts to take over a claim once they may promote, milliseconds: one promotion. */
 const TAKEOVER_MS = 1000;
@@ -96,7 +92,7 @@
 
   /** Whether the former primary still serves, so that the change can be deferred. */
   private get isPlanned(): boolean {
-    return PLANNED.has(this.cause);
+    return isPlanned(this.cause);
   }
 
   /** Whether the former primary no longer has to be replaced: it is listed, not draining, and its zone is in use. */
@@ -112,13 +108,23 @@
 
   /** Prepares a planned change; false when it is deferred. */
   private async prepare(): Promise<boolean> {
-    const isReady = await this.search.hasReadySuccessor(this.former);
-    if (!isReady) return this.defer('successor-behind', DEFER_MS);
-    if (!(await this.holdWrites())) return this.defer('few-hosts-answer', DEFER_AFTER_HOLD_MS);
+    const lagMs = await this.search.replicationLagMs(this.former);
+    if (lagMs === undefined) return this.defer('successor-behind', DEFER_MS);
+    if (!(await this.holdUntilReady(HOLD_MS + Math.ceil(lagMs)))) return false;
     if (this.isFormerStaying) return this.defer('primary-stays', DEFER_AFTER_HOLD_MS);
     return true;
   }
 
+  /** Holds writes for at most `holdMs` until a successor is ready; false when the change is deferred. */
+  private async holdUntilReady(holdMs: number): Promise<boolean> {
+    const heldAt = performance.now();
+    if (!(await this.holdWrites(holdMs, heldAt))) {
+      return this.defer('few-hosts-answer', DEFER_AFTER_HOLD_MS);
+    }
+    const isReady = await this.search.waitUntilReady(this.former, heldAt + holdMs);
+    return isReady || this.defer('successor-behind', DEFER_AFTER_HOLD_MS);
+  }
+
   /** Defers a planned change before anything was claimed. */
   private defer(reason: string, pauseMs: number): false {
     this.notBefore = performance.now() + pauseMs;
@@ -136,16 +142,16 @@
   }
 
   /**
-   * Holds new writes before a planned change, so that those in flight end.
+   * Holds new writes from `now` on before a planned change, so that those in flight end.
    *
    * @returns whether more than half of the hosts reply. A claim made without a majority would only leave the
    *   group without a primary.
    */
-  private async holdWrites(): Promise<boolean> {
+  private async holdWrites(holdMs: number, now: number): Promise<boolean> {
     const { group, epoch } = this.former;
-    const own = this.ctx.holds.hold(group, epoch, HOLD_MS, performance.now());
-    const question = { kind: FrameKind.HoldRequest, id: 0, group, epoch, holdMs: HOLD_MS } as const;
-    const others = this.ctx.round.requestAll(question, HOLD_MS + HOLD_REPLY_MS);
+    const own = this.ctx.holds.hold(group, epoch, holdMs, now);
+    const question = { kind: FrameKind.HoldRequest, id: 0, group, epoch, holdMs } as const;
+    const others = this.ctx.round.requestAll(question, holdMs + HOLD_REPLY_MS);
     const [answered] = await Promise.all([others, own]);
     return isMajority(1 + answered.size, this.ctx.board.listedHostCount);
   }
--- a/packages/gateway/src/control/promotion/promotion-cause.ts
+++ b/packages/gateway/src/control/promotion/promotion-cause.ts
@@ -14,3 +14,14 @@
   Unlisted = 'unlisted',
   StalledClaim = 'stalled-claim',
 }
+
+/** Causes for which the former primary still serves. */
+const PLANNED: ReadonlySet<PromotionCause> = new Set([
+  PromotionCause.Draining,
+  PromotionCause.Evacuated,
+]);
+
+/** Whether the former primary still serves, so that the change can be deferred. */
+export function isPlanned(cause: PromotionCause): boolean {
+  return PLANNED.has(cause);
+}
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -25,9 +25,13 @@
 /** Interval between two rounds of status requests to the upstreams, milliseconds. */
 const POLL_MS = 40;
 
+/** Longest replication lag with which a planned change begins, milliseconds; writes are held for as long. */
+const MAX_LAG_MS = 1000;
+/** Interval between two rounds of status requests while the replication lag is measured, milliseconds. */
+const LAG_POLL_MS = 100;
 /**
- * Number of commits by which a successor may be behind when a planned change begins: about what a primary commits
- * in the time that a replica needs to receive them. Writes are held before the successor is chosen.
+ * Number of commits by which a successor may be behind after writes were held: writes of hosts that did not answer
+ * go on until they give the former primary up.
  */
 const MAX_READY_LAG = 8;
 
@@ -53,12 +57,31 @@
     private readonly log: PromotionLog,
   ) {}
 
-  /** Whether a planned change would find a successor that can receive everything in time. */
-  async hasReadySuccessor(former: PrimaryRecord): Promise<boolean> {
-    const reports = await this.reports(former);
-    const { chosen, held } = this.compare(former, reports, this.syncReplicasOf(former));
-    if (chosen === undefined || held === undefined) return false;
-    return held.received.offset - chosen.received.offset <= MAX_READY_LAG;
+  /**
+   * Time that a possible successor needs to receive what the former primary holds now, milliseconds; undefined when
+   * none has within `MAX_LAG_MS`, or the former primary does not report.
+   */
+  async replicationLagMs(former: PrimaryRecord): Promise<number | undefined> {
+    const startedAt = performance.now();
+    const first = await this.compareNow(former);
+    if (first.held === undefined) return undefined;
+    const target = first.held.received.offset;
+    for (let { chosen } = first; ; { chosen } = await this.compareNow(former)) {
+      const lagMs = performance.now() - startedAt;
+      if (chosen !== undefined && chosen.received.offset >= target) return lagMs;
+      if (lagMs >= MAX_LAG_MS) return undefined;
+      await pause(LAG_POLL_MS);
+    }
+  }
+
+  /** Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. */
+  async waitUntilReady(former: PrimaryRecord, until: number): Promise<boolean> {
+    for (;;) {
+      const { chosen, held } = await this.compareNow(former);
+      if (held !== undefined && hasCaughtUp(chosen, held)) return true;
+      if (performance.now() >= until) return isNearlyCaughtUp(chosen, held);
+      await pause(POLL_MS);
+    }
   }
 
   /** The upstream to promote: one that holds all that the former primary has, if there is one in time. */
@@ -87,6 +110,10 @@
     return this.ctx.board.catalog?.groups.get(group)?.syncReplicas ?? 0;
   }
 
+  private async compareNow(former: PrimaryRecord): Promise<Comparison> {
+    return this.compare(former, await this.reports(former), this.syncReplicasOf(former));
+  }
+
   private compare(
     former: PrimaryRecord,
     reports: readonly SuccessorReport[],
@@ -168,3 +195,12 @@
   if (chosen === undefined) return false;
   return former === undefined || chosen.received.offset >= former.received.offset;
 }
+
+/** Whether `chosen` lacks at most `MAX_READY_LAG` commits of the former primary; false unless both report. */
+function isNearlyCaughtUp(
+  chosen: SuccessorReport | undefined,
+  former: SuccessorReport | undefined,
+): boolean {
+  if (chosen === undefined || former === undefined) return false;
+  return former.received.offset - chosen.received.offset <= MAX_READY_LAG;
+}
--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -31,6 +31,8 @@
   isPrimary = false;
   /** Whether it receives nothing from the primary. */
   deaf = false;
+  /** Time after which it receives a commit of the primary, milliseconds. */
+  lagMs = 0;
   term = 1;
   offset = 0;
   /** Number of further statements that it sheds. */
@@ -83,11 +85,21 @@
   commit(primary: FakeUpstream): void {
     primary.offset += 1;
     for (const upstream of this.upstreams.values()) {
-      if (!upstream.isPrimary && !upstream.dead && !upstream.deaf) upstream.offset = primary.offset;
+      if (upstream.isPrimary || upstream.dead || upstream.deaf) continue;
+      if (upstream.lagMs === 0) upstream.offset = primary.offset;
+      else receiveLater(upstream, primary.offset);
     }
   }
 }
 
+/** Delivers the commits up to `offset` after the replica's lag, unless it has become primary by then. */
+function receiveLater(replica: FakeUpstream, offset: number): void {
+  const receive = (): void => {
+    if (!replica.isPrimary) replica.offset = Math.max(replica.offset, offset);
+  };
+  setTimeout(receive, replica.lagMs).unref();
+}
+
 /** Driver for one host's connections to a group; some upstreams may be unreachable. */
 export class FakeDriver implements UpstreamDriver {
   readonly unreachable = new Set<UpstreamId>();
--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -7,6 +7,19 @@
     And no write failed, and none ran at the former primary after the change
     And one change was enough, and no host reports a deposed primary
 
+  Scenario Outline: No replica is ever within a few commits of a draining primary while hosts write
+    Given 3 hosts that serve a group
+    When the replicas receive commits <lag> ms late
+    And the primary reports that it is draining, and hosts write all the time
+    Then another upstream becomes the primary under one fence
+    And no write failed, and none ran at the former primary after the change
+    And the new primary holds every acknowledged commit
+
+    Examples:
+      | lag |
+      | 300 |
+      | 800 |
+
   Scenario: The entry of a primary is removed without draining
     Given 3 hosts that serve a group
     When the entry of the primary goes and does not come back
--- a/packages/gateway/tests/primary-leaving.steps.ts
+++ b/packages/gateway/tests/primary-leaving.steps.ts
@@ -19,6 +19,10 @@
   },
 );
 
+When('the replicas receive commits {int} ms late', function (this: ActionWorld, lagMs: number) {
+  for (const upstream of this.deployment.group.upstreams.values()) upstream.lagMs = lagMs;
+});
+
 When(
   'the replicas receive nothing while {int} writes are made, and the entry of the primary goes',
   async function (this: ActionWorld, writes: number) {
@@ -105,3 +109,12 @@
     assert.deepEqual(late, []);
   },
 );
+
+Then('the new primary holds every acknowledged commit', async function (this: ActionWorld) {
+  const outcomes = (await Promise.all(this.writing)).flat();
+  const acknowledged = outcomes.filter(({ kind }) => kind === 'completed').length;
+  const primary = this.deployment.primary();
+  const upstream = primary && this.deployment.group.upstreams.get(primary);
+  assert.ok(upstream);
+  assert.ok(upstream.offset >= acknowledged, `${upstream.offset} of ${acknowledged}`);
+});
