fix(gateway): hosts hold writes in turn for a planned change that none can make

Callers of a group with a draining primary were refused or waited nearly all the time while the store refused changes or another host held the promotion lease.

Cause: each host prepared the change by itself, 50 ms a rank apart, and held the writes of all hosts before it knew whether it may take the lease; a failed claim was retried 500 ms later, with another hold. A hold lasts 550 ms, so the holds of a few hosts followed each other without a gap, those of a hundred hosts for 5 s.

Evidence: two scenarios of primary-leaving.feature failed before. While the store refused changes, 73 of 900 writes with a time limit of 200 ms succeeded; after the change more than half do. With the lease held by a host that is gone, writes were refused as soon as the primary drained (no-authority), six seconds before any claim was possible.

Change: a planned change waits for the lease before it holds writes; the lag is measured in the last second of that wait and the claim is sent when the lease is free. A host that is asked to hold writes begins no planned change of its own until 1 s after that hold, the host whose claim failed until 0.5 s later, so that a host that the store rejects leaves the turn to others. The delay per rank is 500 ms for planned changes, since each host that prepares one asks all upstreams of the group. Pauses between planned changes no longer put off a change whose primary has failed or whose claim has stalled.

Price: with the first host dead a planned change begins 0.5 s later (was 50 ms); after a refused claim the next try of any host comes 1.4 s later (was 0.5 s).

Holds because every hold reaches the hosts that would hold next, and the wait for the lease itself is decided by claimPromotionLease as before.

--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -26,6 +26,11 @@
 import { SuccessorSearch } from './successor-search.js';
 import { currentEntryOf, isInEvacuatedZone } from './upstream-lookup.js';
 
+/**
+ * Time after a hold that another host requested in which this host requests none for the same group, milliseconds:
+ * the holds of many hosts in turn would leave callers little time to write.
+ */
+export const HOLD_REST_MS = 1000;
 /** Timeout of a write that names an upstream in the record, milliseconds. */
 const WRITE_TIMEOUT_MS = 1000;
 /** Time after which a host that has not acknowledged the revocation counts as unresponsive, milliseconds. */
@@ -36,6 +41,15 @@
 const DEFER_MS = 500;
 /** The same after writes were held for it: callers must not spend most of the time waiting. */
 const DEFER_AFTER_HOLD_MS = 2000;
+/** Time before the promotion lease is free from which a planned change is prepared, milliseconds: one longest lag. */
+const LEASE_LEAD_MS = 1000;
+/** Time for which writes in flight at the beginning of a hold take to end, milliseconds. */
+const IN_FLIGHT_MS = 50;
+/**
+ * Pause after a hold whose claim failed, milliseconds: longer than `HOLD_REST_MS`, so that another host, which may
+ * reach the store, has its turn.
+ */
+const DEFER_AFTER_CLAIM_MS = HOLD_REST_MS + 500;
 /** Time for the reply of a host that held its writes for the full time, milliseconds. */
 const HOLD_REPLY_MS = 100;
 /** Time left to other hosts to take over a claim once they may promote, milliseconds: one promotion. */
@@ -55,10 +69,15 @@
 export class PromotionAttempt {
   /** Local time before which another attempt cannot succeed. */
   notBefore = Number.NEGATIVE_INFINITY;
+  /** Local time before which another planned change should not begin. */
+  plannedNotBefore = Number.NEGATIVE_INFINITY;
   private readonly startedAt = performance.now();
   private readonly log: PromotionLog;
   private readonly search: SuccessorSearch;
   private readonly promoter: SuccessorPromoter;
+  private readonly claimer: RecordClaimer;
+  /** Local time until which this attempt has held writes. */
+  private heldUntil = Number.NEGATIVE_INFINITY;
 
   /** @param refused the upstream that the platform has refused to promote, as far as this host knows */
   constructor(
@@ -70,6 +89,7 @@
     this.log = new PromotionLog(ctx.log, former, cause);
     this.search = new SuccessorSearch(ctx, this.log);
     this.promoter = new SuccessorPromoter(former.group, ctx, this.log);
+    this.claimer = new RecordClaimer(ctx, this.log);
   }
 
   /** Runs the attempt; resolves with true when a primary serves under a new epoch. */
@@ -108,26 +128,36 @@
 
   /** Prepares a planned change; false when it is deferred. */
   private async prepare(): Promise<boolean> {
+    const now = performance.now();
+    const freeAt = this.claimer.leaseFreeAt(now);
+    const leaseWaitMs = freeAt - now - LEASE_LEAD_MS;
+    if (leaseWaitMs > 0) return this.defer('lease-held', leaseWaitMs);
     const lagMs = await this.search.replicationLagMs(this.former);
     if (lagMs === undefined) return this.defer('successor-behind', DEFER_MS);
+    if (freeAt > now) await waitUntil(freeAt - lagMs - IN_FLIGHT_MS);
     if (!(await this.holdUntilReady(HOLD_MS + Math.ceil(lagMs)))) return false;
     if (this.isFormerStaying) return this.defer('primary-stays', DEFER_AFTER_HOLD_MS);
+    // Timers may fire a little early.
+    while (performance.now() < freeAt) await waitUntil(freeAt);
     return true;
   }
 
   /** Holds writes for at most `holdMs` until a successor is ready; false when the change is deferred. */
   private async holdUntilReady(holdMs: number): Promise<boolean> {
     const heldAt = performance.now();
+    if (this.ctx.holds.isHeld(this.former.group, heldAt))
+      return this.defer('writes-held', DEFER_MS);
+    this.heldUntil = heldAt + holdMs;
     if (!(await this.holdWrites(holdMs, heldAt))) {
       return this.defer('few-hosts-answer', DEFER_AFTER_HOLD_MS);
     }
-    const isReady = await this.search.waitUntilReady(this.former, heldAt + holdMs);
+    const isReady = await this.search.waitUntilReady(this.former, this.heldUntil);
     return isReady || this.defer('successor-behind', DEFER_AFTER_HOLD_MS);
   }
 
   /** Defers a planned change before anything was claimed. */
   private defer(reason: string, pauseMs: number): false {
-    this.notBefore = performance.now() + pauseMs;
+    this.plannedNotBefore = performance.now() + pauseMs;
     return this.giveUp(reason);
   }
 
@@ -136,7 +166,7 @@
    * ended so: its former holder may have requested a promotion that is about to take effect.
    */
   private async keepFormer(claim: RecordClaim): Promise<false> {
-    this.notBefore = performance.now() + DEFER_AFTER_HOLD_MS;
+    this.plannedNotBefore = performance.now() + DEFER_AFTER_HOLD_MS;
     await this.nameServing(claim, this.formerIdentity);
     return this.giveUp('successor-behind');
   }
@@ -158,12 +188,12 @@
 
   /** Claims the record and the promotion lease, once this host's earlier claims have ended. */
   private async claim(): Promise<RecordClaim | undefined> {
-    const claimer = new RecordClaimer(this.ctx, this.log);
     const result = await this.ctx.claimLock.run(() =>
-      claimer.claim(this.former, this.successorToRetain, performance.now()),
+      this.claimer.claim(this.former, this.successorToRetain, performance.now()),
     );
     if (result.isOk()) return result.value;
     if (result.error.kind === 'lease-held') this.notBefore = result.error.until;
+    else this.plannedNotBefore = this.heldUntil + DEFER_AFTER_CLAIM_MS;
     return undefined;
   }
 
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -25,8 +25,8 @@
 import type { UpstreamEntry } from '../../model/catalog.js';
 import { FailoverOrder } from './failover-order.js';
 import type { PrimaryMonitor } from './primary-monitor.js';
-import { PromotionAttempt } from './promotion-attempt.js';
-import { PromotionCause } from './promotion-cause.js';
+import { HOLD_REST_MS, PromotionAttempt } from './promotion-attempt.js';
+import { isPlanned, PromotionCause } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
 import { ReachabilityPoll } from './reachability-poll.js';
 import { primaryKey, readOwnDocument } from '../store/store-documents.js';
@@ -45,6 +45,11 @@
 ]);
 /** Time for which a primary must be unlisted, milliseconds; upstreams that run are listed again within 2 s. */
 const UNLISTED_MS = 500;
+/**
+ * Delay per rank before a planned change, milliseconds: the primary still serves, and each host that prepares a
+ * change asks all upstreams of the group for their positions.
+ */
+const PLANNED_RANK_DELAY_MS = 500;
 /** Hosts polled while another host is expected to act. */
 const SAMPLE_HOSTS = 8;
 /** Time left to a host that has polled this one, before this one polls as well, milliseconds. */
@@ -63,7 +68,10 @@
  * attempt ends on the same object on which it began.
  */
 interface GroupState {
-  /** Rank of the record to which the fields below belong, except `busy`, `notBefore` and `refused`. */
+  /**
+   * Rank of the record to which the fields below belong, except `busy`, `notBefore`, `plannedNotBefore` and
+   * `refused`.
+   */
   rank: number;
   /** Local time at which that version of the record was first seen. */
   seenAt: number;
@@ -71,6 +79,8 @@
   busy: boolean;
   /** Local time before which this host does not act again. */
   notBefore: number;
+  /** Local time before which this host begins no planned change: one was deferred, or writes were held for one. */
+  plannedNotBefore: number;
   /** The upstream that the platform has refused to promote in the current change. */
   refused: UpstreamIdentity | undefined;
   /** Local time since which the primary has had no entry; undefined while it has one. */
@@ -136,9 +146,10 @@
     if (state.busy || now < state.notBefore) return;
     const trigger = this.triggerOf(record, state, now);
     if (trigger === undefined) return;
+    if (isPlanned(trigger.cause) && now < state.plannedNotBefore) return;
     // A host without a proof cannot claim anything, and its requests would only load the others.
     if (board.isIsolated(now, authority)) return;
-    const delayMs = rank * rules.rankDelayMs;
+    const delayMs = rank * (isPlanned(trigger.cause) ? PLANNED_RANK_DELAY_MS : rules.rankDelayMs);
     if (now - trigger.since >= delayMs) void this.act(record, trigger, state);
   }
 
@@ -233,6 +244,7 @@
       state.refused = attempt.refused;
       const retryAt = performance.now() + (done ? 0 : RETRY_PAUSE_MS);
       state.notBefore = Math.max(retryAt, attempt.notBefore);
+      state.plannedNotBefore = Math.max(state.plannedNotBefore, attempt.plannedNotBefore);
     }
   }
 
@@ -290,7 +302,13 @@
     request: FrameOf<FrameKind.HoldRequest>,
   ): Promise<void> {
     const group = groupId(request.group);
-    await this.options.context.holds.hold(group, request.epoch, request.holdMs, performance.now());
+    const { board, holds } = this.options.context;
+    const now = performance.now();
+    const record = board.record(group);
+    if (record !== undefined) {
+      this.stateOf(record, now).plannedNotBefore = now + request.holdMs + HOLD_REST_MS;
+    }
+    await holds.hold(group, request.epoch, request.holdMs, now);
     link.send({ kind: FrameKind.HoldReply, id: request.id });
   }
 
@@ -330,7 +348,13 @@
       yieldUntil: Number.NEGATIVE_INFINITY,
     };
     if (held !== undefined) return Object.assign(held, seen);
-    const state: GroupState = { ...seen, busy: false, notBefore: now, refused: undefined };
+    const state: GroupState = {
+      ...seen,
+      busy: false,
+      notBefore: now,
+      plannedNotBefore: now,
+      refused: undefined,
+    };
     this.groups.set(record.group, state);
     return state;
   }
--- a/packages/gateway/src/control/promotion/record-claimer.ts
+++ b/packages/gateway/src/control/promotion/record-claimer.ts
@@ -60,6 +60,13 @@
     return this.write(record, fence, now);
   }
 
+  /** Local time from which this host may take the promotion lease; at most `now` if it may already. */
+  leaseFreeAt(now: number): number {
+    const { self, view, rules } = this.ctx;
+    const lease = claimPromotionLease(view.seenPromotionLease, self, now, rules);
+    return lease.kind === 'take' ? now : lease.until;
+  }
+
   /** Whether the record is still current; it may have changed while earlier claims were running. */
   private isCurrent(former: PrimaryRecord): boolean {
     const current = this.ctx.board.record(former.group);
--- a/packages/gateway/tests/fakes/action-world.ts
+++ b/packages/gateway/tests/fakes/action-world.ts
@@ -21,9 +21,12 @@
   /** The record that the store has lost. */
   lost: PrimaryRecord;
   /** Outcomes of the writes until the primary has changed, one list for each host. */
-  writing: readonly Promise<readonly Outcome[]>[];
+  writing: readonly Promise<readonly TimedOutcome[]>[];
 }
 
+/** An outcome with the time at which it was known. */
+export type TimedOutcome = Outcome & { readonly endedAt: number };
+
 /** The initial primary. */
 export const FORMER = upstreamId('u0');
 
@@ -48,12 +51,28 @@
 export async function writeUntilChanged(
   world: ActionWorld,
   each: FakeHost,
-): Promise<readonly Outcome[]> {
+): Promise<readonly TimedOutcome[]> {
   const { deployment } = world;
-  const outcomes: Outcome[] = [];
+  const outcomes: TimedOutcome[] = [];
   while (deployment.primary() === FORMER) {
-    outcomes.push(await deployment.run(each, 'WRITE x 1'));
+    const outcome = await deployment.run(each, 'WRITE x 1');
+    outcomes.push({ ...outcome, endedAt: performance.now() });
     await pause(5);
   }
   return outcomes;
 }
+
+/** Writes on a host `count` times, at the same pace whether the writes succeed or not. */
+export async function writeTimes(
+  world: ActionWorld,
+  each: FakeHost,
+  count: number,
+): Promise<readonly TimedOutcome[]> {
+  const outcomes: TimedOutcome[] = [];
+  for (let left = count; left > 0; left -= 1) {
+    const outcome = await world.deployment.run(each, 'WRITE x 1');
+    outcomes.push({ ...outcome, endedAt: performance.now() });
+    await pause(10);
+  }
+  return outcomes;
+}
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -114,6 +114,9 @@
   /** Time for which upstreams of an evacuated zone may be used in part, milliseconds. */
   evacuationMs = 5000;
 
+  /** Time limit of a statement, milliseconds. */
+  timeoutMs = 3000;
+
   /** Topology of zones and regions. */
   topology: Topology = SINGLE_REGION;
 
@@ -246,7 +249,7 @@
 function readDocument(
   key: string,
   text: string,
-  { maxStalenessMs, limit, regions, workspaceRegions, syncReplicas }: FakeDeployment,
+  { maxStalenessMs, timeoutMs, limit, regions, workspaceRegions, syncReplicas }: FakeDeployment,
 ): DocumentReadResult<ForeignDocument> {
   if (key.startsWith('upstream/')) {
     return usedDocument({ kind: 'upstream', entry: JSON.parse(text) as UpstreamEntry });
@@ -260,7 +263,7 @@
     group: GROUP,
     consistency: maxStalenessMs > 0 ? Consistency.BoundedStaleness : Consistency.Primary,
     maxStalenessMs,
-    timeoutMs: 3000,
+    timeoutMs,
     targetLatencyMs: 500,
     priority: 1,
     isPublic: false,
--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -20,6 +20,20 @@
       | 300 |
       | 800 |
 
+  # Every host in turn held the writes for a claim that it could not make.
+  Scenario: A host that is gone holds the promotion lease when the primary reports that it is draining
+    Given 3 hosts that serve a group, with statements that wait for 200 ms at most
+    And a host that is gone has just taken the promotion lease
+    When the primary reports that it is draining, and hosts write all the time
+    Then another upstream becomes the primary under one fence
+    And no write failed before the promotion lease was about to be free
+
+  Scenario: The store refuses every change while a primary reports that it is draining
+    Given 3 hosts that serve a group, with statements that wait for 200 ms at most
+    When the store refuses changes until each host has attempted 300 writes at a draining primary
+    Then most of these writes succeeded
+    And another upstream becomes the primary under one fence
+
   Scenario: The entry of a primary is removed without draining
     Given 3 hosts that serve a group
     When the entry of the primary goes and does not come back
--- a/packages/gateway/tests/primary-leaving.steps.ts
+++ b/packages/gateway/tests/primary-leaving.steps.ts
@@ -1,9 +1,31 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
-import { Then, When } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { hostId } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../src/index.js';
+import { PROMOTION_LEASE_KEY } from '../src/control/store/store-documents.js';
 import type { ActionWorld } from './fakes/action-world.js';
-import { FORMER, host, PRIMARY_KEY, writeUntilChanged } from './fakes/action-world.js';
+import { FORMER, host, PRIMARY_KEY, writeTimes, writeUntilChanged } from './fakes/action-world.js';
+import { FakeDeployment } from './fakes/fake-deployment.js';
+
+/** Time before the first promotion in which writes may be held for it, milliseconds. */
+const HELD_MS = 1000;
+
+Given(
+  '{int} hosts that serve a group, with statements that wait for {int} ms at most',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, count: number, timeoutMs: number) {
+    this.deployment = new FakeDeployment();
+    this.deployment.timeoutMs = timeoutMs;
+    await this.deployment.start(count);
+    this.former = FORMER;
+  },
+);
+
+Given('a host that is gone has just taken the promotion lease', function (this: ActionWorld) {
+  const lease = { holder: hostId('gone'), incarnation: 1, fence: 1, renewal: 1 };
+  this.deployment.store.put(PROMOTION_LEASE_KEY, lease);
+});
 
 When('the entry of the primary goes and does not come back', function (this: ActionWorld) {
   this.deployment.store.remove(PRIMARY_KEY);
@@ -118,3 +140,33 @@
   assert.ok(upstream);
   assert.ok(upstream.offset >= acknowledged, `${upstream.offset} of ${acknowledged}`);
 });
+
+Then(
+  'no write failed before the promotion lease was about to be free',
+  async function (this: ActionWorld) {
+    const writes = (await Promise.all(this.writing)).flat();
+    const heldFrom = (this.deployment.group.promotions[0]?.at ?? 0) - HELD_MS;
+    const failed = writes.filter(({ kind, endedAt }) => kind !== 'completed' && endedAt < heldFrom);
+    assert.deepEqual(failed, []);
+  },
+);
+
+When(
+  'the store refuses changes until each host has attempted {int} writes at a draining primary',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, count: number) {
+    const { store, hosts } = this.deployment;
+    const entry = JSON.parse(store.items.get(PRIMARY_KEY)?.value ?? '') as UpstreamEntry;
+    store.put(PRIMARY_KEY, { ...entry, draining: true });
+    store.readOnly = true;
+    this.writing = hosts.map((each) => writeTimes(this, each, count));
+    await Promise.all(this.writing);
+    store.readOnly = false;
+  },
+);
+
+Then('most of these writes succeeded', async function (this: ActionWorld) {
+  const writes = (await Promise.all(this.writing)).flat();
+  const succeeded = writes.filter(({ kind }) => kind === 'completed').length;
+  assert.ok(succeeded * 2 > writes.length, `${succeeded} of ${writes.length}`);
+});
