test(gateway): a primary that could not be replaced leaves its log to a new upstream

The replicas receive nothing, the draining primary ends with 20 acknowledged commits that only it has, and a new upstream, listed at that moment as replica or primary, has its log. Not covered: a new upstream that is listed only after a replica was promoted.

--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -179,12 +179,13 @@
     return board.record(GROUP) !== undefined && Number.isFinite(board.latestProofAt);
   }
 
-  private addUpstream(index: number): void {
+  /** Adds an upstream and its entry; the first one is the primary unless said otherwise. */
+  addUpstream(index: number, isPrimary = index === 0): FakeUpstream {
     const id = upstreamId(`u${index}`);
     const upstream = new FakeUpstream(id);
-    upstream.isPrimary = index === 0;
+    upstream.isPrimary = isPrimary;
     this.group.upstreams.set(id, upstream);
-    const role = index === 0 ? ReportedRole.Primary : ReportedRole.Replica;
+    const role = isPrimary ? ReportedRole.Primary : ReportedRole.Replica;
     const entry: UpstreamEntry = {
       id,
       group: GROUP,
@@ -197,6 +198,7 @@
       ...(this.tellsBirths && { born: BIRTH + index }),
     };
     this.store.put(`upstream/${id}`, entry);
+    return upstream;
   }
 
   /** Adds a host whose reads of the whole store take `fullReadMs`. */
--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -47,6 +47,19 @@
     When the replicas receive everything again
     Then another upstream becomes the primary under one fence
 
+  Scenario Outline: A primary that could not be replaced leaves its log to a new upstream
+    Given 3 hosts that serve a group
+    When the replicas receive nothing while 20 writes are made, and the primary reports that it is draining
+    And the primary ends, and a new <role> has its log
+    Then another upstream becomes the primary under one fence
+    And every host writes there, none at the former primary after the change
+    And the primary is u3
+
+    Examples:
+      | role    |
+      | replica |
+      | primary |
+
   Scenario: Reads go to a draining primary when its replicas lag
     Given 3 hosts that serve a group whose reads may be 1500 ms old
     When the replicas receive nothing while 20 writes are made, and the primary reports that it is draining
--- a/packages/gateway/tests/primary-leaving.steps.ts
+++ b/packages/gateway/tests/primary-leaving.steps.ts
@@ -170,3 +170,17 @@
   const succeeded = writes.filter(({ kind }) => kind === 'completed').length;
   assert.ok(succeeded * 2 > writes.length, `${succeeded} of ${writes.length}`);
 });
+
+When('the primary ends, and a new {word} has its log', function (this: ActionWorld, role: string) {
+  const { group, store } = this.deployment;
+  const former = group.upstreams.get(FORMER);
+  assert.ok(former);
+  former.dead = true;
+  store.remove(PRIMARY_KEY);
+  const heir = this.deployment.addUpstream(group.upstreams.size, role === 'primary');
+  heir.offset = former.offset;
+});
+
+Then('the primary is {word}', function (this: ActionWorld, id: string) {
+  assert.equal(this.deployment.primary(), id);
+});
