fix(gateway): a draining primary that dies is noticed later while its replication lag is measured

A host that attempts a planned change looks for nothing else in that group meanwhile, and the measurement of the lag went on for up to 1 s although the primary no longer reported.

Change: the measurement ends with the first round in which the former primary does not report.

The scenario covers the path and passed before too, since tests assert no times.

--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -59,19 +59,21 @@
 
   /**
    * Time that a possible successor needs to receive what the former primary holds now, milliseconds; undefined when
-   * none has within `MAX_LAG_MS`, or the former primary does not report.
+   * none has within `MAX_LAG_MS`, or the former primary stops reporting.
    */
   async replicationLagMs(former: PrimaryRecord): Promise<number | undefined> {
     const startedAt = performance.now();
-    const first = await this.compareNow(former);
-    if (first.held === undefined) return undefined;
-    const target = first.held.received.offset;
-    for (let { chosen } = first; ; { chosen } = await this.compareNow(former)) {
+    let found = await this.compareNow(former);
+    const target = found.held?.received.offset ?? Number.POSITIVE_INFINITY;
+    // A primary that stops reporting may have failed, which this attempt must not keep from being noticed.
+    while (found.held !== undefined) {
       const lagMs = performance.now() - startedAt;
-      if (chosen !== undefined && chosen.received.offset >= target) return lagMs;
+      if (found.chosen !== undefined && found.chosen.received.offset >= target) return lagMs;
       if (lagMs >= MAX_LAG_MS) return undefined;
       await pause(LAG_POLL_MS);
+      found = await this.compareNow(former);
     }
+    return undefined;
   }
 
   /** Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. */
--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -60,6 +60,14 @@
       | replica |
       | primary |
 
+  Scenario: A draining primary dies while no replica keeps up with it
+    Given 3 hosts that serve a group
+    When the replicas receive nothing while 20 writes are made, and the primary reports that it is draining
+    Then no promotion is called for within 300 ms, and every host still writes
+    When the primary dies
+    Then another upstream becomes the primary under one fence
+    And every host writes there, none at the former primary after the change
+
   Scenario: Reads go to a draining primary when its replicas lag
     Given 3 hosts that serve a group whose reads may be 1500 ms old
     When the replicas receive nothing while 20 writes are made, and the primary reports that it is draining
