--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -118,6 +118,9 @@
   /** Time for which leaving upstreams accept work, milliseconds; undefined if it does not end in a scenario. */
   servesOnMs: number | undefined;
 
+  /** Time limit of a statement, milliseconds. */
+  timeoutMs = 3000;
+
   /** Topology of zones and regions. */
   topology: Topology = SINGLE_REGION;
 
@@ -180,12 +183,13 @@
     return board.record(GROUP) !== undefined && Number.isFinite(board.latestProofAt);
   }
 
-  private addUpstream(index: number): void {
+  /** Adds an upstream and its entry; the first one is the primary unless said otherwise. */
+  addUpstream(index: number, isPrimary = index === 0): FakeUpstream {
     const id = upstreamId(`u${index}`);
     const upstream = new FakeUpstream(id);
-    upstream.isPrimary = index === 0;
+    upstream.isPrimary = isPrimary;
     this.group.upstreams.set(id, upstream);
-    const role = index === 0 ? ReportedRole.Primary : ReportedRole.Replica;
+    const role = isPrimary ? ReportedRole.Primary : ReportedRole.Replica;
     const entry: UpstreamEntry = {
       id,
       group: GROUP,
@@ -198,6 +202,7 @@
       ...(this.tellsBirths && { born: BIRTH + index }),
     };
     this.store.put(`upstream/${id}`, entry);
+    return upstream;
   }
 
   /** Adds a host whose reads of the whole store take `fullReadMs`. */
@@ -251,7 +256,7 @@
 function readDocument(
   key: string,
   text: string,
-  { maxStalenessMs, limit, regions, workspaceRegions, syncReplicas }: FakeDeployment,
+  { maxStalenessMs, timeoutMs, limit, regions, workspaceRegions, syncReplicas }: FakeDeployment,
 ): DocumentReadResult<ForeignDocument> {
   if (key.startsWith('upstream/')) {
     return usedDocument({ kind: 'upstream', entry: JSON.parse(text) as UpstreamEntry });
@@ -265,7 +270,7 @@
     group: GROUP,
     consistency: maxStalenessMs > 0 ? Consistency.BoundedStaleness : Consistency.Primary,
     maxStalenessMs,
-    timeoutMs: 3000,
+    timeoutMs,
     targetLatencyMs: 500,
     priority: 1,
     isPublic: false,
