fix(gateway): a transaction goes on inside another caller's after its home restarted

Callers saw: a client that rested inside a transaction while the host which ran it was killed and started again went on inside the transaction of another client, committed it, and was told that its own, lost write had been committed. The other client was told that nothing was kept.

Cause: ForwardService numbered the transactions that it runs for other hosts from 1 in each process, and looked a handle up without comparing the host that had opened it. After a restart the same number named another caller's transaction. Class: an identifier that outlives the process which issued it, without anything that tells one process from the next.

Ruled out: the session (it keeps one handle for one transaction), late replies (rolled back by handle on the same link), links (a lost link rolls its transactions back, but only in the process that held them). Comparing the link itself was weighed: two hosts may have a link each way, and a transaction may go on over the other one.

Why it holds: a handle from before a restart is unknown to the new process, which answers that the transaction is lost; its upstream connection ended with the former process, so nothing of it is kept.

--- a/packages/gateway/src/forward/forward-service.ts
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -2,6 +2,7 @@
  * Runs the statements that other hosts forward on this host's own upstream connections, and rolls back their
  * transactions when the link to them is lost.
  */
+import { randomInt } from 'node:crypto';
 import { RefusalReason } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
@@ -29,6 +30,11 @@
  * unless the link is dead and its rollback cannot arrive.
  */
 const IDLE_SLACK_MS = 1000;
+/**
+ * Upper limit of the first handle that a process issues. The first handle is random: a host that still holds a handle
+ * from before a restart of this host must not reach a transaction that another caller has opened since.
+ */
+const MAX_FIRST_HANDLE = 2 ** 47;
 
 /** Outcome of a request, with the handle of the transaction that it opened, or 0. */
 interface ServeResult {
@@ -39,7 +45,7 @@
 /** Server side of forwarding. */
 export class ForwardService implements PeerHandler {
   private readonly held = new Map<number, HeldTransaction>();
-  private nextHandle = 1;
+  private nextHandle = randomInt(1, MAX_FIRST_HANDLE);
 
   constructor(
     private readonly executor: Executor,
@@ -48,7 +54,8 @@
 
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind === FrameKind.ForwardRequest) void this.answer(link, frame);
-    if (frame.kind === FrameKind.ForwardRollback) this.rollBack(frame.transaction);
+    if (frame.kind !== FrameKind.ForwardRollback) return;
+    if (this.find(link, frame.transaction) !== undefined) this.rollBack(frame.transaction);
   }
 
   onLost(link: PeerLink): void {
@@ -71,9 +78,9 @@
         return this.begin(link, frame, work, now);
       case ForwardOperation.Step:
         if (work === undefined) return incompleteRequest();
-        return served(await this.step(frame.transaction, decodeStep(frame, work, now)));
+        return served(await this.step(link, frame.transaction, decodeStep(frame, work, now)));
       case ForwardOperation.Commit: {
-        const held = this.held.get(frame.transaction);
+        const held = this.find(link, frame.transaction);
         if (held === undefined) return served(refused(RefusalReason.TransactionLost));
         clearTimeout(held.idleTimer);
         this.held.delete(frame.transaction);
@@ -100,12 +107,18 @@
     this.startIdleTimer(handle, held);
     if (!link.ready) this.rollBack(handle);
     if (first === undefined) return { handle, outcome: undefined };
-    return { handle, outcome: await this.step(handle, decodeStep(frame, first, now)) };
+    return { handle, outcome: await this.step(link, handle, decodeStep(frame, first, now)) };
   }
 
-  /** Runs one statement of an open transaction. */
-  private async step(handle: number, step: StepJob): Promise<Outcome> {
+  /** The transaction with a handle, if the host at the other end of `link` has opened it. */
+  private find(link: PeerLink, handle: number): HeldTransaction | undefined {
     const held = this.held.get(handle);
+    return held?.link.host === link.host ? held : undefined;
+  }
+
+  /** Runs one statement of an open transaction. */
+  private async step(link: PeerLink, handle: number, step: StepJob): Promise<Outcome> {
+    const held = this.find(link, handle);
     if (held === undefined) return refused(RefusalReason.TransactionLost);
     clearTimeout(held.idleTimer);
     const outcome = await held.transaction.run(step);
