fix(gateway): a stopping host exits in the middle of a transaction's statement

Callers saw: a transaction whose statement ran at half of the grace period went on after it, statement by statement, until the stopping host exited at 0.8 of the grace period in the middle of one. That statement got no answer.

Cause: closeAfterStatement only marked the connection as closing; after the answer it closed only if the session was idle, which a session with an open transaction never is.

Ruled out: idle transactions (closed at once), single statements (the session is idle after them).

Change: from half of the grace period on a connection closes after the answer of its current statement, whatever the state of its session; the transaction is rolled back.

Why it holds: from that moment each connection has at most one statement in progress, and no further one is started on it.

--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -32,6 +32,8 @@
   private readonly queue: CallerMessage[] = [];
   private isHandling = false;
   private isClosing = false;
+  /** Whether the connection closes after the current statement even if a transaction is open. */
+  private endsTransaction = false;
   private isClosed = false;
   private readonly startTimer: NodeJS.Timeout;
 
@@ -67,6 +69,7 @@
   /** Closes the connection once its current statement is answered; an open transaction is rolled back. */
   closeAfterStatement(): void {
     this.isClosing = true;
+    this.endsTransaction = true;
     if (!this.isHandling) this.closeSocket();
   }
 
@@ -95,10 +98,12 @@
     for (let message = this.queue.shift(); message; message = this.queue.shift()) {
       if (this.isClosed) break;
       await this.handle(message);
+      if (this.endsTransaction) break;
       if (this.queue.length <= MAX_QUEUED) this.options.socket.resume();
     }
     this.isHandling = false;
-    if (this.isClosing && !this.isClosed && this.isIdle) this.closeSocket();
+    if (this.isClosed || !this.isClosing) return;
+    if (this.endsTransaction || this.isIdle) this.closeSocket();
   }
 
   private async handle(message: CallerMessage): Promise<void> {
