fix(gateway): statements still running when a stopping host exits get no answer

Callers saw: a statement that had been sent before open transactions were ended, and was still running at 0.8 of the grace period, lost its connection without an answer.

Cause: the stop waited for running statements until 0.8 of the grace period and then exited with their connections open. Found by reading beside the case of the transactions.

Evidence: the scenario added to caller-server.feature waited in vain for an answer on the code before (1 of 9 scenarios failed).

After: caller-server.feature and stop-in-grace.feature pass, 10 scenarios; with a silent store and a statement that does not end the host still exits by itself within its grace period.

Why it holds: every connection that is open at that moment is closed by the host, after an answer if a statement is in progress.

--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -73,6 +73,19 @@
     if (!this.isHandling) this.closeSocket();
   }
 
+  /** Answers the current statement, whose outcome is unknown to this host, and closes the connection. */
+  abandonStatement(): void {
+    if (this.isHandling && this.session !== undefined) {
+      const { codec, log, session } = this.options;
+      const reason = RefusalReason.UpstreamLost;
+      log.warn('statement-abandoned', { reason });
+      session.recorder.countRefusal(reason);
+      const outcome = refused(reason, 'host is stopping');
+      this.write(codec.encodeAnswer({ outcome, state: this.session.state }));
+    }
+    if (!this.isClosed) this.closeSocket();
+  }
+
   /**
    * Closes the connection from this side. Messages that arrive after this could not be answered, so they are neither
    * read nor run.
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -28,7 +28,7 @@
   readonly acceptMs: number;
   /** Until then open transactions may continue. */
   readonly transactionsMs: number;
-  /** Until then running statements may finish. */
+  /** Until then running statements may finish; the rest are answered as unknown. */
   readonly statementsMs: number;
   /** The host stops by then, even if the store has not confirmed its deregistration. */
   readonly deregisterMs: number;
@@ -66,6 +66,7 @@
     await this.waitUntilClosed(startedAt + times.transactionsMs);
     for (const connection of this.connections) connection.closeAfterStatement();
     await this.waitUntilClosed(startedAt + times.statementsMs);
+    for (const connection of [...this.connections]) connection.abandonStatement();
   }
 
   /** Closes every session as soon as it is idle; new connections are still accepted. */
