feat(gateway): log where the lower bound of a read comes from

Callers saw reads that were older than permitted. From the logs of that code nobody could tell which bound such a read ran behind: `statement-ran` told the required position and the proof's age at the answer only, and the begin of a transaction was not logged at all.

Change: `statement-ran` tells the watermark behind a read, its age when the read was sent, its epoch, the host that took it, the session's own position, the time since the operation began, and the age of the proof at the sending besides the one at the answer. `transaction-began` tells the same of a transaction's begin. A watermark carries the host that took it.

`addWatermark` takes a watermark in place of its parts; one step definition calls it in the new form and checks the same.

--- a/packages/coordination/src/reads/watermarks.ts
+++ b/packages/coordination/src/reads/watermarks.ts
@@ -6,7 +6,7 @@
  * a watermark is valid only up to the time for which the primary's authority is proved.
  */
 import { majorityOf } from '../model/group.js';
-import type { UpstreamId } from '../model/ids.js';
+import type { HostId, UpstreamId } from '../model/ids.js';
 import type { Lineage, Position } from './position.js';
 import { coverage, Coverage } from './position.js';
 import type { TimedReport } from '../model/upstream-report.js';
@@ -17,6 +17,8 @@
   readonly sentAt: number;
   /** Position of the primary when it answered. */
   readonly position: Position;
+  /** Host that queried the primary and passed the watermark on; missing if it is this one. */
+  readonly takenBy?: HostId;
 }
 
 /** Watermarks, latest last; bounded in number and with a minimum interval. */
--- a/packages/gateway/src/forward/watermark-exchange.ts
+++ b/packages/gateway/src/forward/watermark-exchange.ts
@@ -90,8 +90,10 @@
     if (answer.isErr() || answer.value.kind !== FrameKind.WatermarkReply) return;
     const { mark } = answer.value;
     if (mark === undefined) return;
+    const { position, ageMs } = mark;
     // The age is counted from the time at which the request was sent, so it is never underestimated.
-    home(group).addWatermark(record, sentAt - mark.ageMs, mark.position, performance.now());
+    const watermark = { sentAt: sentAt - ageMs, position, takenBy: peer.host };
+    home(group).addWatermark(record, watermark, performance.now());
   }
 }
 
--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -9,6 +9,7 @@
   RefusalReason,
   UpstreamFault,
 } from '@gladespool/coordination';
+import type { LogFields } from '@gladespool/observability';
 import { DepositionEvidence, ServedBy } from '@gladespool/observability';
 import type { Lease } from '@gladespool/pool';
 import type { Result } from 'neverthrow';
@@ -20,7 +21,7 @@
 import { poolPriority } from './group-home.js';
 import type { Job } from './job.js';
 import type { PreparedConnection } from './prepared-connection.js';
-import type { ReadTarget } from './read-plan.js';
+import type { ReadBound, ReadTarget } from './read-plan.js';
 import { exclusionOf } from './upstream-exclusion.js';
 import type { UpstreamPool } from './upstream-pool.js';
 
@@ -32,6 +33,23 @@
   readonly record: PrimaryRecord | undefined;
 }
 
+/** What the log tells of a caller's statement besides its exchange. */
+export interface StatementTrace {
+  readonly job: Job;
+  /** Lower bound of a read; missing if only the primary may serve it. */
+  readonly bound?: ReadBound | undefined;
+  /** Id of the statement with which the transaction begins, where the command is its begin. */
+  readonly begins?: string;
+}
+
+/** Times of one exchange, local milliseconds. */
+interface ExchangeTimes {
+  readonly sentAt: number;
+  readonly answeredAt: number;
+  /** Time of the proof that was held when the command was sent. */
+  readonly provedAt: number;
+}
+
 /** An answer with the local time at which its command was sent. */
 export interface TimedAnswer {
   readonly answer: UpstreamAnswer;
@@ -78,15 +96,17 @@
   return err(RefusalReason.UpstreamUnreachable);
 }
 
-/** Sends one command on a borrowed connection, and records the answer. */
+/** Sends one command on a borrowed connection, and records the answer; logs it if it has a `trace`. */
 export async function send(
   home: GroupHome,
   borrowed: BorrowedConnection,
   command: UpstreamCommand,
   timeoutMs: number,
+  trace?: StatementTrace,
 ): Promise<TimedAnswer> {
   const { lease, pool, record } = borrowed;
   const sentAt = performance.now();
+  const provedAt = home.context.board.latestProofAt;
   const floor = home.primaryFloor(pool.entry.id);
   const requiresLatest = requiresPosition(command, home.knownPosition(record));
   pool.health.inFlight += 1;
@@ -98,7 +118,8 @@
   const fromPrimary = record?.primary === pool.entry.id;
   if (fromPrimary) recordDeposition(home, record, requiresLatest, answer, now);
   if (fromPrimary) home.recordWatermark(record, sentAt, answer, now);
-  recordStatement(home, borrowed, command, answer, sentAt, now);
+  const times = { sentAt, answeredAt: now, provedAt };
+  if (trace !== undefined) recordStatement(home, borrowed, command, answer, times, trace);
   return { answer, sentAt };
 }
 
@@ -120,9 +141,9 @@
 export function requiredPosition(
   home: GroupHome,
   { record }: BorrowedConnection,
-  { after, needsAuthority }: ReadTarget,
+  { bound, needsAuthority }: ReadTarget,
 ): Position | undefined {
-  return needsAuthority ? home.knownPosition(record) : after;
+  return needsAuthority ? home.knownPosition(record) : bound?.after;
 }
 
 /** Whether a command requires the position `reported`, the highest that the primary has reported. */
@@ -165,27 +186,28 @@
 }
 
 /**
- * Counts and logs a caller's statement: the upstream, the required and the reported position, the epoch of the
- * record, the age of the proof, and the result.
+ * Counts and logs a caller's statement: the upstream, the required and the reported position and where the required
+ * one comes from, the epoch of the record, the age of the proof at the sending and at the answer, and the result.
  */
 function recordStatement(
   home: GroupHome,
   borrowed: BorrowedConnection,
   command: UpstreamCommand,
   answer: UpstreamAnswer,
-  sentAt: number,
-  now: number,
+  times: ExchangeTimes,
+  trace: StatementTrace,
 ): void {
-  if (!('id' in command)) return;
   const { record, pool } = borrowed;
+  const { sentAt, answeredAt } = times;
   const isPrimary = record?.primary === pool.entry.id;
-  if (answer.kind === 'completed') {
+  const isStatement = 'id' in command;
+  if (answer.kind === 'completed' && isStatement) {
     const servedBy = isPrimary ? ServedBy.Primary : ServedBy.Replica;
     home.context.metrics.statements.inc({ served_by: servedBy });
   }
   const after = 'after' in command ? command.after : undefined;
-  home.context.log.info('statement-ran', {
-    request: command.id,
+  home.context.log.info(isStatement ? 'statement-ran' : 'transaction-began', {
+    request: isStatement ? command.id : trace.begins,
     group: home.group,
     upstream: pool.entry.id,
     primary: isPrimary,
@@ -193,11 +215,27 @@
     after: after && formatPosition(after),
     at: answer.kind === 'lost' ? undefined : answer.position && formatPosition(answer.position),
     end: resultText(answer),
-    ms: Math.round(now - sentAt),
-    proof_age_ms: isPrimary ? Math.round(now - home.context.board.latestProofAt) : undefined,
+    ms: Math.round(answeredAt - sentAt),
+    began_ms: Math.round(sentAt - trace.job.beganAt),
+    ...boundFields(trace, sentAt),
+    proof_sent_ms: isPrimary ? Math.round(sentAt - times.provedAt) : undefined,
+    proof_age_ms: isPrimary ? Math.round(answeredAt - home.context.board.latestProofAt) : undefined,
   });
 }
 
+/** Where the lower bound of a read comes from; the age is that of the watermark when the read was sent. */
+function boundFields({ bound, job: { own } }: StatementTrace, sentAt: number): LogFields {
+  if (bound === undefined) return {};
+  const { watermark, epoch } = bound;
+  return {
+    mark: formatPosition(watermark.position),
+    mark_age_ms: Math.round(sentAt - watermark.sentAt),
+    mark_epoch: epoch,
+    mark_from: watermark.takenBy,
+    own: own && `${own.epoch}:${formatPosition(own.position)}`,
+  };
+}
+
 function resultText(answer: UpstreamAnswer): string {
   switch (answer.kind) {
     case 'completed':
--- a/packages/gateway/src/home/group-home.ts
+++ b/packages/gateway/src/home/group-home.ts
@@ -10,6 +10,7 @@
   GroupId,
   Position,
   PrimaryRecord,
+  PrimaryWatermark,
   RandomSource,
   Refusal,
   RefusalReason,
@@ -201,14 +202,14 @@
     now: number,
   ): void {
     if (answer.kind === 'lost' || answer.position === undefined) return;
-    this.addWatermark(sentUnder, sentAt, answer.position, now);
+    this.addWatermark(sentUnder, { sentAt, position: answer.position }, now);
   }
 
-  /** Adds a watermark: the position of the primary of `record` at `takenAt`, as observed by this or another host. */
-  addWatermark(record: PrimaryRecord, takenAt: number, position: Position, now: number): void {
+  /** Adds a watermark of the primary of `record`, as observed by this or another host, if it is valid at `now`. */
+  addWatermark(record: PrimaryRecord, watermark: PrimaryWatermark, now: number): void {
     if (!this.isAnswerValid(record, record.primary, now)) return;
     this.marks.startEpoch(record.epoch);
-    this.marks.add({ sentAt: takenAt, position });
+    this.marks.add(watermark);
   }
 
   /** Highest position that the primary of `record` has reported under it; undefined if it has reported none. */
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -41,7 +41,8 @@
   const after = requiredPosition(home, borrowed.value, target);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
   const begin = { kind: 'begin', readOnly: job.readOnly, after } as const;
-  const { answer } = await send(home, borrowed.value, begin, leftMs);
+  const trace = { job, bound: target.bound, begins: job.id };
+  const { answer } = await send(home, borrowed.value, begin, leftMs, trace);
   const isValid = isValidPrimaryAnswer(home, borrowed.value, performance.now());
   if (answer.kind === 'completed' && (isValid || !target.needsAuthority)) {
     return ok(new PinnedTransaction(home, borrowed.value, job));
@@ -103,7 +104,8 @@
     if (this.isEnded) return this.refuseLost();
     if (accessOf(step.work) === Access.Write) this.hasWritten = true;
     const command = connection.commandFor(step.work, step.id, undefined);
-    const { answer } = await send(this.home, this.borrowed, command, leftMs);
+    const trace = { job: this.begin };
+    const { answer } = await send(this.home, this.borrowed, command, leftMs, trace);
     if (answer.kind === 'completed') {
       const { rows, signature } = answer;
       return { kind: 'completed', rows, signature, committed: undefined };
@@ -119,7 +121,9 @@
     if (this.hasWritten && !this.mayCommit()) return this.fail(refused(RefusalReason.NoAuthority));
     this.markEnded();
     const leftMs = arrivedAt + this.begin.route.timeoutMs - performance.now();
-    const { answer } = await send(this.home, this.borrowed, { kind: 'commit', id }, leftMs);
+    const commit = { kind: 'commit', id } as const;
+    const trace = { job: this.begin };
+    const { answer } = await send(this.home, this.borrowed, commit, leftMs, trace);
     this.untrackWrite();
     this.borrowed.lease.release();
     if (this.hasWritten) return writeOutcome(this.home, this.borrowed, answer);
--- a/packages/gateway/src/home/read-flow.ts
+++ b/packages/gateway/src/home/read-flow.ts
@@ -93,7 +93,8 @@
   const after = requiredPosition(home, borrowed.value, target);
   const command = lease.connection.commandFor(job.work, job.id, after);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
-  const { answer } = await send(home, borrowed.value, command, leftMs * MAX_TRY_SHARE);
+  const trace = { job, bound: target.bound };
+  const { answer } = await send(home, borrowed.value, command, leftMs * MAX_TRY_SHARE, trace);
   if (answer.kind === 'faulted' && answer.fault === UpstreamFault.UnknownStatement) {
     lease.connection.forgetPrepared();
   }
@@ -157,7 +158,7 @@
     group: home.group,
     upstream: target.entry.id,
     reason,
-    after: target.after && formatPosition(target.after),
+    after: target.bound && formatPosition(target.bound.after),
   });
 }
 
--- a/packages/gateway/src/home/read-plan.ts
+++ b/packages/gateway/src/home/read-plan.ts
@@ -1,7 +1,7 @@
 /**
  * Selects an upstream for a read that shows every commit that the read has to see.
  */
-import type { Position, Refusal, UpstreamId } from '@gladespool/coordination';
+import type { Position, PrimaryWatermark, Refusal, UpstreamId } from '@gladespool/coordination';
 import { Consistency, readFloor, RefusalReason, refuse } from '@gladespool/coordination';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -15,11 +15,21 @@
   refuseExcluded,
 } from './upstream-exclusion.js';
 
+/** Lower bound of a read that any upstream may serve. */
+export interface ReadBound {
+  /** Log position that the upstream must hold. */
+  readonly after: Position;
+  /** Watermark from which it follows; a later commit of the session itself raises it. */
+  readonly watermark: PrimaryWatermark;
+  /** Epoch under which the watermark was taken. */
+  readonly epoch: number;
+}
+
 /** The upstream that a read or transaction runs on, and the conditions under which its answer is valid. */
 export interface ReadTarget {
   readonly entry: UpstreamEntry;
-  /** Log position that the upstream must hold. */
-  readonly after: Position | undefined;
+  /** Lower bound that the upstream must hold; undefined if only the primary may serve. */
+  readonly bound: ReadBound | undefined;
   /** Whether the answer is valid only while the upstream is proven to be the primary. */
   readonly needsAuthority: boolean;
 }
@@ -34,8 +44,8 @@
   tried: ReadonlySet<UpstreamId>,
   now: number,
 ): Result<ReadTarget, Refusal> {
-  const after = requiredPositionOf(home, job);
-  if (after === undefined) return planAtPrimary(home, job, now);
+  const bound = boundOf(home, job);
+  if (bound === undefined) return planAtPrimary(home, job, now);
   const primary = home.record?.primary;
   const authority = home.hasAuthority(now);
   const isAllowed = (entry: UpstreamEntry): boolean =>
@@ -53,7 +63,7 @@
     choose(isAllowed) ??
     choose((candidate) => candidate.id !== primary);
   if (entry === undefined) return err(refuseRead(home, job, now));
-  return ok({ entry, after, needsAuthority: false });
+  return ok({ entry, bound, needsAuthority: false });
 }
 
 function refuseRead(home: GroupHome, job: Job, now: number): Refusal {
@@ -62,15 +72,16 @@
   return refuse(RefusalReason.NoCoveringUpstream, home.group);
 }
 
-/** Log position with which any upstream may serve the read; undefined if only the primary may. */
-function requiredPositionOf(home: GroupHome, job: Job): Position | undefined {
+/** Lower bound with which any upstream may serve the read; undefined if only the primary may. */
+function boundOf(home: GroupHome, job: Job): ReadBound | undefined {
   const { consistency, maxStalenessMs } = job.route;
   if (consistency === Consistency.Primary) return undefined;
   const { marks } = home;
   const watermark = marks.oldestSince(job.beganAt - maxStalenessMs + WATERMARK_MARGIN_MS);
   if (watermark === undefined) return undefined;
   if (job.own !== undefined && job.own.epoch > marks.currentEpoch) return undefined;
-  return readFloor(watermark, marks.currentEpoch, job.own);
+  const epoch = marks.currentEpoch;
+  return { after: readFloor(watermark, epoch, job.own), watermark, epoch };
 }
 
 /** Targets the primary, if this host has authority to use it; for primary reads and transactions that may write. */
@@ -83,5 +94,5 @@
   }
   const entry = home.context.board.upstreams.get(record.primary);
   if (entry === undefined) return err(home.refuseWithoutPrimary(RefusalReason.NoPrimary, now));
-  return ok({ entry, after: undefined, needsAuthority: true });
+  return ok({ entry, bound: undefined, needsAuthority: true });
 }
--- a/packages/gateway/src/home/write-flow.ts
+++ b/packages/gateway/src/home/write-flow.ts
@@ -50,7 +50,7 @@
   const command = lease.connection.commandFor(job.work, job.id, undefined);
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
   const untrackWrite = home.context.holds.trackWrite(home.group);
-  const { answer } = await send(home, borrowed, command, leftMs);
+  const { answer } = await send(home, borrowed, command, leftMs, { job });
   untrackWrite();
   if (answer.kind === 'faulted' && answer.fault === UpstreamFault.UnknownStatement) {
     lease.connection.forgetPrepared();
--- a/packages/gateway/tests/work-near-upstreams.steps.ts
+++ b/packages/gateway/tests/work-near-upstreams.steps.ts
@@ -241,7 +241,8 @@
   'its proof has expired, and it receives a watermark that is {int} ms old',
   function (this: NearWorld, ageMs: number) {
     const later = this.now + 10_000;
-    this.home.addWatermark(RECORD, later - ageMs, { term: 1, offset: 2 }, later);
+    const watermark = { sentAt: later - ageMs, position: { term: 1, offset: 2 } };
+    this.home.addWatermark(RECORD, watermark, later);
   },
 );
 
