fix(gateway): date watermarks of an open transaction with its begin

A watermark tells that the primary stood at a position when it was asked. An answer inside a transaction was dated with the time of its own statement.

Change: an answer inside a transaction is dated with the sending of its begin; the answers to begin, commit and rollback keep their own times.

--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -31,6 +31,8 @@
   readonly pool: UpstreamPool;
   /** Primary record in force when the connection was borrowed. */
   readonly record: PrimaryRecord | undefined;
+  /** Local time at which the begin of its open transaction was sent; missing if none is open. */
+  readonly beginSentAt?: number;
 }
 
 /** What the log tells of a caller's statement besides its exchange. */
@@ -117,12 +119,27 @@
   recordHealth(pool, answer, now, now - sentAt);
   const fromPrimary = record?.primary === pool.entry.id;
   if (fromPrimary) recordDeposition(home, record, requiresLatest, answer, now);
-  if (fromPrimary) home.recordWatermark(record, sentAt, answer, now);
+  const positionSince = positionTime(borrowed, command, answer, sentAt);
+  if (fromPrimary) home.recordWatermark(record, positionSince, answer, now);
   const times = { sentAt, answeredAt: now, provedAt };
   if (trace !== undefined) recordStatement(home, borrowed, command, answer, times, trace);
   return { answer, sentAt };
 }
 
+/**
+ * Latest local time at which the position in an answer is certainly not outdated: an upstream may report the position
+ * of an open transaction's snapshot, which is as old as its begin.
+ */
+function positionTime(
+  { beginSentAt }: BorrowedConnection,
+  command: UpstreamCommand,
+  answer: UpstreamAnswer,
+  sentAt: number,
+): number {
+  const isEnd = command.kind === 'commit' || command.kind === 'rollback';
+  return isEnd && answer.kind === 'completed' ? sentAt : (beginSentAt ?? sentAt);
+}
+
 /** Whether an answer that arrives on a borrowed connection at `now` counts as an answer of the primary. */
 export function isValidPrimaryAnswer(
   home: GroupHome,
