fix(gateway): count the missing time of an entry through short delays of the documents

Callers saw: an upstream that had left without a word stayed in use, and was not replaced, for as long as a host's documents passed 1 s of age now and then, as they do on a loaded machine.

Cause: the missing time started over at every tick at which documents were more than 1 s old. Entries of live upstreams lapse only after three heartbeats of 1.2 s, so a gap of less than 2 s can't be the reason. After a longer gap an upstream that counted as leaving counted as present again, with all of its time.

Evidence: `missing-entries.feature` on the former store view: 6 of 8 scenarios failed. Documents every 1.2, 1.7 or 1.9 s: neither leaving nor gone within 20 s; 1.5 s without the store: leaving at 4,940 ms.

Change: the time goes on in gaps of less than 2 s; while documents may be outdated, the entry counts as missing up to the time at which they were current. After a longer gap it starts over for an upstream that still counts as present, and its new work ends 2.45 s after the gap at the earliest; one that was leaving stays so, and is gone 2.45 s after the gap. `upstream-departed` is also told when an upstream is gone.

After: 8 of 8. Leaving at 2,450 ms with documents every 1.2 to 1.9 s; gone at 4,900, 5,100 and 5,700 ms; after an outage from 3 to 8 s, gone at 10,440 ms instead of 12,890 ms. In time: 2,450 and 4,900 ms as before.

Tests changed, as strict as before: the row of late documents in `upstream-departure.feature` cuts the store by the age of the documents instead of fixed times, which at a load of 20 gave gaps of 2 s and more, a different case; it still fails on the code before (writes from 3,006 ms on). The news table keeps its documents current up to the end of new work, since documents 6 s old now count as an outage of the store.

Why it holds: new work ends by the time of the departure, whatever the ticks do, and a gap puts it off only in the first 2.45 s, in which entries of live upstreams come back.

--- a/packages/coordination/src/membership/upstream-expiry.ts
+++ b/packages/coordination/src/membership/upstream-expiry.ts
@@ -50,6 +50,14 @@
 /** Limit of that time as a share of the time for which a leaving upstream accepts work. */
 const LATE_NEWS_SHARE = 0.25;
 
+/** Age from which the cached documents may be outdated, milliseconds: two failed renewals of the proof. */
+export const OUTDATED_AFTER_MS = 1000;
+/**
+ * Age of the documents from which entries of live upstreams may have lapsed, milliseconds: an entry lapses after three
+ * heartbeats of 1.2 s without a write, of which a shorter outage of the store prevents one.
+ */
+const LAPSED_AFTER_MS = 2000;
+
 /** Limits for upstreams that accept work for `servesOnMs` after they are known to leave. */
 export function expiryRules(servesOnMs: number): ExpiryRules {
   return {
@@ -78,3 +86,32 @@
   if (missingMs >= rules.goneAfterMs) return ExpiryStage.Gone;
   return missingMs >= rules.leavingAfterMs ? ExpiryStage.Leaving : ExpiryStage.Present;
 }
+
+/** Whether entries of live upstreams may have lapsed, since the store was unavailable from `confirmedAt` to `now`. */
+export function mayHaveLapsed(confirmedAt: number, now: number): boolean {
+  return now - confirmedAt >= LAPSED_AFTER_MS;
+}
+
+/**
+ * Time up to which an entry that the cached documents lack at `now` counts as missing. If they may be outdated, it may
+ * have been written again after `confirmedAt`, the latest time at which they were current.
+ */
+export function missingUntil(confirmedAt: number, now: number): number {
+  return now - confirmedAt < OUTDATED_AFTER_MS ? now : confirmedAt;
+}
+
+/**
+ * Time from which the missing time of an entry counts, if the store is unavailable at `now`: live upstreams need time
+ * to write their entries again. An upstream that counted as leaving before is gone after that time.
+ *
+ * @param since the time from which it counted until now
+ */
+export function countedSince(
+  stage: ExpiryStage,
+  since: number,
+  now: number,
+  rules: ExpiryRules,
+): number {
+  if (stage === ExpiryStage.Present) return now;
+  return Math.max(since, now - (rules.goneAfterMs - rules.leavingAfterMs));
+}
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -136,9 +136,9 @@
     this.outdated.add(BoardSection.Hosts);
   }
 
-  /** Advances the expiry of upstreams whose entries are missing; `current` while the cache matches the store. */
-  updateExpiredUpstreams(current: boolean, now: number): void {
-    if (this.expired.updateStages(current, now)) this.outdated.add(BoardSection.Upstreams);
+  /** Advances the expiry of upstreams whose entries are missing; the cache matched the store at `confirmedAt`. */
+  updateExpiredUpstreams(confirmedAt: number, now: number): void {
+    if (this.expired.updateStages(confirmedAt, now)) this.outdated.add(BoardSection.Upstreams);
     this.departures.tick(now);
   }
 
@@ -165,7 +165,7 @@
 
   private applyUpstream(entry: UpstreamEntry, now: number): void {
     this.expired.remove(entry.id);
-    if (!entry.draining) this.departures.remove(entry.id);
+    if (!entry.draining) this.departures.cancel(entry.id);
     else this.departures.start(entry, DepartureCause.Draining, this.lastConfirmedAt(now), now);
   }
 
--- a/packages/gateway/src/control/store/departures.ts
+++ b/packages/gateway/src/control/store/departures.ts
@@ -43,28 +43,40 @@
     const { id } = entry;
     const departure = this.departures.get(id);
     if (departure === undefined) return;
-    this.departures.set(id, postponeDeparture(departure, now, this.rules));
-    this.inUse.set(id, entry);
+    const postponed = postponeDeparture(departure, now, this.rules);
+    this.departures.set(id, postponed);
+    if (postponed.newWorkEndsAt > departure.newWorkEndsAt) this.inUse.set(id, entry);
   }
 
-  /** Ends the departure of an upstream that stays, or that is gone. */
-  remove(id: UpstreamId): void {
+  /** Ends the departure of an upstream that stays. */
+  cancel(id: UpstreamId): void {
     this.departures.delete(id);
     this.inUse.delete(id);
   }
 
+  /** Ends the departure of an upstream that is gone at `now`. */
+  end(id: UpstreamId, now: number): void {
+    this.endNewWork(id, now);
+    this.departures.delete(id);
+  }
+
   /** Logs the upstreams that receive no new work from `now` on. */
   tick(now: number): void {
-    for (const [id, { group }] of this.inUse) {
-      const departure = this.departures.get(id);
-      if (receivesNewWork(departure, now)) continue;
-      this.inUse.delete(id);
-      this.log.info('upstream-departed', {
-        upstream: id,
-        group,
-        cause: departure?.cause,
-        known_ms: departure && Math.round(now - departure.learnedAt),
-      });
+    for (const id of [...this.inUse.keys()]) {
+      if (!receivesNewWork(this.departures.get(id), now)) this.endNewWork(id, now);
     }
   }
+
+  private endNewWork(id: UpstreamId, now: number): void {
+    const entry = this.inUse.get(id);
+    const departure = this.departures.get(id);
+    if (entry === undefined || departure === undefined) return;
+    this.inUse.delete(id);
+    this.log.info('upstream-departed', {
+      upstream: id,
+      group: entry.group,
+      cause: departure.cause,
+      known_ms: Math.round(now - departure.learnedAt),
+    });
+  }
 }
--- a/packages/gateway/src/control/store/expired-upstreams.ts
+++ b/packages/gateway/src/control/store/expired-upstreams.ts
@@ -2,7 +2,13 @@
  * Upstreams whose entries have disappeared from the store, and their expiry in stages.
  */
 import type { ExpiryRules, UpstreamId } from '@gladespool/coordination';
-import { ExpiryStage, expiryStage } from '@gladespool/coordination';
+import {
+  countedSince,
+  ExpiryStage,
+  expiryStage,
+  mayHaveLapsed,
+  missingUntil,
+} from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import type { UpstreamEntry } from '../../model/catalog.js';
 import type { Departures } from './departures.js';
@@ -50,24 +56,31 @@
   }
 
   /**
-   * Updates the stage of each upstream at `now`. While the cached documents are not current, an entry that was
-   * written again would not be seen, so the missing time starts over.
+   * Updates the stage of each upstream at `now`. While the store is unavailable, live upstreams can't write their
+   * entries again, so the missing time starts over unless the upstream counts as leaving already.
    *
+   * @param confirmedAt latest local time at which the cached documents were current
    * @returns whether any stage has changed.
    */
-  updateStages(current: boolean, now: number): boolean {
+  updateStages(confirmedAt: number, now: number): boolean {
     let changed = false;
     for (const expiry of this.expiries.values()) {
-      if (current) changed = this.advance(expiry, now) || changed;
-      else expiry.since = now;
+      if (mayHaveLapsed(confirmedAt, now)) this.startOver(expiry, now);
+      else changed = this.advance(expiry, missingUntil(confirmedAt, now), now) || changed;
     }
     return changed;
   }
 
-  private advance(expiry: Expiry, now: number): boolean {
-    const missingMs = now - expiry.since;
+  private startOver(expiry: Expiry, now: number): void {
+    const { entry, stage, since } = expiry;
+    expiry.since = countedSince(stage, since, now, this.rules);
+    if (stage === ExpiryStage.Present) this.departures.postpone(entry, now);
+  }
+
+  private advance(expiry: Expiry, until: number, now: number): boolean {
+    const missingMs = until - expiry.since;
     const stage = expiryStage(missingMs, this.rules);
-    if (stage === expiry.stage) return false;
+    if (stage === expiry.stage || stage === ExpiryStage.Present) return false;
     expiry.stage = stage;
     const { id, group } = expiry.entry;
     this.log.info(`upstream-${stage}`, {
@@ -77,7 +90,7 @@
     });
     if (stage === ExpiryStage.Gone) {
       this.expiries.delete(id);
-      this.departures.remove(id);
+      this.departures.end(id, now);
     }
     return true;
   }
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -7,6 +7,7 @@
   placeholderPromotionLease,
   isLater,
   laterOf,
+  OUTDATED_AFTER_MS,
   STORE_START,
   formatStorePosition,
   withKnownStartTime,
@@ -45,8 +46,6 @@
 
 /** Poll interval while waiting for a change to arrive, milliseconds: about a round trip to the store. */
 const POLL_MS = 5;
-/** Age from which the cached documents may be outdated, milliseconds: two failed renewals of the proof. */
-const OUTDATED_AFTER_MS = 1000;
 /** Interval between two reviews of documents that differ from what the store has, milliseconds. */
 const RETAINED_REVIEW_MS = 500;
 /**
@@ -293,7 +292,7 @@
   /** Advances the expiry of upstreams without an entry, and reviews documents that differ from the store. */
   expireDocuments(now: number): void {
     const current = now - this.currentAt < OUTDATED_AFTER_MS;
-    this.publisher.updateExpiredUpstreams(current, now);
+    this.publisher.updateExpiredUpstreams(this.currentAt, now);
     if (current) this.reviewRetained(now);
     else this.retainedSince = now;
     this.publisher.publish();
--- a/packages/gateway/tests/upstream-departure.steps.ts
+++ b/packages/gateway/tests/upstream-departure.steps.ts
@@ -11,6 +11,7 @@
   executionStatusOf,
   expiryRules,
   hostId,
+  OUTDATED_AFTER_MS,
   RecordPhase,
   RefusalReason,
   retryAfterMsOf,
@@ -39,6 +40,12 @@
   board: GatewayBoard;
   view: StoreView;
   events: LoggedEvent[];
+  /** Whether u0 has no entry, so that it is gone before its new work would end. */
+  isEntryMissing: boolean;
+  /** Time after the news at which each state of u0 was first seen, milliseconds. */
+  firstSeen: Map<string, number>;
+  /** Time after the news at which new work ends, milliseconds. */
+  newWorkMs: number;
 }
 
 interface LoggedEvent {
@@ -83,6 +90,8 @@
 const NO_VALUES: ReadonlyMap<string, string> = new Map();
 const VALUES: ReadonlyMap<string, string> = new Map([['search_path', 'a']]);
 const SERVES_ON_MS = 7000;
+/** Local time at which the host learns of the departure. */
+const LEARNED_AT = 10_000;
 const KEY = `${UPSTREAM_PREFIX}${FORMER}`;
 const ENTRY: UpstreamEntry = {
   id: FORMER,
@@ -135,6 +144,7 @@
 
 When('it learns at {int} ms that {string}', function (this: NewsWorld, now: number, news: string) {
   for (const [index, each] of news.split(', ').entries()) applyNews(this, each, index + 2, now);
+  this.isEntryMissing = news.endsWith('the entry of u0 goes');
 });
 
 Then(
@@ -150,14 +160,60 @@
     const { learnedAt, newWorkEndsAt, lastReadyAt } = departure;
     assert.equal(learned.fields.new_work_ms, newWorkEndsAt - learnedAt);
     assert.equal(learned.fields.at_most_ms, learnedAt - lastReadyAt);
-    this.view.expireDocuments(newWorkEndsAt - 1);
+    this.view.expireDocuments(learnedAt);
     assert.equal(ended().length, 0);
+    this.view.markCurrent(newWorkEndsAt);
+    if (!this.isEntryMissing) {
+      this.view.expireDocuments(newWorkEndsAt - 1);
+      assert.equal(ended().length, 0);
+    }
     this.view.expireDocuments(newWorkEndsAt);
     this.view.expireDocuments(newWorkEndsAt + 1);
     assert.equal(ended().length, 1);
   },
 );
 
+/** Age of documents when they arrive, milliseconds. */
+const ARRIVAL_AGE_MS = 100;
+const TICK_MS = 10;
+/** Duration of a play, milliseconds. */
+const PLAY_MS = 20_000;
+
+When(
+  /^documents arrive every (\d+) ms, and the store is away "([\w-]+)" ms later$/,
+  function (this: NewsWorld, every: string, away: string) {
+    const [from = PLAY_MS, to = PLAY_MS] = away === 'never' ? [] : away.split('-').map(Number);
+    this.firstSeen = new Map();
+    for (let ms = 0; ms <= PLAY_MS; ms += TICK_MS) {
+      const now = LEARNED_AT + ms;
+      const arrives = (ms % Number(every) === 0 && (ms < from || ms > to)) || ms === to;
+      if (ms > 0 && arrives) this.view.markCurrent(now - ARRIVAL_AGE_MS);
+      this.view.expireDocuments(now);
+      const state = stateOf(this.board);
+      if (!this.firstSeen.has(state)) this.firstSeen.set(state, ms);
+      const departure = this.board.departures.get(FORMER);
+      if (departure !== undefined) this.newWorkMs = departure.newWorkEndsAt - LEARNED_AT;
+    }
+  },
+);
+
+function stateOf(board: GatewayBoard): string {
+  const entry = board.upstreams.get(FORMER);
+  if (entry === undefined) return 'gone';
+  return entry.draining ? 'leaving' : 'present';
+}
+
+Then(
+  'u0 leaves after {int} ms, is gone after {int} ms, and new work ends after {int} ms',
+  function (this: NewsWorld, leaving: number, gone: number, newWork: number) {
+    const { firstSeen, newWorkMs } = this;
+    assert.deepEqual(
+      { leaving: firstSeen.get('leaving'), gone: firstSeen.get('gone'), newWork: newWorkMs },
+      { leaving, gone, newWork },
+    );
+  },
+);
+
 When(
   'only one host reaches the store, and the primary reports that it is draining',
   TIMEOUT,
@@ -462,10 +518,14 @@
       lastHost(world).store.cut = false;
     },
     'documents pass 1 s of age again and again': async (world, until) => {
-      const { store } = lastHost(world);
-      while (performance.now() < until) {
+      const { store, gateway } = lastHost(world);
+      const { board } = gateway;
+      const ageMs = (): number => performance.now() - board.catalogConfirmedAt;
+      const isOver = (): boolean => performance.now() >= until;
+      await world.deployment.until(() => board.upstreams.get(FORMER)?.draining === true);
+      while (!isOver()) {
         store.cut = !store.cut;
-        await pause(store.cut ? 1100 : 300);
+        await world.deployment.until(() => isOver() || ageMs() > OUTDATED_AFTER_MS === store.cut);
       }
       store.cut = false;
     },
