--- a/packages/coordination/tests/upstream-expiry.steps.ts
+++ b/packages/coordination/tests/upstream-expiry.steps.ts
@@ -1,10 +1,24 @@
 import assert from 'node:assert/strict';
-import { Given, Then } from '@cucumber/cucumber';
-import type { ExpiryRules } from '../src/index.js';
-import { expiryRules, expiryStage } from '../src/index.js';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { ExpiryRules, ExpiryStage } from '../src/index.js';
+import {
+  countedSince,
+  expiryRules,
+  expiryStage,
+  mayHaveLapsed,
+  missingUntil,
+} from '../src/index.js';
 
 interface ExpiryWorld {
   rules: ExpiryRules;
+  since: number;
+  now: number;
+  confirmedAt: number;
+}
+
+/** A time from a table cell. */
+function timeOf(text: string): number {
+  return text === 'never' ? Number.NEGATIVE_INFINITY : Number(text);
 }
 
 Given(
@@ -20,3 +34,23 @@
     assert.equal(expiryStage(missingMs, this.rules), stage);
   },
 );
+
+When(
+  /^an entry counts as missing since (\d+), and documents at (\d+) are current up to (\w+)$/,
+  function (this: ExpiryWorld, since: string, now: string, current: string) {
+    this.since = Number(since);
+    this.now = Number(now);
+    this.confirmedAt = timeOf(current);
+  },
+);
+
+Then(
+  /^it counts as missing since (\d+) up to (\w+), as "(\w+)"$/,
+  function (this: ExpiryWorld, since: string, until: string, stage: ExpiryStage) {
+    const { now, confirmedAt, rules } = this;
+    const lapsed = mayHaveLapsed(confirmedAt, now);
+    const counted = lapsed ? countedSince(stage, this.since, now, rules) : this.since;
+    assert.equal(counted, Number(since));
+    assert.equal(missingUntil(confirmedAt, now), timeOf(until));
+  },
+);
