perf(gateway): look at the upstreams of a group only if one of them leaves

Callers saw nothing. Since new work ends at leaving upstreams, a departure of any group made every write and refused read scan all upstreams of the board. Now only the departures are looked at, unless the group's own upstream leaves. Not measured; found by reading.

--- a/packages/gateway/src/home/upstream-exclusion.ts
+++ b/packages/gateway/src/home/upstream-exclusion.ts
@@ -60,7 +60,7 @@
   now: number,
 ): Exclusion | undefined {
   const { board } = home.context;
-  const hasNone = board.evacuations.size === 0 && board.departures.size === 0;
+  const hasNone = board.evacuations.size === 0 && !board.hasDeparture(home.group);
   if (job.regions === undefined && hasNone) return undefined;
   const reasons = board.upstreamsOf(home.group).map((entry) => exclusionOf(home, entry, job, now));
   if (reasons.includes(undefined)) return undefined;
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -186,6 +186,11 @@
     return this.upstreamsOf(group).some(({ az }) => !this.evacuations.has(az));
   }
 
+  /** Whether an upstream of a group leaves. */
+  hasDeparture(group: GroupId): boolean {
+    return [...this.departures.keys()].some((id) => this.upstreams.get(id)?.group === group);
+  }
+
   private notify(section: BoardSection): void {
     for (const listener of this.listeners.get(section) ?? []) listener();
   }
