fix(gateway): a late hold for an earlier epoch puts off the next planned change

A hold that was requested before another host's change, and arrives after it, made the receiver wait for up to 2.4 s before a planned change of the new primary. It now counts only for the epoch for which it was requested. Found by reading; no test fails without it, since the first host of the order is not the one that waits.

--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -305,7 +305,7 @@
     const { board, holds } = this.options.context;
     const now = performance.now();
     const record = board.record(group);
-    if (record !== undefined) {
+    if (record?.epoch === request.epoch) {
       this.stateOf(record, now).plannedNotBefore = now + request.holdMs + HOLD_REST_MS;
     }
     await holds.hold(group, request.epoch, request.holdMs, now);
