fix(coordination): a promotion loses confirmed commits that only a draining replica holds

Callers saw: in a group whose replicas confirm commits (one of two), five acknowledged writes were gone after the primary crashed: the draining replica had received them, the other one received nothing at the time, and that one was promoted.

Cause: the choice left draining upstreams out, as long as there was another one, before it compared what they had received. The check that the successor covers what was confirmed looked at evacuated zones only. Class: a preference applied before a requirement.

Ruled out: the number of reports (both replicas had reported), the evacuation (none). Without confirming replicas the order stays: nothing is promised of them, and a staying one saves a second change.

Change: where replicas confirm, a draining upstream is chosen unless enough staying ones have reported to cover every confirmed commit; among equals the staying one comes first.

Why it holds: with as many reports as the rule asks for, the one that has received most holds every confirmed commit; the preference decides only among those that do.

--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -96,12 +96,9 @@
   reports: readonly SuccessorReport[],
   former: UpstreamId,
 ): SuccessorReport | undefined {
-  const others = reports.filter((report) => report.id !== former && report.evacuated !== true);
+  const others = candidatesOf(reports, former);
   const staying = others.filter((report) => !report.draining);
-  const candidates = staying.length > 0 ? staying : others;
-  const highestTerm = Math.max(...reports.map(({ term }) => term));
-  const primaries = candidates.filter(({ isPrimary, term }) => isPrimary && term >= highestTerm);
-  return [...(primaries.length > 0 ? primaries : candidates)].sort(compareCandidates)[0];
+  return bestCandidate(staying.length > 0 ? staying : others, reports);
 }
 
 /**
@@ -121,10 +118,11 @@
 }
 
 /**
- * Chooses the successor if enough upstreams have reported for it to hold every confirmed commit.
- * Reports from evacuated zones show what was confirmed, but their upstreams can't become primary:
- * if the other reports alone are too few, the successor must have received at least as much as
- * every upstream that reported.
+ * Chooses the successor if enough upstreams have reported for it to hold every confirmed commit. A
+ * draining upstream may have confirmed commits that the staying ones lack: it is chosen unless
+ * enough of those have reported. Reports from evacuated zones show what was confirmed, but their
+ * upstreams can't become primary: if the other reports alone are too few, the successor must have
+ * received at least as much as every upstream that reported.
  */
 export function chooseCoveringSuccessor(
   reports: readonly SuccessorReport[],
@@ -132,11 +130,15 @@
   replicas: number,
   syncReplicas: number,
 ): SuccessorReport | undefined {
-  if (!hasEnoughReports(reports, former, replicas, syncReplicas)) return undefined;
-  const chosen = chooseSuccessor(reports, former);
-  if (chosen === undefined || syncReplicas === 0) return chosen;
-  const inUse = reports.filter((report) => report.evacuated !== true);
-  if (hasEnoughReports(inUse, former, replicas, syncReplicas)) return chosen;
+  const isEnough = (some: readonly SuccessorReport[]): boolean =>
+    hasEnoughReports(some, former, replicas, syncReplicas);
+  if (!isEnough(reports)) return undefined;
+  if (syncReplicas === 0) return chooseSuccessor(reports, former);
+  const inUse = candidatesOf(reports, former);
+  const staying = inUse.filter((report) => !report.draining);
+  if (isEnough(staying)) return bestCandidate(staying, reports);
+  const chosen = bestCandidate(inUse, reports);
+  if (chosen === undefined || isEnough(inUse)) return chosen;
   const others = reports.filter((report) => report.id !== former);
   const holdsAll = others.every(
     (report) => comparePositions(report.received, chosen.received) <= 0,
@@ -144,6 +146,24 @@
   return holdsAll ? chosen : undefined;
 }
 
+/** The upstreams that may become primary. */
+function candidatesOf(
+  reports: readonly SuccessorReport[],
+  former: UpstreamId,
+): readonly SuccessorReport[] {
+  return reports.filter((report) => report.id !== former && report.evacuated !== true);
+}
+
+/** The best of `candidates`; only those that are primary already, if there are any under the newest term. */
+function bestCandidate(
+  candidates: readonly SuccessorReport[],
+  reports: readonly SuccessorReport[],
+): SuccessorReport | undefined {
+  const highestTerm = Math.max(...reports.map(({ term }) => term));
+  const primaries = candidates.filter(({ isPrimary, term }) => isPrimary && term >= highestTerm);
+  return [...(primaries.length > 0 ? primaries : candidates)].sort(compareCandidates)[0];
+}
+
 /**
  * Whether a planned change should keep the former primary: it has reported, and no possible
  * successor holds all of its commits. An upstream that is primary already succeeds it regardless of
@@ -182,6 +202,7 @@
 function compareCandidates(a: SuccessorReport, b: SuccessorReport): number {
   const byPosition = comparePositions(b.received, a.received);
   if (byPosition !== 0) return byPosition;
+  if (a.draining !== b.draining) return a.draining ? 1 : -1;
   if (a.isInFormerRegion !== b.isInFormerRegion) return a.isInFormerRegion ? -1 : 1;
   return a.id < b.id ? -1 : 1;
 }
--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -54,6 +54,24 @@
       | b:replica:1.10                          | 2        | 2    | enough     | every one has confirmed each           |
       | b:replica:1.10                          | 1        | 1    | enough     | it has confirmed each                  |
 
+  # A replica that had received nothing was promoted in place of a draining one, and confirmed commits were lost.
+  Scenario Outline: The successor holds every confirmed commit, even if only a draining upstream does
+    Given upstreams reporting "<reports>"
+    When "a" was the primary of a group with <replicas> replicas, <sync> of which confirm
+    Then the covering successor is "<successor>"
+
+    Examples:
+      | reports                                                 | replicas | sync | successor | why                                      |
+      | b:replica:1.10:draining,c:replica:1.5                   | 2        | 1    | b         | c lacks what b has confirmed             |
+      | b:replica:1.10:draining,c:replica:1.10                  | 2        | 1    | c         | c holds as much, and stays               |
+      | b:replica:1.10:draining,c:replica:1.12                  | 2        | 1    | c         | c holds more                             |
+      | b:replica:1.10:draining,c:replica:1.5                   | 2        | 2    | c         | both confirm each, c lacks none of them  |
+      | b:replica:1.10:draining,c:replica:1.5                   | 2        | 0    | c         | nothing is promised of replicas          |
+      | b:replica:1.10:draining,c:replica:1.5,d:replica:1.6     | 3        | 2    | d         | two that stay cover each confirmed one   |
+      | b:replica:1.10:draining,c:replica:1.5,d:replica:1.6     | 3        | 1    | b         | two that stay do not                     |
+      | b:replica:1.10:draining                                 | 2        | 1    | none      | c, which is silent, may hold more        |
+      | b:replica:1.10:draining,c:primary:2.5                   | 2        | 1    | c         | it leads already                         |
+
   Scenario Outline: A planned change keeps the former primary if commits would be lost otherwise
     Given upstreams reporting "<reports>"
     When "a" was the primary
--- a/packages/coordination/tests/failover.steps.ts
+++ b/packages/coordination/tests/failover.steps.ts
@@ -8,9 +8,11 @@
   ReachEvidence,
   SeenPromotionLease,
   SuccessorReport,
+  UpstreamId,
 } from '../src/index.js';
 import {
   failoverOrder,
+  chooseCoveringSuccessor,
   chooseSuccessor,
   claimPromotionLease,
   DEFAULT_FAILOVER,
@@ -34,6 +36,7 @@
   claim: PromotionLeaseClaim;
   order: readonly HostId[];
   enough: boolean;
+  covering: UpstreamId | undefined;
   claimRecord: PrimaryRecord;
   status: SuccessorStatus;
 }
@@ -78,7 +81,9 @@
 When(
   '{string} was the primary of a group with {int} replicas, {int} of which confirm',
   function (this: FailoverWorld, former: string, replicas: number, sync: number) {
-    this.enough = hasEnoughReports(this.reports, upstreamId(former), replicas, sync);
+    const id = upstreamId(former);
+    this.enough = hasEnoughReports(this.reports, id, replicas, sync);
+    this.covering = chooseCoveringSuccessor(this.reports, id, replicas, sync)?.id;
   },
 );
 
@@ -91,6 +96,10 @@
   assert.equal(chosen?.id ?? 'none', successor);
 });
 
+Then('the covering successor is {string}', function (this: FailoverWorld, successor: string) {
+  assert.equal(this.covering ?? 'none', successor);
+});
+
 Given(
   'the promotion lease {string} observed at {int} ms',
   function (this: FailoverWorld, record: string, seenAt: number) {
