--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -53,7 +53,7 @@
     And the primary ends, and a new <role> has its log
     Then another upstream becomes the primary under one fence
     And every host writes there, none at the former primary after the change
-    And the primary is u3
+    And the new primary is u3
 
     Examples:
       | role    |
--- a/packages/gateway/tests/primary-leaving.steps.ts
+++ b/packages/gateway/tests/primary-leaving.steps.ts
@@ -181,6 +181,6 @@
   heir.offset = former.offset;
 });
 
-Then('the primary is {word}', function (this: ActionWorld, id: string) {
+Then('the new primary is {word}', function (this: ActionWorld, id: string) {
   assert.equal(this.deployment.primary(), id);
 });
