fix(gateway): a promoted upstream serves before its promotion has taken effect

Cause: an attempt waits until the successor reports that it is primary. A former primary that has not noticed its successor yet reports that it leads, in its former term, for a second or more; where it is promoted again, that report was taken for the effect of the new promotion, and hosts were sent to it while the platform still carried the promotion out. Until then its log lacks what the primary in between had confirmed. The same upstream could also pass for one that has caught up, since positions of different terms were compared by their offsets. Class: a state taken for an event, without the term that tells which event it belongs to.

Table rows in failover.feature.

Change: a successor counts as primary already only in the newest term that is known of any upstream of the group, and its promotion has taken effect once it leads in a later one. The record tells the term in which the primary led, so that this holds after that primary is gone. Positions are compared by term first.

Why it holds: the platform promotes into the next term, so a report in a term that was known before cannot be its effect. Records of hosts of the former version lack the term; there the reports of the other upstreams decide, as far as they answer.

--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -95,10 +95,25 @@
 export function chooseSuccessor(
   reports: readonly SuccessorReport[],
   former: UpstreamId,
+  formerTerm?: number,
 ): SuccessorReport | undefined {
   const others = candidatesOf(reports, former);
   const staying = others.filter((report) => !report.draining);
-  return bestCandidate(staying.length > 0 ? staying : others, reports);
+  const newestTerm = newestTermOf(reports, formerTerm);
+  return bestCandidate(staying.length > 0 ? staying : others, newestTerm);
+}
+
+/**
+ * Newest term known of the upstreams of a group. A former primary may still report that it leads,
+ * in the term that it had, until it learns of its successor.
+ *
+ * @param formerTerm term in which the primary of the record led; undefined if it isn't known
+ */
+export function newestTermOf(
+  reports: readonly SuccessorReport[],
+  formerTerm: number | undefined,
+): number {
+  return Math.max(formerTerm ?? 0, ...reports.map(({ term }) => term));
 }
 
 /**
@@ -129,15 +144,17 @@
   former: UpstreamId,
   replicas: number,
   syncReplicas: number,
+  formerTerm?: number,
 ): SuccessorReport | undefined {
   const isEnough = (some: readonly SuccessorReport[]): boolean =>
     hasEnoughReports(some, former, replicas, syncReplicas);
   if (!isEnough(reports)) return undefined;
-  if (syncReplicas === 0) return chooseSuccessor(reports, former);
+  if (syncReplicas === 0) return chooseSuccessor(reports, former, formerTerm);
   const inUse = candidatesOf(reports, former);
   const staying = inUse.filter((report) => !report.draining);
-  if (isEnough(staying)) return bestCandidate(staying, reports);
-  const chosen = bestCandidate(inUse, reports);
+  const newestTerm = newestTermOf(reports, formerTerm);
+  if (isEnough(staying)) return bestCandidate(staying, newestTerm);
+  const chosen = bestCandidate(inUse, newestTerm);
   if (chosen === undefined || isEnough(inUse)) return chosen;
   const others = reports.filter((report) => report.id !== former);
   const holdsAll = others.every(
@@ -154,14 +171,18 @@
   return reports.filter((report) => report.id !== former && report.evacuated !== true);
 }
 
-/** The best of `candidates`; only those that are primary already, if there are any under the newest term. */
+/**
+ * The best of `candidates`; only those that are primary already in the newest term, if there are any. A candidate
+ * that leads in an older term is returned as one that is not primary.
+ */
 function bestCandidate(
   candidates: readonly SuccessorReport[],
-  reports: readonly SuccessorReport[],
+  newestTerm: number,
 ): SuccessorReport | undefined {
-  const highestTerm = Math.max(...reports.map(({ term }) => term));
-  const primaries = candidates.filter(({ isPrimary, term }) => isPrimary && term >= highestTerm);
-  return [...(primaries.length > 0 ? primaries : candidates)].sort(compareCandidates)[0];
+  const primaries = candidates.filter(({ isPrimary, term }) => isPrimary && term >= newestTerm);
+  const isPrimary = primaries.length > 0;
+  const [best] = [...(isPrimary ? primaries : candidates)].sort(compareCandidates);
+  return best && { ...best, isPrimary };
 }
 
 /**
@@ -174,7 +195,7 @@
   former: SuccessorReport | undefined,
 ): boolean {
   if (former === undefined || chosen?.isPrimary === true) return false;
-  return chosen === undefined || chosen.received.offset < former.received.offset;
+  return chosen === undefined || comparePositions(chosen.received, former.received) < 0;
 }
 
 /** What a host knows about the successor named by a claim. */
--- a/packages/coordination/src/authority/primary-record.ts
+++ b/packages/coordination/src/authority/primary-record.ts
@@ -18,8 +18,9 @@
  * last report before that.
  */
 export interface NamedSuccessor extends UpstreamIdentity {
-  /** Whether it was primary already. */
+  /** Whether it was primary already, in the newest term known. */
   readonly isPrimary: boolean;
+  /** Newest term that was known of any upstream of the group. */
   readonly term: number;
   readonly received: Position;
 }
@@ -34,6 +35,8 @@
   readonly primary: UpstreamId;
   /** Start time that the primary reported when it was named; missing if it reported none. */
   readonly born?: StartTime;
+  /** Term in which the primary led when it was named; missing if it isn't known. */
+  readonly term?: number | undefined;
   /** Host that claimed this epoch. */
   readonly holder: HostId;
   /** While claimed: the only upstream that may be promoted; missing until one is named. */
@@ -46,8 +49,16 @@
   holder: HostId,
   successor: NamedSuccessor | undefined,
 ): PrimaryRecord {
-  const { group, epoch, primary, born } = former;
-  const claim = { group, epoch: epoch + 1, phase: RecordPhase.Claimed, primary, born, holder };
+  const { group, epoch, primary, born, term } = former;
+  const claim = {
+    group,
+    epoch: epoch + 1,
+    phase: RecordPhase.Claimed,
+    primary,
+    born,
+    term,
+    holder,
+  };
   return successor === undefined ? claim : { ...claim, successor };
 }
 
@@ -57,11 +68,15 @@
   return { ...claim, successor: { id, born, isPrimary, term, received } };
 }
 
-/** The record that completes a claim: `primary` serves in the claimed epoch. */
-export function servingRecord(claim: PrimaryRecord, primary: UpstreamIdentity): PrimaryRecord {
+/** The record that completes a claim: `primary` serves in the claimed epoch, and leads in `term` if that is known. */
+export function servingRecord(
+  claim: PrimaryRecord,
+  primary: UpstreamIdentity,
+  term: number | undefined,
+): PrimaryRecord {
   const { id, born } = primary;
   const { group, epoch, holder } = claim;
-  return { group, epoch, phase: RecordPhase.Serving, primary: id, born, holder };
+  return { group, epoch, phase: RecordPhase.Serving, primary: id, born, term, holder };
 }
 
 /** Versions of a record within one epoch, in their order. */
--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -54,6 +54,22 @@
       | b:replica:1.10                          | 2        | 2    | enough     | every one has confirmed each           |
       | b:replica:1.10                          | 1        | 1    | enough     | it has confirmed each                  |
 
+  # A deposed primary that was promoted again still reported its former term, which was taken for the promotion's effect.
+  Scenario Outline: A successor that leads in an older term does not lead already
+    Given upstreams reporting "<reports>"
+    When "a" was the primary, and led in term "<term>"
+    Then the successor is "<successor>", which <leads> already
+    And it leads by its promotion only in a term after <newest>
+
+    Examples:
+      | reports                       | term    | successor | leads         | newest | why                                    |
+      | b:primary:1.60                | 2       | b         | does not lead | 2      | the record knows of a later term       |
+      | b:primary:1.60,c:replica:2.58 | unknown | c         | does not lead | 2      | c has followed a later primary         |
+      | b:primary:1.60,a:primary:2.58 | unknown | b         | does not lead | 2      | the former primary leads               |
+      | b:primary:3.60,c:replica:2.58 | 2       | b         | leads         | 3      | promoted before, and not yet named     |
+      | b:primary:2.60,c:replica:2.58 | 1       | b         | leads         | 2      | the same                               |
+      | b:primary:1.60                | unknown | b         | leads         | 1      | nothing tells of a later term          |
+
   # A replica that had received nothing was promoted in place of a draining one, and confirmed commits were lost.
   Scenario Outline: The successor holds every confirmed commit, even if only a draining upstream does
     Given upstreams reporting "<reports>"
@@ -84,6 +100,7 @@
       | a:primary:1.12                         | ends with the former primary | nobody could follow                       |
       | b:replica:1.10                         | goes on                      | the former primary is silent              |
       | a:primary:1.12,b:primary:2.10          | goes on                      | an earlier call has taken effect          |
+      | a:primary:2.58,b:primary:1.60          | ends with the former primary | offsets of another term prove nothing     |
 
   Scenario Outline: The promotion lease moves only after the window of the former holder
     Given the promotion lease "<record>" observed at 0 ms
--- a/packages/coordination/tests/failover.steps.ts
+++ b/packages/coordination/tests/failover.steps.ts
@@ -14,6 +14,7 @@
   failoverOrder,
   chooseCoveringSuccessor,
   chooseSuccessor,
+  newestTermOf,
   claimPromotionLease,
   DEFAULT_FAILOVER,
   groupId,
@@ -35,6 +36,7 @@
   seen: SeenPromotionLease | undefined;
   claim: PromotionLeaseClaim;
   order: readonly HostId[];
+  formerTerm: number | undefined;
   enough: boolean;
   covering: UpstreamId | undefined;
   claimRecord: PrimaryRecord;
@@ -91,6 +93,30 @@
   assert.equal(this.enough ? 'enough' : 'too few', expected);
 });
 
+When(
+  '{string} was the primary, and led in term {string}',
+  function (this: FailoverWorld, former: string, term: string) {
+    this.former = former;
+    this.formerTerm = term === 'unknown' ? undefined : Number(term);
+  },
+);
+
+Then(
+  /^the successor is "(\w+)", which (leads|does not lead) already$/,
+  function (this: FailoverWorld, successor: string, leads: string) {
+    const chosen = chooseSuccessor(this.reports, upstreamId(this.former), this.formerTerm);
+    assert.equal(chosen?.id, successor);
+    assert.equal(chosen.isPrimary, leads === 'leads');
+  },
+);
+
+Then(
+  'it leads by its promotion only in a term after {int}',
+  function (this: FailoverWorld, newest: number) {
+    assert.equal(newestTermOf(this.reports, this.formerTerm), newest);
+  },
+);
+
 Then('the successor is {string}', function (this: FailoverWorld, successor: string) {
   const chosen = chooseSuccessor(this.reports, upstreamId(this.former));
   assert.equal(chosen?.id ?? 'none', successor);
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -106,8 +106,9 @@
     const named = await this.name(claim, successor);
     if (named === undefined) return false;
     if (!(await this.promote(named, successor))) return this.giveUp('not-promoted');
-    if (!(await this.promoter.waitUntilPrimary(successor))) return this.yieldToOthers(claim);
-    return this.publish(named, successor);
+    const term = await this.promoter.waitUntilPrimary(successor);
+    if (term === undefined) return this.yieldToOthers(claim);
+    return this.publish(named, successor, term);
   }
 
   /** Whether the former primary still serves, so that the change can be deferred. */
@@ -167,7 +168,7 @@
    */
   private async keepFormer(claim: RecordClaim): Promise<false> {
     this.plannedNotBefore = performance.now() + DEFER_AFTER_HOLD_MS;
-    await this.nameServing(claim, this.formerIdentity);
+    await this.nameServing(claim, this.formerIdentity, this.former.term);
     return this.giveUp('successor-behind');
   }
 
@@ -298,8 +299,12 @@
   }
 
   /** Completes the change with a new primary. */
-  private async publish(claim: RecordClaim, primary: UpstreamIdentity): Promise<boolean> {
-    if (!(await this.nameServing(claim, primary))) return false;
+  private async publish(
+    claim: RecordClaim,
+    primary: UpstreamIdentity,
+    term: number,
+  ): Promise<boolean> {
+    if (!(await this.nameServing(claim, primary, term))) return false;
     this.ctx.metrics.promotions.inc();
     const ms = Math.round(performance.now() - this.startedAt);
     this.log.info('promotion-ended', {
@@ -311,8 +316,12 @@
   }
 
   /** Names the primary that serves the claimed epoch in the record, and notifies the hosts. */
-  private async nameServing(claim: RecordClaim, primary: UpstreamIdentity): Promise<boolean> {
-    const item = await this.replaceClaim(claim, servingRecord(claim.record, primary));
+  private async nameServing(
+    claim: RecordClaim,
+    primary: UpstreamIdentity,
+    term: number | undefined,
+  ): Promise<boolean> {
+    const item = await this.replaceClaim(claim, servingRecord(claim.record, primary, term));
     if (item === undefined) return false;
     this.ctx.round.notifyAll({ kind: FrameKind.StoreUpdate, items: [item] });
     return true;
--- a/packages/gateway/src/control/promotion/successor-promoter.ts
+++ b/packages/gateway/src/control/promotion/successor-promoter.ts
@@ -77,29 +77,29 @@
   }
 
   /**
-   * Waits until the successor is primary in a later term than when it was chosen, and its reads show all that it
-   * has received. One that has restarted since then lacks the commits for which it was chosen.
+   * Waits until the successor is primary in a later term than any that was known when it was chosen, and its reads
+   * show all that it has received. One that has restarted since then lacks the commits for which it was chosen.
    *
-   * @returns false when that has not happened in time, or no longer can
+   * @returns the term in which it leads; undefined when that has not happened in time, or no longer can
    */
-  async waitUntilPrimary(successor: NamedSuccessor): Promise<boolean> {
+  async waitUntilPrimary(successor: NamedSuccessor): Promise<number | undefined> {
     const { probe, board } = this.ctx;
     const until = performance.now() + EFFECT_TIMEOUT_MS;
     let wasPrimary = false;
     while (performance.now() < until) {
       const entry = currentEntryOf(board, successor);
-      if (entry === undefined) return false;
+      if (entry === undefined) return undefined;
       const result = await probe.query(entry, this.group, STATUS_TIMEOUT_MS);
       if (result.kind === 'status' && result.status.isPrimary) {
-        if (hasLostCommits(successor, entry, result.status)) return false;
+        if (hasLostCommits(successor, entry, result.status)) return undefined;
         const isPrimary = hasBecomePrimary(successor, result.status);
         if (isPrimary && !wasPrimary) this.logEffect(successor, result);
-        if (isPrimary && hasAppliedAll(result)) return true;
+        if (isPrimary && hasAppliedAll(result)) return result.status.term;
         wasPrimary ||= isPrimary;
       }
       await pause(POLL_MS);
     }
-    return false;
+    return undefined;
   }
 
   /** Logs how much the new primary has received, and how much of it its reads show already. */
@@ -114,8 +114,12 @@
   }
 }
 
+/**
+ * Whether a status that shows the successor as primary is an effect of its promotion, or of an earlier one. A deposed
+ * primary that is promoted again reports its former term until then.
+ */
 function hasBecomePrimary(successor: NamedSuccessor, { term }: UpstreamStatus): boolean {
-  return successor.isPrimary || term > successor.term;
+  return successor.isPrimary ? term >= successor.term : term > successor.term;
 }
 
 /**
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -5,8 +5,10 @@
 import type { AzId, PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
 import {
   chooseCoveringSuccessor,
+  comparePositions,
   Distance,
   mayBeSameStartTime,
+  newestTermOf,
   shouldKeepFormerPrimary,
 } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../../model/catalog.js';
@@ -64,11 +66,13 @@
   async replicationLagMs(former: PrimaryRecord): Promise<number | undefined> {
     const startedAt = performance.now();
     let found = await this.compareNow(former);
-    const target = found.held?.received.offset ?? Number.POSITIVE_INFINITY;
+    const target = found.held?.received;
     // A primary that stops reporting may have failed, which this attempt must not keep from being noticed.
-    while (found.held !== undefined) {
+    while (target !== undefined && found.held !== undefined) {
       const lagMs = performance.now() - startedAt;
-      if (found.chosen !== undefined && found.chosen.received.offset >= target) return lagMs;
+      if (found.chosen !== undefined && comparePositions(found.chosen.received, target) >= 0) {
+        return lagMs;
+      }
       if (lagMs >= MAX_LAG_MS) return undefined;
       await pause(LAG_POLL_MS);
       found = await this.compareNow(former);
@@ -101,7 +105,8 @@
           former_received: held?.received.offset,
           reports: reports.length,
         });
-        return { successor: chosen, keepsFormer: shouldKeepFormerPrimary(chosen, held) };
+        const successor = chosen && { ...chosen, term: newestTermOf(reports, former.term) };
+        return { successor, keepsFormer: shouldKeepFormerPrimary(chosen, held) };
       }
       await pause(POLL_MS);
     }
@@ -136,7 +141,7 @@
     const members = this.ctx.board.upstreamsOf(former.group);
     const replicas = members.filter((entry) => entry.id !== former.primary).length;
     if (replicas === 0) return restartedFormerPrimary(former, reports);
-    return chooseCoveringSuccessor(reports, former.primary, replicas, confirming);
+    return chooseCoveringSuccessor(reports, former.primary, replicas, confirming, former.term);
   }
 
   private async reports(former: PrimaryRecord): Promise<readonly SuccessorReport[]> {
@@ -195,7 +200,7 @@
   former: SuccessorReport | undefined,
 ): boolean {
   if (chosen === undefined) return false;
-  return former === undefined || chosen.received.offset >= former.received.offset;
+  return former === undefined || comparePositions(chosen.received, former.received) >= 0;
 }
 
 /** Whether `chosen` lacks at most `MAX_READY_LAG` commits of the former primary; false unless both report. */
@@ -204,5 +209,7 @@
   former: SuccessorReport | undefined,
 ): boolean {
   if (chosen === undefined || former === undefined) return false;
-  return former.received.offset - chosen.received.offset <= MAX_READY_LAG;
+  if (hasCaughtUp(chosen, former)) return true;
+  const [held, wanted] = [chosen.received, former.received];
+  return held.term === wanted.term && wanted.offset - held.offset <= MAX_READY_LAG;
 }
--- a/packages/gateway/src/control/store/store-documents.ts
+++ b/packages/gateway/src/control/store/store-documents.ts
@@ -36,6 +36,7 @@
   phase: z.enum(RecordPhase),
   primary: z.string().transform(upstreamId),
   born: z.int().optional(),
+  term: z.int().optional(),
   holder: z.string().transform(hostId),
   successor: namedSuccessorSchema.optional(),
 });
--- a/packages/measure/src/successor-model/successor-model.ts
+++ b/packages/measure/src/successor-model/successor-model.ts
@@ -86,7 +86,7 @@
     steps.push({ name: `calls for ${chosen}`, next: { ...state, pending, called: true } });
   }
   if (isNamed && called && leader === chosen) {
-    const serving = servingRecord(record, { id: chosen });
+    const serving = servingRecord(record, { id: chosen }, undefined);
     const next = { ...state, record: serving, chosen: undefined, called: false };
     steps.push({ name: `${chosen} serves`, next });
   }
