fix(gateway): a group that drains as a whole changes its primary without end

While all upstreams of a group reported that they are draining, its primary changed hands about ten times a second, and callers' writes were held for each change (667 ms at the longest).

Cause: a draining primary was replaced also where every possible successor drains, and that one was replaced in turn.

Change: a draining primary is replaced only if the group has an upstream that is not draining, in a zone that is not evacuated. The preparation of a planned change counts no draining successor as ready, unless the zone of the former primary is evacuated: that zone may receive no work, and the choice among the others then ends there.

It holds because each planned change for draining now ends at an upstream that stays, or is deferred; failed primaries are replaced as before.

--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -87,7 +87,7 @@
   unlistedSince: number | undefined;
   /** Local time since which this host has known that the primary has restarted; undefined while it has not. */
   restartedSince: number | undefined;
-  /** Local time since which the primary has been draining; undefined while it is not. */
+  /** Local time since which the primary has been draining while another upstream stays; undefined otherwise. */
   drainingSince: number | undefined;
   /** Local time since which the primary's zone has been evacuated; undefined while it is not. */
   evacuatedSince: number | undefined;
@@ -168,13 +168,24 @@
     state.restartedSince = undefined;
     const deposed = this.deposedPrimary(record, now);
     if (deposed !== undefined) return deposed;
-    if (entry.draining) return this.failingPrimary(record, now) ?? drainingPrimary(state, now);
+    return this.failingPrimary(record, now) ?? this.leavingPrimary(entry, state, now);
+  }
+
+  /**
+   * A primary that still serves, but has to be replaced. One that is draining is kept while the group's other
+   * upstreams leave as well: it would be replaced by one that has to be replaced in turn.
+   */
+  private leavingPrimary(
+    entry: UpstreamEntry,
+    state: GroupState,
+    now: number,
+  ): PromotionTrigger | undefined {
+    const { board } = this.options.context;
+    if (entry.draining && board.hasStayingUpstream(entry.group)) return drainingPrimary(state, now);
     state.drainingSince = undefined;
-    if (this.mustLeaveZone(entry)) {
-      return this.failingPrimary(record, now) ?? evacuatedPrimary(state, now);
-    }
+    if (this.mustLeaveZone(entry)) return evacuatedPrimary(state, now);
     state.evacuatedSince = undefined;
-    return this.failingPrimary(record, now);
+    return undefined;
   }
 
   /** Whether a primary's zone is evacuated and the group has an upstream in use that could replace it. */
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -5,6 +5,7 @@
 import type { AzId, PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
 import {
   chooseCoveringSuccessor,
+  chooseSuccessor,
   Distance,
   mayBeSameStartTime,
   shouldKeepFormerPrimary,
@@ -63,7 +64,7 @@
    */
   async replicationLagMs(former: PrimaryRecord): Promise<number | undefined> {
     const startedAt = performance.now();
-    let found = await this.compareNow(former);
+    let found = await this.compareForPlan(former);
     const target = found.held?.received.offset ?? Number.POSITIVE_INFINITY;
     // A primary that stops reporting may have failed, which this attempt must not keep from being noticed.
     while (found.held !== undefined) {
@@ -71,7 +72,7 @@
       if (found.chosen !== undefined && found.chosen.received.offset >= target) return lagMs;
       if (lagMs >= MAX_LAG_MS) return undefined;
       await pause(LAG_POLL_MS);
-      found = await this.compareNow(former);
+      found = await this.compareForPlan(former);
     }
     return undefined;
   }
@@ -79,7 +80,7 @@
   /** Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. */
   async waitUntilReady(former: PrimaryRecord, until: number): Promise<boolean> {
     for (;;) {
-      const { chosen, held } = await this.compareNow(former);
+      const { chosen, held } = await this.compareForPlan(former);
       if (held !== undefined && hasCaughtUp(chosen, held)) return true;
       if (performance.now() >= until) return isNearlyCaughtUp(chosen, held);
       await pause(POLL_MS);
@@ -112,8 +113,16 @@
     return this.ctx.board.catalog?.groups.get(group)?.syncReplicas ?? 0;
   }
 
-  private async compareNow(former: PrimaryRecord): Promise<Comparison> {
-    return this.compare(former, await this.reports(former), this.syncReplicasOf(former));
+  /**
+   * The comparison now, before a planned change. A draining upstream is chosen only if the zone of the former primary
+   * is evacuated: it would have to be replaced in turn.
+   */
+  private async compareForPlan(former: PrimaryRecord): Promise<Comparison> {
+    const reports = await this.reports(former);
+    const { chosen, held } = this.compare(former, reports, this.syncReplicasOf(former));
+    if (chosen?.draining !== true || held?.evacuated === true) return { chosen, held };
+    const staying = reports.filter(({ draining }) => !draining);
+    return { chosen: chooseSuccessor(staying, former.primary), held };
   }
 
   private compare(
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -186,6 +186,13 @@
     return this.upstreamsOf(group).some(({ az }) => !this.evacuations.has(az));
   }
 
+  /** Whether a group has an upstream that is not draining, in a zone that is not evacuated. */
+  hasStayingUpstream(group: GroupId): boolean {
+    return this.upstreamsOf(group).some(
+      ({ az, draining }) => !draining && !this.evacuations.has(az),
+    );
+  }
+
   /** Whether an upstream of a group leaves. */
   hasDeparture(group: GroupId): boolean {
     return [...this.departures.keys()].some((id) => this.upstreams.get(id)?.group === group);
