fix(gateway): a draining primary that dies while writes are held for its change is replaced late

Callers' writes failed or waited for 1.8 s when a draining primary died while its replicas were 800 ms behind.

Cause: the host that prepares the change waited for a ready successor to the end of the hold, although the former primary no longer reported, so that no successor could become ready; meanwhile it did not act on the failure.

Change: the wait ends after two rounds in a row without a report of the former primary. One round is not enough: on a loaded machine a single status report may be late.

What remains of it is not the wait: while writes are held no statement shows the failure, and the host that prepared the change notices it by its probe after a second without replies.

--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -35,6 +35,8 @@
  * go on until they give the former primary up.
  */
 const MAX_READY_LAG = 8;
+/** Consecutive rounds without a report of the former primary that end a wait: a single one may just be late. */
+const MAX_SILENT_ROUNDS = 2;
 
 /** Result of a search. */
 export interface SearchResult {
@@ -77,11 +79,18 @@
     return undefined;
   }
 
-  /** Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. */
+  /**
+   * Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. The wait
+   * ends as well when the former primary stops reporting: it may have failed, and this attempt must not keep the host
+   * from replacing it.
+   */
   async waitUntilReady(former: PrimaryRecord, until: number): Promise<boolean> {
+    let silentRounds = 0;
     for (;;) {
       const { chosen, held } = await this.compareForPlan(former);
       if (held !== undefined && hasCaughtUp(chosen, held)) return true;
+      silentRounds = held === undefined ? silentRounds + 1 : 0;
+      if (silentRounds >= MAX_SILENT_ROUNDS) return false;
       if (performance.now() >= until) return isNearlyCaughtUp(chosen, held);
       await pause(POLL_MS);
     }
--- a/packages/gateway/tests/primary-leaving.feature
+++ b/packages/gateway/tests/primary-leaving.feature
@@ -68,6 +68,12 @@
     Then another upstream becomes the primary under one fence
     And every host writes there, none at the former primary after the change
 
+  Scenario: A draining primary dies while writes are held for its change
+    Given 3 hosts that serve a group
+    When the replicas receive commits 800 ms late
+    And the primary reports that it is draining, and hosts write all the time
+    Then the primary dies while writes are held, it is replaced within 1500 ms
+
   Scenario: Reads go to a draining primary when its replicas lag
     Given 3 hosts that serve a group whose reads may be 1500 ms old
     When the replicas receive nothing while 20 writes are made, and the primary reports that it is draining
--- a/packages/gateway/tests/primary-leaving.steps.ts
+++ b/packages/gateway/tests/primary-leaving.steps.ts
@@ -1,15 +1,24 @@
 import assert from 'node:assert/strict';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { hostId } from '@gladespool/coordination';
+import { hostId, RecordPhase } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../src/index.js';
 import { PROMOTION_LEASE_KEY } from '../src/control/store/store-documents.js';
 import type { ActionWorld } from './fakes/action-world.js';
-import { FORMER, host, PRIMARY_KEY, writeTimes, writeUntilChanged } from './fakes/action-world.js';
-import { FakeDeployment } from './fakes/fake-deployment.js';
+import {
+  FORMER,
+  host,
+  killPrimary,
+  PRIMARY_KEY,
+  writeTimes,
+  writeUntilChanged,
+} from './fakes/action-world.js';
+import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
 
 /** Time before the first promotion in which writes may be held for it, milliseconds. */
 const HELD_MS = 1000;
+/** Time without a write after which writes are held, while hosts write all the time, milliseconds. */
+const STALLED_MS = 100;
 
 Given(
   '{int} hosts that serve a group, with statements that wait for {int} ms at most',
@@ -41,6 +50,29 @@
   },
 );
 
+When(
+  'the primary dies while writes are held, it is replaced within {int} ms',
+  { timeout: 20_000 },
+  async function (this: ActionWorld, limitMs: number) {
+    const { deployment } = this;
+    const { group } = deployment;
+    const hasStalled = (): boolean =>
+      performance.now() - (group.ran.at(-1)?.at ?? performance.now()) > STALLED_MS;
+    await deployment.until(hasStalled);
+    assert.equal(deployment.primary(), FORMER);
+    killPrimary(this);
+    const diedAt = performance.now();
+    await deployment.until(() => isReplaced(this));
+    const tookMs = performance.now() - diedAt;
+    assert.ok(tookMs <= limitMs, `${Math.round(tookMs)} ms`);
+  },
+);
+
+function isReplaced({ deployment }: ActionWorld): boolean {
+  const record = deployment.hosts[0]?.gateway.board.record(GROUP);
+  return record?.phase === RecordPhase.Serving && record.primary !== FORMER;
+}
+
 When('the replicas receive commits {int} ms late', function (this: ActionWorld, lagMs: number) {
   for (const upstream of this.deployment.group.upstreams.values()) upstream.lagMs = lagMs;
 });
