--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -5,6 +5,7 @@
 import type { AzId, PrimaryRecord, SuccessorReport } from '@gladespool/coordination';
 import {
   chooseCoveringSuccessor,
+  chooseSuccessor,
   comparePositions,
   Distance,
   mayBeSameStartTime,
@@ -36,6 +37,8 @@
  * go on until they give the former primary up.
  */
 const MAX_READY_LAG = 8;
+/** Consecutive rounds without a report of the former primary that end a wait: a single one may just be late. */
+const MAX_SILENT_ROUNDS = 2;
 
 /** Result of a search. */
 export interface SearchResult {
@@ -65,7 +68,7 @@
    */
   async replicationLagMs(former: PrimaryRecord): Promise<number | undefined> {
     const startedAt = performance.now();
-    let found = await this.compareNow(former);
+    let found = await this.compareForPlan(former);
     const target = found.held?.received;
     // A primary that stops reporting may have failed, which this attempt must not keep from being noticed.
     while (target !== undefined && found.held !== undefined) {
@@ -75,16 +78,23 @@
       }
       if (lagMs >= MAX_LAG_MS) return undefined;
       await pause(LAG_POLL_MS);
-      found = await this.compareNow(former);
+      found = await this.compareForPlan(former);
     }
     return undefined;
   }
 
-  /** Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. */
+  /**
+   * Waits, while writes are held, until a successor is ready or local time `until`; returns whether one is. The wait
+   * ends as well when the former primary stops reporting: it may have failed, and this attempt must not keep the host
+   * from replacing it.
+   */
   async waitUntilReady(former: PrimaryRecord, until: number): Promise<boolean> {
+    let silentRounds = 0;
     for (;;) {
-      const { chosen, held } = await this.compareNow(former);
+      const { chosen, held } = await this.compareForPlan(former);
       if (held !== undefined && hasCaughtUp(chosen, held)) return true;
+      silentRounds = held === undefined ? silentRounds + 1 : 0;
+      if (silentRounds >= MAX_SILENT_ROUNDS) return false;
       if (performance.now() >= until) return isNearlyCaughtUp(chosen, held);
       await pause(POLL_MS);
     }
@@ -117,8 +127,17 @@
     return this.ctx.board.catalog?.groups.get(group)?.syncReplicas ?? 0;
   }
 
-  private async compareNow(former: PrimaryRecord): Promise<Comparison> {
-    return this.compare(former, await this.reports(former), this.syncReplicasOf(former));
+  /**
+   * The comparison now, before a planned change. A draining upstream is chosen only if the zone of the former primary
+   * is evacuated: it would have to be replaced in turn.
+   */
+  private async compareForPlan(former: PrimaryRecord): Promise<Comparison> {
+    const reports = await this.reports(former);
+    const { chosen, held } = this.compare(former, reports, this.syncReplicasOf(former));
+    if (chosen?.draining !== true || held?.evacuated === true) return { chosen, held };
+    const staying = reports.filter(({ draining }) => !draining);
+    const newestTerm = newestTermOf(reports, former.term);
+    return { chosen: chooseSuccessor(staying, former.primary, newestTerm), held };
   }
 
   private compare(
