--- /dev/null
+++ b/packages/gateway/tests/commit-as-first-statement.steps.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { Consistency } from '@gladespool/coordination';
+import type { LocalExecutor } from '../src/home/local-executor.js';
+import { DATABASE, GROUP } from './fakes/fake-deployment.js';
+import type { FakeGroup } from './fakes/fake-group.js';
+
+interface CommitWorld {
+  group: FakeGroup;
+  executor: LocalExecutor;
+  endsAt: number;
+}
+
+When(
+  /^the begin of a transaction whose only statement is its commit needs (\d+) ms there$/,
+  async function (this: CommitWorld, ms: string) {
+    for (const { delaysMs } of this.group.upstreams.values()) delaysMs.set('begin', Number(ms));
+    const now = performance.now();
+    const route = {
+      database: DATABASE,
+      group: GROUP,
+      consistency: Consistency.Primary,
+      maxStalenessMs: 1500,
+      timeoutMs: 3000,
+      targetLatencyMs: 500,
+      priority: 1,
+      isPublic: true,
+    };
+    const opened = await this.executor.begin({
+      route,
+      id: 'b',
+      values: new Map(),
+      own: undefined,
+      workspace: undefined,
+      beganAt: now,
+      arrivedAt: now,
+      readOnly: false,
+    });
+    if (opened.isOk()) await opened.value.commit('c', now);
+  },
+);
+
+Then('no upstream receives the commit after new work has ended', function (this: CommitWorld) {
+  const late = this.group.received.filter(({ kind, at }) => kind === 'commit' && at >= this.endsAt);
+  assert.deepEqual(
+    late.map(({ kind, at }) => `${kind} ${String(Math.round(at - this.endsAt))} ms late`),
+    [],
+  );
+});
