fix(gateway): refuse a commit as first statement once new work has ended

Callers whose transaction sent nothing but its commit had it run at an upstream that receives no new work any more, if the begin took longer than the time that was left (rule DRAIN counts the first of a transaction).

Cause: the check before a first statement was made for statements only.

Evidence: `commit-as-first-statement.feature` failed before: with 50 ms left and a begin of 150 ms the commit was sent 118 ms after the end. It passes now (1 scenario), and also checks what the caller gets: refused as not run, with a retry time. `upstream-departure.feature` passes (42 scenarios, among them a commit after the end in a transaction that had run a statement), and so does `evacuation.feature` (33).

Change: `commit` makes the check of a first statement if the transaction has sent none; the transaction is then rolled back. Like a first statement it is also refused in evacuated zones and outside the permitted regions.

Why it holds: nothing is awaited between the check and the sending of the commit, and a transaction without a statement has nothing to lose.

--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -122,7 +122,10 @@
     return this.fail({ kind: 'faulted', fault, code, text });
   }
 
-  /** Refuses the first statement if its upstream receives no new work at `now`; later statements continue. */
+  /**
+   * Refuses the first statement, which may be the commit, if its upstream receives no new work at `now`; later
+   * statements continue.
+   */
   private refuseFirst(now: number): Outcome | undefined {
     if (this.hasRun) return undefined;
     const excluded = exclusionOf(this.home, this.borrowed.pool.entry, this.begin, now);
@@ -133,6 +136,8 @@
   async commit(id: string, arrivedAt: number): Promise<Outcome> {
     this.endIfEvacuated(performance.now());
     if (this.isEnded) return this.refuseLost();
+    const excluded = this.refuseFirst(performance.now());
+    if (excluded !== undefined) return excluded;
     if (this.hasWritten && !this.mayCommit()) return this.fail(refused(RefusalReason.NoAuthority));
     this.markEnded();
     const leftMs = arrivedAt + this.begin.route.timeoutMs - performance.now();
--- a/packages/gateway/tests/commit-as-first-statement.steps.ts
+++ b/packages/gateway/tests/commit-as-first-statement.steps.ts
@@ -1,6 +1,13 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
-import { Consistency } from '@gladespool/coordination';
+import {
+  Consistency,
+  ExecutionStatus,
+  executionStatusOf,
+  RefusalReason,
+  retryAfterMsOf,
+} from '@gladespool/coordination';
+import type { Outcome } from '../src/index.js';
 import type { LocalExecutor } from '../src/home/local-executor.js';
 import { DATABASE, GROUP } from './fakes/fake-deployment.js';
 import type { FakeGroup } from './fakes/fake-group.js';
@@ -9,6 +16,7 @@
   group: FakeGroup;
   executor: LocalExecutor;
   endsAt: number;
+  outcome: Outcome;
 }
 
 When(
@@ -36,7 +44,7 @@
       arrivedAt: now,
       readOnly: false,
     });
-    if (opened.isOk()) await opened.value.commit('c', now);
+    this.outcome = await opened._unsafeUnwrap().commit('c', now);
   },
 );
 
@@ -47,3 +55,11 @@
     [],
   );
 });
+
+Then('the commit is refused as not run, with a retry time', function (this: CommitWorld) {
+  const { outcome } = this;
+  assert.equal(outcome.kind, 'refused', JSON.stringify(outcome));
+  assert.equal(outcome.refusal.reason, RefusalReason.UpstreamLeaving);
+  assert.equal(executionStatusOf(outcome.refusal), ExecutionStatus.No);
+  assert.ok(retryAfterMsOf(outcome.refusal) > 0);
+});
