--- a/packages/gateway/src/home/exchange.ts
+++ b/packages/gateway/src/home/exchange.ts
@@ -31,8 +31,16 @@
   readonly pool: UpstreamPool;
   /** Primary record in force when the connection was borrowed. */
   readonly record: PrimaryRecord | undefined;
-  /** Local time at which the begin of its open transaction was sent; missing if none is open. */
-  readonly beginSentAt?: number;
+  /** The sending of the begin of its open transaction; missing if none is open. */
+  readonly begin?: Sending;
+}
+
+/** What was known when a command was sent. */
+export interface Sending {
+  /** Local time at which it was sent. */
+  readonly sentAt: number;
+  /** Lower bound of the upstream's log position; undefined if none is known. */
+  readonly floor: Position | undefined;
 }
 
 /** What the log tells of a caller's statement besides its exchange. */
@@ -52,10 +60,10 @@
   readonly provedAt: number;
 }
 
-/** An answer with the local time at which its command was sent. */
-export interface TimedAnswer {
+/** An answer with the sending of its command. */
+export interface SentAnswer {
   readonly answer: UpstreamAnswer;
-  readonly sentAt: number;
+  readonly sending: Sending;
 }
 
 /** Minimum remaining time for which an exchange is started, milliseconds. */
@@ -110,39 +118,40 @@
   command: UpstreamCommand,
   timeoutMs: number,
   trace?: StatementTrace,
-): Promise<TimedAnswer> {
+): Promise<SentAnswer> {
   const { lease, pool, record } = borrowed;
   const sentAt = performance.now();
   const provedAt = home.context.board.latestProofAt;
-  const floor = home.primaryFloor(pool.entry.id);
+  const sending = { sentAt, floor: home.primaryFloor(pool.entry.id) };
   const requiresLatest = requiresPosition(command, home.knownPosition(record));
   pool.health.inFlight += 1;
   const received = await lease.connection.exchange(command, Math.max(MIN_EXCHANGE_MS, timeoutMs));
   pool.health.inFlight -= 1;
   const now = performance.now();
-  const answer = answerOrLoss(home, borrowed, received, floor);
+  const positionSending = sendingOfPosition(borrowed, command, received, sending);
+  const answer = answerOrLoss(home, borrowed, received, positionSending.floor);
   recordHealth(pool, answer, now, now - sentAt);
   const fromPrimary = record?.primary === pool.entry.id;
   if (fromPrimary) recordDeposition(home, record, requiresLatest, answer, now);
-  const positionSince = positionTime(borrowed, command, answer, sentAt);
-  if (fromPrimary) home.recordWatermark(record, positionSince, answer, now);
+  if (fromPrimary) home.recordWatermark(record, positionSending.sentAt, answer, now);
   const times = { sentAt, answeredAt: now, provedAt };
   if (trace !== undefined) recordStatement(home, borrowed, command, answer, times, trace);
-  return { answer, sentAt };
+  return { answer, sending };
 }
 
 /**
- * Latest local time at which the position in an answer is certainly not outdated: an upstream may report the position
- * of an open transaction's snapshot, which is as old as its begin.
+ * The sending since which the position in an answer is certainly not outdated: an upstream may report the position of
+ * an open transaction's snapshot, which is as old as its begin. Only the primary has a floor, whichever it was then.
  */
-function positionTime(
-  { beginSentAt }: BorrowedConnection,
+function sendingOfPosition(
+  { begin }: BorrowedConnection,
   command: UpstreamCommand,
   answer: UpstreamAnswer,
-  sentAt: number,
-): number {
+  sending: Sending,
+): Sending {
   const isEnd = command.kind === 'commit' || command.kind === 'rollback';
-  return isEnd && answer.kind === 'completed' ? sentAt : (beginSentAt ?? sentAt);
+  if (begin === undefined || (isEnd && answer.kind === 'completed')) return sending;
+  return { sentAt: begin.sentAt, floor: sending.floor && begin.floor };
 }
 
 /** Whether an answer that arrives on a borrowed connection at `now` counts as an answer of the primary. */
@@ -192,8 +201,8 @@
 }
 
 /**
- * Returns the answer, or a loss in its place if the upstream no longer holds the log that it held when the
- * command was sent: its answer is then treated like a lost connection.
+ * Returns the answer, or a loss in its place if its position is below `floor`, so that the upstream no longer holds the
+ * log that it held before: its answer is then treated like a lost connection.
  */
 function answerOrLoss(
   home: GroupHome,
--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -42,10 +42,10 @@
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
   const begin = { kind: 'begin', readOnly: job.readOnly, after } as const;
   const trace = { job, bound: target.bound, begins: job.id };
-  const { answer, sentAt } = await send(home, borrowed.value, begin, leftMs, trace);
+  const { answer, sending } = await send(home, borrowed.value, begin, leftMs, trace);
   const isValid = isValidPrimaryAnswer(home, borrowed.value, performance.now());
   if (answer.kind === 'completed' && (isValid || !target.needsAuthority)) {
-    return ok(new PinnedTransaction(home, { ...borrowed.value, beginSentAt: sentAt }, job));
+    return ok(new PinnedTransaction(home, { ...borrowed.value, begin: sending }, job));
   }
   if (answer.kind === 'completed') lease.connection.close();
   lease.release();
--- a/packages/gateway/tests/snapshot-positions.steps.ts
+++ b/packages/gateway/tests/snapshot-positions.steps.ts
@@ -49,6 +49,12 @@
     this.snapshot = undefined;
   }
 
+  /** Loses the log, as of an open transaction too. */
+  loseLog(): void {
+    this.offset = 0;
+    this.snapshot = undefined;
+  }
+
   exchange(command: UpstreamCommand): Promise<UpstreamAnswer> {
     this.sentAt.set(command.kind, performance.now());
     if (command.kind === 'begin') this.snapshot = this.offset;
--- a/packages/gateway/tests/snapshot-taken-for-loss.steps.ts
+++ b/packages/gateway/tests/snapshot-taken-for-loss.steps.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { Access, Consistency } from '@gladespool/coordination';
-import type { BeginJob, LocalExecutor, Outcome } from '../src/index.js';
+import { Access, Consistency, RefusalReason } from '@gladespool/coordination';
+import type { BeginJob, LocalExecutor, OpenTransaction, Outcome } from '../src/index.js';
 import { DATABASE, GROUP } from './fakes/fake-deployment.js';
 
 interface LossWorld {
-  connection: { offset: number };
+  connection: { offset: number; loseLog(): void };
   executor: LocalExecutor;
   outcome: Outcome;
 }
@@ -32,21 +32,61 @@
   );
 });
 
+/** Records a position of the primary's log as another caller's answer tells it. */
+function confirm({ executor }: LossWorld, offset: number): void {
+  const { marks } = executor.home(GROUP);
+  marks.add({ sentAt: performance.now(), position: { term: 1, offset } });
+}
+
+async function begin(world: LossWorld): Promise<OpenTransaction> {
+  const opened = await world.executor.begin(jobAt(performance.now()));
+  return opened._unsafeUnwrap();
+}
+
+function read(transaction: OpenTransaction): Promise<Outcome> {
+  const work = { kind: 'text', access: Access.Read, text: 'read' } as const;
+  return transaction.run({ id: 's', work, values: new Map(), arrivedAt: performance.now() });
+}
+
 When(
   'a transaction begins, a write of another caller is confirmed, and the transaction reads',
   async function (this: LossWorld) {
-    const opened = await this.executor.begin(jobAt(performance.now()));
+    const transaction = await begin(this);
     this.connection.offset += 1;
-    const { marks } = this.executor.home(GROUP);
-    // As the answer of the other caller's write tells it.
-    marks.add({ sentAt: performance.now(), position: { term: 1, offset: this.connection.offset } });
-    const work = { kind: 'text', access: Access.Read, text: 'read' } as const;
-    this.outcome = await opened
-      ._unsafeUnwrap()
-      .run({ id: 's', work, values: new Map(), arrivedAt: performance.now() });
+    confirm(this, this.connection.offset);
+    this.outcome = await read(transaction);
+  },
+);
+
+When(
+  'a transaction begins, the primary loses its log, and the transaction reads',
+  async function (this: LossWorld) {
+    const earlier = await begin(this);
+    await earlier.commit('e', performance.now());
+    const transaction = await begin(this);
+    this.connection.loseLog();
+    this.outcome = await read(transaction);
+  },
+);
+
+When(
+  'a transaction begins, a write of another caller is confirmed and lost, and the transaction commits',
+  async function (this: LossWorld) {
+    const transaction = await begin(this);
+    confirm(this, this.connection.offset + 1);
+    this.outcome = await transaction.commit('c', performance.now());
   },
 );
 
 Then('the read succeeds', function (this: LossWorld) {
   assert.equal(this.outcome.kind, 'completed', JSON.stringify(this.outcome));
 });
+
+Then('the read is refused, as the transaction is lost', function (this: LossWorld) {
+  assert.equal(this.outcome.kind, 'refused', JSON.stringify(this.outcome));
+  assert.equal(this.outcome.refusal.reason, RefusalReason.TransactionLost);
+});
+
+Then('the commit is not confirmed', function (this: LossWorld) {
+  assert.notEqual(this.outcome.kind, 'completed');
+});
