fix(gateway): count the time of a departure from the last ready entry

Callers' new work could reach an upstream too late (rule DRAIN) whose entry lapsed while it was leaving and came back as draining: it got 5.95 s anew each time it had been gone. A host that first saw an upstream draining gave it as much, though it may have been leaving for long.

Cause: the last time at which documents were current counted as one at which the upstream was ready, even where they had no entry of it, or one that was draining or unreadable; a departure was forgotten once the upstream was gone; and a missing entry that came back as draining went on to be given time as one that may have lapsed.

Change: `Departures` keeps since when an upstream is ready, and dates a departure with the documents only if they were current with that entry; else with an earlier departure, or with -Infinity. `continueDeparture` gives up the time for a lapsed entry once the upstream reports that it is draining, and never gives new time.

Why it holds: `lastReadyAt` is a time at which the store still had a ready entry, or one before it, so new work ends 0.85 of `drainTimeoutMs` after it at the latest, or 1.5 s after the host learned, where it can't know.

--- a/packages/coordination/src/membership/departure.ts
+++ b/packages/coordination/src/membership/departure.ts
@@ -1,7 +1,8 @@
 /**
  * Decides until when an upstream that leaves receives new work: single statements and first statements of
  * transactions. An upstream may end a fixed time after the store took the news that it leaves. A host does not know
- * that moment; it was after the latest time at which the documents of this host were certainly current.
+ * that moment; it was after the latest time at which the documents of this host were certainly current and told that
+ * the upstream is ready.
  */
 import type { ExpiryRules } from './upstream-expiry.js';
 
@@ -16,7 +17,7 @@
 /** The departure of an upstream, as known to one host. */
 export interface Departure {
   readonly cause: DepartureCause;
-  /** Latest local time at which it was certainly not leaving; -Infinity if this host never knew that. */
+  /** Latest local time at which current documents had a ready entry of it; -Infinity if none is known. */
   readonly lastReadyAt: number;
   /** Local time at which this host learned of it. */
   readonly learnedAt: number;
@@ -52,6 +53,22 @@
   return { ...departure, newWorkEndsAt };
 }
 
+/**
+ * A known departure, of which the host learns again at `now`. An upstream that reports that it is draining is alive, so
+ * it needs no time to write its entry again.
+ */
+export function continueDeparture(
+  departure: Departure,
+  cause: DepartureCause,
+  now: number,
+  rules: ExpiryRules,
+): Departure {
+  if (cause !== DepartureCause.Draining || departure.cause === cause) return departure;
+  const reported = departureOf(cause, departure.lastReadyAt, now, rules);
+  const newWorkEndsAt = Math.min(departure.newWorkEndsAt, reported.newWorkEndsAt);
+  return { ...departure, cause, newWorkEndsAt };
+}
+
 /** Whether a departing upstream still receives new work at `now`. */
 export function receivesNewWork(departure: Departure | undefined, now: number): boolean {
   return departure === undefined || now < departure.newWorkEndsAt;
--- a/packages/coordination/tests/departure.feature
+++ b/packages/coordination/tests/departure.feature
@@ -28,3 +28,19 @@
       | entry-missing | 11000 | 15150 | there is time enough to write it again    |
       | entry-missing | 20000 | 22450 | a live upstream could not write its entry |
       | draining      | 20000 | 15150 | it has announced its end                  |
+
+  Scenario Outline: An upstream reports that it is draining after its entry was missing
+    Given upstreams that accept work for 7000 ms after they are known to leave
+    When a host that last knew one to stay at <ready> learns at 10000 ms of its departure by "entry-missing"
+    And the store is available again at <back> ms
+    And the host learns of it again at <again> ms by "<cause>"
+    And the store is available again at 40000 ms
+    Then it receives new work until <end> ms
+
+    Examples:
+      | ready  | back  | again | cause         | end   | why                                       |
+      | 9200   | 11000 | 12000 | draining      | 15150 | the time counts from the first news       |
+      | -20000 | 10000 | 10000 | draining      | 11500 | it has not lapsed                         |
+      | 9200   | 20000 | 20500 | draining      | 22000 | it has not lapsed                         |
+      | 9200   | 20000 | 22000 | draining      | 22450 | saying so gives no new time               |
+      | 9200   | 20000 | 20500 | entry-missing | 42450 | a live upstream could not write its entry |
--- a/packages/coordination/tests/departure.steps.ts
+++ b/packages/coordination/tests/departure.steps.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import type { Departure, DepartureCause, ExpiryRules } from '../src/index.js';
-import { departureOf, postponeDeparture, receivesNewWork } from '../src/index.js';
+import {
+  continueDeparture,
+  departureOf,
+  postponeDeparture,
+  receivesNewWork,
+} from '../src/index.js';
 
 interface DepartureWorld {
   rules: ExpiryRules;
@@ -20,6 +25,13 @@
   this.departure = postponeDeparture(this.departure, now, this.rules);
 });
 
+When(
+  /^the host learns of it again at (\d+) ms by "([\w-]+)"$/,
+  function (this: DepartureWorld, now: string, cause: DepartureCause) {
+    this.departure = continueDeparture(this.departure, cause, Number(now), this.rules);
+  },
+);
+
 Then('it receives new work until {int} ms', function (this: DepartureWorld, end: number) {
   assert.equal(receivesNewWork(this.departure, end - 1), true);
   assert.equal(receivesNewWork(this.departure, end), false);
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -165,8 +165,9 @@
 
   private applyUpstream(entry: UpstreamEntry, now: number): void {
     this.expired.remove(entry.id);
-    if (!entry.draining) this.departures.cancel(entry.id);
-    else this.departures.start(entry, DepartureCause.Draining, this.lastConfirmedAt(now), now);
+    const confirmedAt = this.lastConfirmedAt(now);
+    if (!entry.draining) this.departures.recordReady(entry.id, confirmedAt);
+    else this.departures.start(entry, DepartureCause.Draining, confirmedAt, now);
   }
 
   private removeUpstream(entry: UpstreamEntry, now: number): void {
