--- a/packages/gateway/src/home/pinned-transaction.ts
+++ b/packages/gateway/src/home/pinned-transaction.ts
@@ -42,10 +42,10 @@
   const leftMs = job.arrivedAt + job.route.timeoutMs - performance.now();
   const begin = { kind: 'begin', readOnly: job.readOnly, after } as const;
   const trace = { job, bound: target.bound, begins: job.id };
-  const { answer, sentAt } = await send(home, borrowed.value, begin, leftMs, trace);
+  const { answer, sending } = await send(home, borrowed.value, begin, leftMs, trace);
   const isValid = isValidPrimaryAnswer(home, borrowed.value, performance.now());
   if (answer.kind === 'completed' && (isValid || !target.needsAuthority)) {
-    return ok(new PinnedTransaction(home, { ...borrowed.value, beginSentAt: sentAt }, job));
+    return ok(new PinnedTransaction(home, { ...borrowed.value, begin: sending }, job));
   }
   if (answer.kind === 'completed') lease.connection.close();
   lease.release();
@@ -122,7 +122,10 @@
     return this.fail({ kind: 'faulted', fault, code, text });
   }
 
-  /** Refuses the first statement if its upstream receives no new work at `now`; later statements continue. */
+  /**
+   * Refuses the first statement, which may be the commit, if its upstream receives no new work at `now`; later
+   * statements continue.
+   */
   private refuseFirst(now: number): Outcome | undefined {
     if (this.hasRun) return undefined;
     const excluded = exclusionOf(this.home, this.borrowed.pool.entry, this.begin, now);
@@ -133,6 +136,8 @@
   async commit(id: string, arrivedAt: number): Promise<Outcome> {
     this.endIfEvacuated(performance.now());
     if (this.isEnded) return this.refuseLost();
+    const excluded = this.refuseFirst(performance.now());
+    if (excluded !== undefined) return excluded;
     if (this.hasWritten && !this.mayCommit()) return this.fail(refused(RefusalReason.NoAuthority));
     this.markEnded();
     const leftMs = arrivedAt + this.begin.route.timeoutMs - performance.now();
