fix(proxy): let every home hand over a primary that leaves

What callers saw: after the bundle marked a primary as leaving, their writes went on to it without an end, for as long as the first home in rank could not reach the store, although the other homes could.

Cause: `PromotionService.review` started a planned handover on the home of rank 0 only. Away from a suspected primary, in contrast, any home promotes, delayed by its rank.

Evidence: `leaving-upstream.feature`, the hosts of one zone lose the store before the bundle marks the primary.

Change: `isHandoverDue` lets rank 0 start at once, and the others once nobody has begun for the time after which an attempt counts as stalled (2 s), plus the longest wait for open transactions (5 s) if the record says that somebody has begun; each rank adds its delay. As two homes may now hand over, a home gives up when the term has changed meanwhile, and compares the stored record with what it knew before it read the store; otherwise it would promote again, away from the new primary.

Not changed: while no home reaches the store nobody promotes, and the program has no time at which a leaving upstream ends, so the primary goes on.

Why it holds: the bundle reaches every home, each acts on it without another, and the compare-and-swap on the record lets one of them win.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -20,6 +20,7 @@
 export * from './placement/homes.js';
 export * from './membership/membership.js';
 export * from './authority/promotion.js';
+export * from './authority/handover.js';
 export * from './authority/reconcile.js';
 export * from './authority/suspicion.js';
 export * from './load/retry-limiter.js';
--- a/packages/proxy/src/control/promotion-service.ts
+++ b/packages/proxy/src/control/promotion-service.ts
@@ -17,6 +17,8 @@
   attemptDelayMs,
   GroupPhase,
   homesOf,
+  isHandoverDue,
+  isPrimaryLeaving,
   isSuspectedByMajority,
   EventLoopMonitor,
   requiredSuspicionMs,
@@ -80,6 +82,8 @@
   attempts: number;
   /** Earliest local time of the next attempt. */
   notBefore: number;
+  /** Local time since which this host knows that the primary leaves; undefined if it does not. */
+  leavingSince: number | undefined;
   readonly repointedAt: Map<UpstreamId, number>;
 }
 
@@ -139,6 +143,8 @@
     now: number,
   ): void {
     this.repoint(home, spec, record, progress, now);
+    const isLeaving = isPrimaryLeaving(spec, record);
+    progress.leavingSince = isLeaving ? (progress.leavingSince ?? now) : undefined;
     if (progress.busy || now < progress.notBefore) return;
     if (this.isStalled(home, record, now)) {
       void this.attempt(home, spec, progress);
@@ -149,9 +155,24 @@
       void this.pollZones(home, spec, record, progress);
       return;
     }
-    const primary = spec.upstreams.find((upstream) => upstream.id === record.primary);
-    const isLeaving = primary === undefined || primary.state === UpstreamState.Leaving;
-    if (isLeaving && this.rank(spec) === 0) void this.handOver(home, spec, record, progress);
+    if (this.isHandoverDue(home, spec, record, progress, now))
+      void this.handOver(home, spec, record, progress);
+  }
+
+  private isHandoverDue(
+    home: GroupHome,
+    spec: GroupSpec,
+    record: GroupRecord,
+    progress: GroupProgress,
+    now: number,
+  ): boolean {
+    const { leavingSince } = progress;
+    if (leavingSince === undefined) return false;
+    const { stalledAfterMs, handoverWaitMs, damping } = this.options.rules;
+    const { rankDelayMs } = damping;
+    const recordSince = home.context.board.record(home.group)?.since ?? now;
+    const view = { rank: this.rank(spec), phase: record.phase, leavingSince, recordSince };
+    return isHandoverDue(view, { stalledAfterMs, handoverWaitMs, rankDelayMs }, now);
   }
 
   private isSuspect(home: GroupHome, spec: GroupSpec, record: GroupRecord, now: number): boolean {
@@ -221,6 +242,7 @@
 
   private async promote(home: GroupHome, spec: GroupSpec): Promise<void> {
     const { store, log, rules, metrics } = this.options;
+    const known = home.record;
     const read = await store.read(recordKey(spec.id));
     const stored = read.isOk() ? read.value : undefined;
     const record = decodeRecord(stored?.value ?? '');
@@ -228,7 +250,6 @@
       log.warn('promotion-without-store', { group: spec.id });
       return;
     }
-    const known = home.record;
     if (known !== undefined && record.term > known.term) {
       this.options.onRecord(record);
       if (record.phase === GroupPhase.Serving) return;
@@ -305,12 +326,12 @@
       await this.waitDrained(home, record);
     }
     progress.busy = false;
-    await this.attempt(home, spec, progress);
+    if (home.record?.term === record.term) await this.attempt(home, spec, progress);
   }
 
   private async waitDrained(home: GroupHome, record: GroupRecord): Promise<void> {
     const until = performance.now() + this.options.rules.handoverWaitMs;
-    while (performance.now() < until) {
+    while (performance.now() < until && home.record?.term === record.term) {
       await home.watcher.round();
       const reports = home.spec === undefined ? [] : home.reports(home.spec);
       const primary = reports.find((timed) => timed.report.upstream === record.primary)?.report;
@@ -393,7 +414,13 @@
   private progressOf(group: GroupId): GroupProgress {
     const held = this.progress.get(group);
     if (held !== undefined) return held;
-    const fresh = { busy: false, attempts: 0, notBefore: 0, repointedAt: new Map() };
+    const fresh = {
+      busy: false,
+      attempts: 0,
+      notBefore: 0,
+      leavingSince: undefined,
+      repointedAt: new Map(),
+    };
     this.progress.set(group, fresh);
     return fresh;
   }
