fix(proxy): check again after the wait for a connection whether the upstream leaves

What callers saw: a read-only transaction that waited for a connection to a replica began there although the bundle had marked it as leaving in the meantime. A read-write one that waited for the primary began at the former primary after the handover; by the stand-in's code its commit is refused there (25006), this was not played.

Cause: the upstream is chosen before the wait, which may last as long as the deadline of the request (5 s by default, 300 s at most), and nothing was checked when the connection came. A plain write at a former primary is refused by it and tried again; BEGIN is accepted.

Evidence: `leaving-upstream.feature`, "An upstream leaves while a transaction waits for a connection to it": before, both rows failed, the transactions were open on the leaving replica and on the former primary.

Ruled out: forwarded work, which passes the same home; statements and commits of a transaction that is open, which go on, as nothing in flight may be cut off.

Change: `UpstreamWork.lease` refuses a read if the upstream leaves and is not the primary, and a write if the record does not serve with this primary. Both are tried again within the deadline, counted as `upstream-excluded` and `not-primary`. A read without another upstream is refused as not run, `upstream-leaving`.

Why it holds: every new statement and transaction leases its connection here, and from the check to the write nothing is awaited.

--- a/packages/measure/tests/leaving-upstream.feature
+++ b/packages/measure/tests/leaving-upstream.feature
@@ -15,3 +15,17 @@
       | az1  |
       | az2  |
       | az3  |
+
+  # The upstream is chosen before the wait for a connection, which may last as long as the deadline of the request.
+  Scenario Outline: An upstream leaves while a transaction waits for a connection to it
+    Given every connection of the homes to <upstream> is in use
+    When a caller sends "<statement>", which waits for one of them
+    And a bundle marks that upstream as leaving
+    And <event>, and the connections are free again
+    Then the transaction is begun on another upstream
+    And the caller's transaction ends with "<end>" and is told "ok"
+
+    Examples:
+      | upstream    | statement       | event                         | end                                               |
+      | a replica   | BEGIN READ ONLY | every host has the bundle     | SELECT state FROM deeds WHERE id = 'a'            |
+      | the primary | BEGIN           | another upstream is primary   | INSERT INTO deeds (id, state) VALUES ('a', 'x')   |
--- a/packages/proxy/src/home/read-flow.ts
+++ b/packages/proxy/src/home/read-flow.ts
@@ -28,7 +28,7 @@
 import { errorStateOf, ExchangeFailure, isIdle } from '@gladespool/upstreams';
 import { planExchange, reportOf } from './exchange-plan.js';
 import type { GroupHome } from './group-home.js';
-import type { RunOutcome, RunRequest } from './run-request.js';
+import type { RunOutcome, RunRefusal, RunRequest } from './run-request.js';
 import type { Attempt, GroupSnapshot, UpstreamWork } from './upstream-work.js';
 import {
   answerOf,
@@ -146,7 +146,7 @@
     upstream: UpstreamId,
   ): Promise<Attempt> {
     const lease = await this.work.lease(req, snapshot.spec, upstream, PRIORITY_OF_READS);
-    if (lease.kind === 'refusal') return retry(RetryReason.ConnectFailed, lease);
+    if (lease.kind === 'refusal') return retry(leaseRetryReason(lease), lease);
     const isBegin = req.intent === RunIntent.BeginReadOnly;
     const plan = planExchange(req.messages, { before: true, after: !isBegin });
     const answer = await this.work.exchange(req, lease.value, plan.payload, plan.segments);
@@ -229,6 +229,11 @@
   return spec.defaultMaxAgeMs === 0 ? undefined : spec.defaultMaxAgeMs;
 }
 
+function leaseRetryReason({ refusal: { reason } }: RunRefusal): RetryReason {
+  const isLeaving = reason === RefusalReason.UpstreamLeaving;
+  return isLeaving ? RetryReason.UpstreamExcluded : RetryReason.ConnectFailed;
+}
+
 function servesAsPrimary(report: UpstreamReport, record: GroupRecord): boolean {
   if (report.role !== UpstreamRole.Primary) return false;
   return report.received.term === record.term && report.fencedTerm <= record.term;
--- a/packages/proxy/src/home/upstream-work.ts
+++ b/packages/proxy/src/home/upstream-work.ts
@@ -11,8 +11,8 @@
   UpstreamId,
   UpstreamReport,
 } from '@gladespool/coordination';
-import { RefusalReason, refuse } from '@gladespool/coordination';
-import { BackendType } from '@gladespool/protocol';
+import { GroupPhase, RefusalReason, refuse, UpstreamState } from '@gladespool/coordination';
+import { BackendType, RunIntent } from '@gladespool/protocol';
 import type { AnswerSegment, Lease } from '@gladespool/upstreams';
 import { isIdle } from '@gladespool/upstreams';
 import { planExchange, reportOf } from './exchange-plan.js';
@@ -45,7 +45,10 @@
     return spec === undefined || record === undefined ? undefined : { spec, record };
   }
 
-  /** Leases a connection to an upstream, at most until the deadline of the request. */
+  /**
+   * Leases a connection to an upstream, at most until the deadline of the request. Refuses if the
+   * upstream may no longer be used once the connection is there.
+   */
   async lease(
     req: RunRequest,
     spec: GroupSpec,
@@ -58,9 +61,26 @@
     const priority = req.marks.priority ?? usual;
     const leased = await this.home.pool(upstream).acquire(priority, now, req.deadlineAt - now);
     if (leased.isErr()) return refusal(leased.error);
-    if (!req.cancel.aborted) return { kind: 'lease', value: leased.value };
+    const reason = req.cancel.aborted ? RefusalReason.Canceled : this.exclusionOf(req, id);
+    if (reason === undefined) return { kind: 'lease', value: leased.value };
     leased.value.release();
-    return refusal(RefusalReason.Canceled);
+    return refusal(reason);
+  }
+
+  /**
+   * Returns why new work may not go to an upstream; undefined if it may. A primary that leaves is
+   * used until it has been handed over.
+   */
+  private exclusionOf(req: RunRequest, id: UpstreamId): Reason | undefined {
+    const { spec, record } = this.home;
+    const isPrimary = record?.primary === id;
+    if (isRead(req)) {
+      const state = spec?.upstreams.find((upstream) => upstream.id === id)?.state;
+      const isUsable = isPrimary || state === UpstreamState.Active;
+      return isUsable ? undefined : RefusalReason.UpstreamLeaving;
+    }
+    const isServing = isPrimary && record.phase === GroupPhase.Serving;
+    return isServing ? undefined : RefusalReason.NotPrimary;
   }
 
   /** Sends messages and awaits the answer; a cancellation by the caller is forwarded to the upstream. */
@@ -108,6 +128,10 @@
   }
 }
 
+function isRead(req: RunRequest): boolean {
+  return req.intent === RunIntent.Read || req.intent === RunIntent.BeginReadOnly;
+}
+
 /** Whether a segment reports that the transaction was rolled back. */
 export function isRolledBack(segment: AnswerSegment): boolean {
   return segment.messages.some(
--- a/packages/proxy/src/home/write-flow.ts
+++ b/packages/proxy/src/home/write-flow.ts
@@ -19,7 +19,7 @@
 import { planExchange, reportOf } from './exchange-plan.js';
 import type { GroupHome } from './group-home.js';
 import { IdempotentWrite } from './idempotent-write.js';
-import type { RunOutcome, RunRequest } from './run-request.js';
+import type { RunOutcome, RunRefusal, RunRequest } from './run-request.js';
 import type { Attempt, GroupSnapshot, UpstreamWork } from './upstream-work.js';
 import { answerOf, final, READ_ONLY_STATE, refusal, retry } from './upstream-work.js';
 
@@ -95,10 +95,7 @@
   private async writeOnce(req: RunRequest, snapshot: GroupSnapshot): Promise<Attempt> {
     const upstream = snapshot.record.primary;
     const lease = await this.work.lease(req, snapshot.spec, upstream, PRIORITY_OF_WRITES);
-    if (lease.kind === 'refusal') {
-      const unreachable = lease.refusal.reason === RefusalReason.UpstreamUnreachable;
-      return unreachable ? retry(RetryReason.ConnectFailed, lease) : final(lease);
-    }
+    if (lease.kind === 'refusal') return afterLeaseRefusal(lease);
     if (req.marks.requestId !== undefined)
       return this.idempotentWrite.run(req, lease.value, upstream);
     const isBegin = req.intent === RunIntent.Begin;
@@ -165,3 +162,10 @@
     });
   }
 }
+
+function afterLeaseRefusal(lease: RunRefusal): Attempt {
+  const { reason } = lease.refusal;
+  if (reason === RefusalReason.UpstreamUnreachable) return retry(RetryReason.ConnectFailed, lease);
+  if (reason === RefusalReason.NotPrimary) return retry(RetryReason.NotPrimary, lease);
+  return final(lease);
+}
