test(coordination): no read goes to an upstream that leaves

`isUsable` of `read-routing.ts` leaves such upstreams out at once, replicas and primaries alike, so reads of the PostgreSQL program need no end.

--- a/packages/coordination/tests/read-routing.feature
+++ b/packages/coordination/tests/read-routing.feature
@@ -20,6 +20,22 @@
       | a*:2/20, b:3/30, c:2/20     | 2    | 20     | use c                 | a term not in the lineage proves nothing |
       | b:2/19, c:2/19              | 2    | 20     | refuse no-covering-upstream | wrong is worse than refused     |
 
+  Scenario Outline: No read goes to an upstream that leaves
+    Given the upstreams report "<reports>"
+    And upstream "b" applies 1 offset a millisecond
+    And upstreams "<leaving>" leave
+    When a session that has seen term 2 offset 20 reads
+    Then the choice is "<choice>"
+
+    Examples:
+      | reports                 | leaving | choice                      | why                                        |
+      | a*:2/20, b:2/20, c:2/20 | b       | use c                       | the near replica leaves                    |
+      | a*:2/20, b:2/20, c:2/20 | b, c    | use a                       | every replica leaves                       |
+      | a*:2/20, b:2/18, c:2/10 | b       | use a                       | no wait for a replica that leaves          |
+      | a*:2/20, b:2/20, c:2/20 | a       | use b                       | the primary is not needed                  |
+      | a*:2/20, b:2/10, c:2/10 | a       | wait 10                     | a replica is about to cover                |
+      | a*:2/20, b:2/20, c:2/20 | a, b, c | refuse no-covering-upstream | nobody is left                             |
+
   Scenario: A read waits briefly for a replica that is about to cover its position
     Given the upstreams report "a*:2/20, b:2/18, c:2/10"
     And upstream "b" applies 1 offset a millisecond
--- a/packages/coordination/tests/read-routing.steps.ts
+++ b/packages/coordination/tests/read-routing.steps.ts
@@ -22,6 +22,7 @@
   reports: string;
   rates: Map<string, number>;
   ages: Map<string, number>;
+  leaving: readonly string[];
   choice: ReadChoice;
   served: Map<string, number>;
 }
@@ -41,6 +42,7 @@
     this.record = { ...recordWith(parseLineage(lineage)), primary: upstreamId(primary) };
     this.rates = new Map();
     this.ages = new Map();
+    this.leaving = [];
   },
 );
 
@@ -59,6 +61,10 @@
   },
 );
 
+Given('upstreams {string} leave', function (this: RoutingWorld, ids: string) {
+  this.leaving = ids.split(', ');
+});
+
 Given('the proved ages are {string}', function (this: RoutingWorld, ages: string) {
   for (const pair of ages.split(', ')) {
     const [id = '', age] = pair.split('=');
@@ -140,7 +146,7 @@
       az: azId(world.zones[index] ?? ''),
       address: '127.0.0.1',
       port: 1,
-      state: UpstreamState.Active,
+      state: world.leaving.includes(id) ? UpstreamState.Leaving : UpstreamState.Active,
     },
     health: { last, failures: last === undefined ? 2 : 0, failingSince: 0 },
     inFlight: 0,
