test(measure): a primary that leaves is handed over with one of two replicas stopped

No end was missing here: `waitDrained` waits until the replica holds all that the primary has, and `chooseHighest` takes an upstream that does not leave among equal logs. No test showed it. A bundle that leaves a group without a majority of active upstreams is refused (`protocol/config/bundle.ts`), seen when a trial marked all three, and two of three, as leaving.

OPERATIONS.md says that a leaving primary stays in use while no home reaches the store.

--- a/packages/measure/tests/leaving-upstream.feature
+++ b/packages/measure/tests/leaving-upstream.feature
@@ -29,3 +29,12 @@
       | upstream    | statement       | event                         | end                                               |
       | a replica   | BEGIN READ ONLY | every host has the bundle     | SELECT state FROM deeds WHERE id = 'a'            |
       | the primary | BEGIN           | another upstream is primary   | INSERT INTO deeds (id, state) VALUES ('a', 'x')   |
+
+  # Only the leaving primary and one replica can be fenced, so the choice includes the primary.
+  Scenario: One of two replicas is stopped when the primary leaves
+    Given 6 callers that write and read without pause, each on its own host
+    When one replica is stopped
+    And a bundle marks the primary as leaving
+    Then another upstream is primary within 10 s
+    And the primary stays with the same term afterwards
+    And no confirmed write is missing and no request ended unknown
--- a/packages/measure/tests/leaving-upstream.steps.ts
+++ b/packages/measure/tests/leaving-upstream.steps.ts
@@ -36,6 +36,15 @@
   deploymentOf(this).network.isolate(zone, ['platform']);
 });
 
+When('one replica is stopped', async function (this: LeavingWorld) {
+  const deployment = deploymentOf(this);
+  const primary = deployment.primaryOf(GROUP);
+  await deployment
+    .upstreamsOf(GROUP)
+    .find((server) => server !== primary)
+    ?.stop();
+});
+
 Then(
   'another upstream is primary within {int} s',
   async function (this: LeavingWorld, seconds: number) {
