--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -32,6 +32,8 @@
   private readonly queue: CallerMessage[] = [];
   private isHandling = false;
   private isClosing = false;
+  /** Whether the connection closes after the current statement even if a transaction is open. */
+  private endsTransaction = false;
   private isClosed = false;
   private readonly startTimer: NodeJS.Timeout;
 
@@ -67,9 +69,23 @@
   /** Closes the connection once its current statement is answered; an open transaction is rolled back. */
   closeAfterStatement(): void {
     this.isClosing = true;
+    this.endsTransaction = true;
     if (!this.isHandling) this.closeSocket();
   }
 
+  /** Answers the current statement, whose outcome is unknown to this host, and closes the connection. */
+  abandonStatement(): void {
+    if (this.isHandling && this.session !== undefined) {
+      const { codec, log, session } = this.options;
+      const reason = RefusalReason.UpstreamLost;
+      log.warn('statement-abandoned', { reason });
+      session.recorder.countRefusal(reason);
+      const outcome = refused(reason, 'host is stopping');
+      this.write(codec.encodeAnswer({ outcome, state: this.session.state }));
+    }
+    if (!this.isClosed) this.closeSocket();
+  }
+
   /**
    * Closes the connection from this side. Messages that arrive after this could not be answered, so they are neither
    * read nor run.
@@ -95,10 +111,12 @@
     for (let message = this.queue.shift(); message; message = this.queue.shift()) {
       if (this.isClosed) break;
       await this.handle(message);
+      if (this.endsTransaction) break;
       if (this.queue.length <= MAX_QUEUED) this.options.socket.resume();
     }
     this.isHandling = false;
-    if (this.isClosing && !this.isClosed && this.isIdle) this.closeSocket();
+    if (this.isClosed || !this.isClosing) return;
+    if (this.endsTransaction || this.isIdle) this.closeSocket();
   }
 
   private async handle(message: CallerMessage): Promise<void> {
