--- a/packages/gateway/src/control/store/departures.ts
+++ b/packages/gateway/src/control/store/departures.ts
@@ -14,7 +14,7 @@
 /** Time for which a departure is remembered once its upstream is gone, milliseconds. */
 const REMEMBERED_MS = 600_000;
 
-/** What is known of the time before an upstream that is ready. */
+/** What is known of the time before an upstream became ready. */
 interface ReadySpan {
   /** Latest local time at which the documents were current before they had its ready entry. */
   readonly after: number;
@@ -33,6 +33,7 @@
   private readonly departures = new Map<UpstreamId, Departure>();
   /** Departures of upstreams that are gone, whose entries may appear again while they are leaving. */
   private readonly ended = new Map<UpstreamId, EndedDeparture>();
+  /** Upstreams whose newest known entry is a ready one. */
   private readonly ready = new Map<UpstreamId, ReadySpan>();
   /** Upstreams that receive new work although they leave. */
   private readonly inUse = new Map<UpstreamId, UpstreamEntry>();
