fix(gateway): bounded reads are refused once a leaving primary receives no new work

Callers' bounded reads were refused as upstream-leaving although replicas held every commit, as long as nothing could replace a primary whose time for new work had ended.

Cause: hosts learned the primary's position from its answers to statements only. Without a recent watermark a read may run at the primary alone, and that one is excluded.

Change: while the primary of the record receives no new work, homes of the group probe it once their newest watermark is older than a third of the shortest staleness of the group's bounded reads, one probe at a time and one in that interval. A probe that shows it as primary adds a watermark dated with its sending. Status requests are health checks, not new work.

It holds because the status is asked after the date of the watermark, and counts only if the epoch under which it was sent still serves under a valid proof; a probe sent under a claimed record does not count, as that names the former primary under the epoch of the next one.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -276,6 +276,7 @@
     const { holds, home, reachability, rules, metrics } = this.options;
     const monitor = new PrimaryMonitor({
       board,
+      directory,
       home,
       probe: this.probe,
       rules: DEFAULT_MONITOR_RULES,
--- a/packages/gateway/src/control/promotion/primary-monitor.ts
+++ b/packages/gateway/src/control/promotion/primary-monitor.ts
@@ -3,8 +3,10 @@
  * there are none.
  */
 import type { GroupId, Position, PrimaryRecord } from '@gladespool/coordination';
+import { Consistency, receivesNewWork, RecordPhase } from '@gladespool/coordination';
 import { DepositionEvidence } from '@gladespool/observability';
 import type { GatewayBoard } from '../../knowledge/board.js';
+import type { HomeDirectory } from '../../knowledge/home-directory.js';
 import type { GroupHome } from '../../home/group-home.js';
 import type { UpstreamHealth } from '../../home/upstream-health.js';
 import type { ProbeResult, StatusResult, UpstreamProbe } from '../../home/upstream-probe.js';
@@ -29,9 +31,16 @@
   maxEvidenceAgeMs: 200,
 };
 
+/**
+ * Interval between two watermarks of a primary that receives no new work, as a share of the maximum staleness of a
+ * read: replicas have the rest of it to receive the position.
+ */
+const WATERMARK_SHARE = 1 / 3;
+
 /** Dependencies of the monitor. */
 export interface PrimaryMonitorOptions {
   readonly board: GatewayBoard;
+  readonly directory: HomeDirectory;
   readonly home: (group: GroupId) => GroupHome;
   readonly probe: UpstreamProbe;
   readonly rules: MonitorRules;
@@ -40,6 +49,8 @@
 /** Reachability of the primaries from this host. */
 export class PrimaryMonitor {
   private readonly probing = new Map<GroupId, Promise<boolean | undefined>>();
+  /** Local time at which the latest probe was sent. */
+  private readonly probedAt = new Map<GroupId, number>();
 
   constructor(private readonly options: PrimaryMonitorOptions) {}
 
@@ -53,10 +64,25 @@
       const isWaiting = health.inFlight > 0 && sinceReplyMs > rules.probeAfterMs;
       const isIdle = sinceReplyMs > rules.idleProbeAfterMs && actsFirst(record.group);
       const failing = health.failingSince ?? this.deposedSince(record.group);
-      if (isWaiting || isIdle || failing !== undefined) void this.probe(record.group);
+      const needsProbe = isWaiting || isIdle || failing !== undefined;
+      if (needsProbe || this.needsWatermark(record, now)) void this.probe(record.group);
     }
   }
 
+  /**
+   * Whether bounded reads need a watermark of a primary that receives no new work: no statement asks it for its
+   * position any more.
+   */
+  private needsWatermark({ group, primary, phase }: PrimaryRecord, now: number): boolean {
+    const { board, directory, home } = this.options;
+    if (phase !== RecordPhase.Serving || !directory.isHome(group)) return false;
+    if (receivesNewWork(board.departures.get(primary), now)) return false;
+    const newestAt = home(group).marks.newest?.sentAt ?? Number.NEGATIVE_INFINITY;
+    const probedAt = this.probedAt.get(group) ?? Number.NEGATIVE_INFINITY;
+    const intervalMs = shortestStalenessMs(board, group) * WATERMARK_SHARE;
+    return now - Math.max(newestAt, probedAt) > intervalMs;
+  }
+
   /** Time for which the primary has been failing for this host, milliseconds; 0 while it replies. */
   failedMs(group: GroupId, now: number): number {
     const since = this.healthOf(group)?.failingSince;
@@ -102,6 +128,7 @@
     const pool = record && home(group).pool(record.primary);
     if (record === undefined || pool === undefined) return false;
     const startedAt = performance.now();
+    this.probedAt.set(group, startedAt);
     const floor = home(group).primaryFloor(pool.entry.id);
     const result = await probe.query(pool.entry, group, rules.probeTimeoutMs);
     const now = performance.now();
@@ -116,8 +143,33 @@
       !home(group).detectLogLoss(pool.entry.id, floor, reportedPosition(result));
     if (reached) health.noteAlive(now);
     else health.noteFailure(now, startedAt - rules.probeAfterMs);
+    if (reached) this.recordWatermark(record, startedAt, result, now);
     return reached;
   }
+
+  /** Adds the watermark of a probe that the primary of `record` has answered, if it receives no new work. */
+  private recordWatermark(
+    record: PrimaryRecord,
+    sentAt: number,
+    result: ProbeResult,
+    now: number,
+  ): void {
+    const { board, home } = this.options;
+    // A claimed record names the former primary under the epoch of the next one.
+    if (record.phase !== RecordPhase.Serving) return;
+    if (receivesNewWork(board.departures.get(record.primary), now)) return;
+    if (result.kind !== 'status' || result.applied === undefined) return;
+    home(record.group).addWatermark(record, { sentAt, position: result.applied }, now);
+  }
+}
+
+/** Shortest maximum staleness of the bounded reads of a group, milliseconds; Infinity if it has none. */
+function shortestStalenessMs({ catalog }: GatewayBoard, group: GroupId): number {
+  const routes = [...(catalog?.routes.values() ?? [])];
+  const bounded = routes.filter(
+    (route) => route.group === group && route.consistency !== Consistency.Primary,
+  );
+  return Math.min(...bounded.map(({ maxStalenessMs }) => maxStalenessMs));
 }
 
 /** Whether the upstream replied and did not report itself as a replica; an overloaded one reports no role. */
