test(gateway): a lagging successor that stays is found only after hosts stop writing

The scenario in whole-group-leaving.feature with one lagging upstream that does not drain passed as well where the preparation of a planned change chose no other upstream than the draining one: the change then came after the writes had ended. It now requires one change while hosts write, which is stricter than at most one.

--- a/packages/gateway/tests/whole-group-leaving.feature
+++ b/packages/gateway/tests/whole-group-leaving.feature
@@ -13,7 +13,7 @@
   Scenario: The only upstream of a group that does not drain lags, and a replica confirms commits
     Given 3 hosts that serve a group whose commits 1 replica acknowledges
     When one replica lags, all other upstreams report draining, and hosts write for 4000 ms
-    Then the primary was changed at most once
+    Then the primary was changed once while hosts wrote
     And another upstream becomes the primary under one fence
     And the new primary is u2
 
--- a/packages/gateway/tests/whole-group-leaving.steps.ts
+++ b/packages/gateway/tests/whole-group-leaving.steps.ts
@@ -93,3 +93,7 @@
     `${told.join(' ')}; writes ${JSON.stringify([...this.counts])}, longest ${String(Math.round(this.longestMs))} ms`,
   );
 });
+
+Then('the primary was changed once while hosts wrote', function (this: WholeWorld) {
+  assert.equal(this.deployment.group.promotions.length, 1);
+});
