--- a/packages/gateway/tests/fakes/fake-group.ts
+++ b/packages/gateway/tests/fakes/fake-group.ts
@@ -87,13 +87,21 @@
     this.onPromotion(req);
     chosen.term = Math.max(...[...this.upstreams.values()].map(({ term }) => term)) + 1;
     chosen.isPrimary = true;
+    for (const follower of this.followers) follower.term = chosen.term;
     return Promise.resolve(ok(PromotionResult.Done));
   }
 
+  /** Replicas that receive what the primary sends. */
+  private get followers(): readonly FakeUpstream[] {
+    return [...this.upstreams.values()].filter(
+      ({ isPrimary, dead, deaf }) => !isPrimary && !dead && !deaf,
+    );
+  }
+
   commit(primary: FakeUpstream): void {
     primary.offset += 1;
-    for (const upstream of this.upstreams.values()) {
-      if (upstream.isPrimary || upstream.dead || upstream.deaf) continue;
+    for (const upstream of this.followers) {
+      upstream.term = Math.max(upstream.term, primary.term);
       if (upstream.lagMs === 0) upstream.offset = primary.offset;
       else receiveLater(upstream, primary.offset);
     }
