fix(gateway): a statement after an idle timeout is refused as misuse of the session

Callers saw: MALFORMED ("statement does not fit the state of the session", which promises nothing) in answer to a statement that fits all they had been told. They had rested inside a transaction, and the last answer said that it is open.

Cause: the idle timeout of a session rolls its transaction back and marks it as failed without a message to the caller, as the protocol requires. The next statement was then treated like one that follows a reported failure. The refusal `transaction-idle`, which tells that nothing is kept, was made and dropped.

Evidence: ten rows added to session.feature; eight failed on the code before ("session-misuse" or "transaction-lost" in place of "transaction-idle").

Ruled out: a message to the caller when the timeout expires. Callers take anything that arrives while nothing is asked for as an answer to nothing.

Change: the session keeps that refusal until the next statement and answers with it. It is counted when it is told, no longer when the timeout expires: the counter has one entry per refused statement, the log line `transaction-idle` one per timeout.

Why it holds: the timeout is the only place that fails a transaction outside the answer to a statement; all others return the outcome to the caller.

--- a/packages/gateway/src/entry/request-recorder.ts
+++ b/packages/gateway/src/entry/request-recorder.ts
@@ -1,7 +1,8 @@
 /**
  * Records the outcome of every statement in the metrics, and in the log if it failed.
  */
-import { RefusalReason, REFUSAL_RULES } from '@gladespool/coordination';
+import type { RefusalReason } from '@gladespool/coordination';
+import { REFUSAL_RULES } from '@gladespool/coordination';
 import type { HostMetrics, LogFields, Logger } from '@gladespool/observability';
 import { ServedBy } from '@gladespool/observability';
 import type { GatewayBoard } from '../knowledge/board.js';
@@ -65,9 +66,8 @@
     this.metrics.refusals.inc({ reason });
   }
 
-  /** Records that a transaction was rolled back after it had been idle for `idleMs`. */
+  /** Logs that a transaction was rolled back after it had been idle for `idleMs`; its next statement is refused. */
   recordIdleTimeout(database: string, idleMs: number): void {
-    this.metrics.refusals.inc({ reason: RefusalReason.TransactionIdle });
     this.log.info('transaction-idle', { database, idle_ms: idleMs });
   }
 }
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -71,6 +71,8 @@
   pinned: OpenTransaction | undefined;
   hasWritten: boolean;
   failed: boolean;
+  /** Why this host ended the transaction while it was idle, until the caller has been told. */
+  pendingRefusal: Outcome | undefined;
 }
 
 /** Maximum number of session values, and of prepared statements, of a session; more indicate a faulty caller. */
@@ -136,7 +138,9 @@
   }
 
   private async dispatch(id: string, statement: Statement, now: number): Promise<Outcome> {
-    if (this.transaction?.failed === true) return this.handleAfterFailure(statement);
+    if (this.transaction?.failed === true) {
+      return this.handleAfterFailure(statement, this.transaction);
+    }
     switch (statement.kind) {
       case StatementKind.Begin:
         return this.begin(statement.readOnly, now);
@@ -224,8 +228,15 @@
     }
     const admitted = await this.admitOperation(now);
     if (admitted.isErr()) return admitted.error;
-    const state = { readOnly, beganAt: now, pinned: undefined, hasWritten: false, failed: false };
-    this.transaction = { ...state, place: admitted.value };
+    this.transaction = {
+      readOnly,
+      beganAt: now,
+      place: admitted.value,
+      pinned: undefined,
+      hasWritten: false,
+      failed: false,
+      pendingRefusal: undefined,
+    };
     return DONE;
   }
 
@@ -290,17 +301,22 @@
     return DONE;
   }
 
-  /** Handles a statement in a failed transaction, which was rolled back when it failed: accepts only its end. */
-  private handleAfterFailure(statement: Statement): Outcome {
+  /**
+   * Handles a statement in a failed transaction, which was rolled back when it failed: accepts only its end. The first
+   * statement after an idle timeout is told of it, since the caller still took the transaction for open.
+   */
+  private handleAfterFailure(statement: Statement, transaction: SessionTransaction): Outcome {
+    const { pendingRefusal } = transaction;
+    transaction.pendingRefusal = undefined;
     if (statement.kind === StatementKind.Rollback) {
       this.transaction = undefined;
       return DONE;
     }
     if (statement.kind === StatementKind.Commit) {
       this.transaction = undefined;
-      return refused(RefusalReason.TransactionLost, 'rolled back');
+      return pendingRefusal ?? refused(RefusalReason.TransactionLost, 'rolled back');
     }
-    return refused(RefusalReason.SessionMisuse, 'transaction has failed');
+    return pendingRefusal ?? refused(RefusalReason.SessionMisuse, 'transaction has failed');
   }
 
   private workOf(
@@ -354,10 +370,11 @@
   }
 
   private startIdleTimer(): void {
-    if (this.transaction?.pinned === undefined) return;
+    const { transaction } = this;
+    if (transaction?.pinned === undefined) return;
     const idleMs = this.context.board.catalog?.transactionIdleMs ?? DEFAULT_IDLE_MS;
     this.idleTimer = setTimeout(() => {
-      this.fail(refused(RefusalReason.TransactionIdle));
+      transaction.pendingRefusal = this.fail(refused(RefusalReason.TransactionIdle));
       this.context.recorder.recordIdleTimeout(this.database, idleMs);
     }, idleMs);
   }
--- a/packages/gateway/tests/session.feature
+++ b/packages/gateway/tests/session.feature
@@ -48,6 +48,26 @@
     Given a session with an open transaction and an idle time of 20 ms
     Then it is rolled back automatically and the session is "failed"
 
+  # Guards against a misuse error, which promises nothing, for a statement that fits all that its caller was told.
+  Scenario Outline: A caller whose transaction was ended while it was idle is told so by its next statement
+    Given a session with an open transaction and an idle time of 20 ms
+    Then it is rolled back automatically and the session is "failed"
+    When its caller goes on with "<statements>"
+    Then the session ends up "<state>" and the answers are "<answers>"
+
+    Examples:
+      | statements             | state  | answers                           |
+      | READ x                 | failed | transaction-idle                  |
+      | WRITE x 1              | failed | transaction-idle                  |
+      | COMMIT                 | idle   | transaction-idle                  |
+      | ROLLBACK               | idle   | done                              |
+      | SET zone a             | failed | transaction-idle                  |
+      | EXECUTE s 1            | failed | transaction-idle                  |
+      | READ x,READ x          | failed | transaction-idle,session-misuse   |
+      | READ x,COMMIT          | idle   | transaction-idle,transaction-lost |
+      | READ x,ROLLBACK,READ x | idle   | transaction-idle,done,rows        |
+      | ROLLBACK,READ x        | idle   | done,rows                         |
+
   Scenario: The next read of a session must show its own commit
     When a caller sends "WRITE x 1,READ x" in turn
     Then the read was required to show the commit
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -237,6 +237,10 @@
   },
 );
 
+When('its caller goes on with {string}', async function (this: SessionWorld, statements: string) {
+  await send(this, statements.split(','));
+});
+
 Given('a session whose transaction is being opened', async function (this: SessionWorld) {
   open(this);
   this.executor.gate = new Promise((resolve) => {
