fix(gateway): the pause of a host counts as rest of its callers

Callers saw: their transaction was ended as idle although they had rested for less than the idle timeout, and a session was refused with MALFORMED ("no start message in time") although its start message had been sent in time. Their host, or the one that ran the transaction, had not run meanwhile.

Cause: three plain timers, of idle transactions at the host of the caller, of idle transactions at the host that runs them, and of the start message. After a pause of the process overdue timers run before the sockets are read, so what had arrived in time was found too late.

Ruled out: a restart of the timer after each pause. A caller that is gone would keep its upstream connection for another full timeout; it is enough to read first what has arrived.

Change: the three use TimeLimit, as exchanges with hosts and upstreams do.

Left as they are, by reading: the handshake of a link (dialed again), the wait for replies through a relay (counts as silence of hosts, which costs time only), the wait for a pooled connection (its deadline has passed).

--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import { RefusalReason } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
+import { TimeLimit } from '@gladespool/protocol';
 import { refused } from '../model/outcome.js';
 import type { CallerCodec, CallerMessage } from './caller-codec.js';
 import type { SessionContext } from './session.js';
@@ -35,14 +36,14 @@
   /** Whether the connection closes after the current statement even if a transaction is open. */
   private endsTransaction = false;
   private isClosed = false;
-  private readonly startTimer: NodeJS.Timeout;
+  private readonly startLimit: TimeLimit;
 
   constructor(private readonly options: CallerConnectionOptions) {
     const { socket, startTimeoutMs } = options;
     socket.setNoDelay(true);
-    this.startTimer = setTimeout(() => {
+    this.startLimit = new TimeLimit(startTimeoutMs, () => {
       this.refuse(RefusalReason.SessionMisuse, 'no start message in time');
-    }, startTimeoutMs);
+    });
     socket.on('data', (chunk) => {
       this.receive(chunk);
     });
@@ -157,7 +158,7 @@
   }
 
   private start(database: string, who: string): void {
-    clearTimeout(this.startTimer);
+    this.startLimit.clear();
     const { board } = this.options.session;
     if (this.session !== undefined) {
       this.refuse(RefusalReason.SessionMisuse, 'second start message');
@@ -192,7 +193,7 @@
   private endSession(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    clearTimeout(this.startTimer);
+    this.startLimit.clear();
     this.session?.close();
     this.options.onClose();
   }
--- a/packages/gateway/src/entry/session.ts
+++ b/packages/gateway/src/entry/session.ts
@@ -20,6 +20,7 @@
   executionStatusOf,
   RefusalReason,
 } from '@gladespool/coordination';
+import { TimeLimit } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { GatewayBoard } from '../knowledge/board.js';
@@ -87,7 +88,7 @@
   /** Groups whose latest own commit was confirmed without a position. */
   private readonly commitsWithoutPosition = new Set<GroupId>();
   private transaction: SessionTransaction | undefined;
-  private idleTimer: NodeJS.Timeout | undefined;
+  private idleLimit: TimeLimit | undefined;
   private closed = false;
 
   private readonly key: KeyHash;
@@ -115,7 +116,7 @@
 
   /** Handles one statement that arrived at `now`. */
   async handle(id: string, statement: Statement, now: number): Promise<SessionAnswer> {
-    clearTimeout(this.idleTimer);
+    this.idleLimit?.clear();
     const outcome = await this.dispatch(id, statement, now);
     this.context.recorder.recordOutcome({
       id,
@@ -125,14 +126,14 @@
       arrivedAt: now,
     });
     if (this.closed) this.close();
-    else this.startIdleTimer();
+    else this.startIdleLimit();
     return { outcome, state: this.state };
   }
 
   /** Closes the session; an open transaction is rolled back. */
   close(): void {
     this.closed = true;
-    clearTimeout(this.idleTimer);
+    this.idleLimit?.clear();
     this.transaction?.pinned?.rollback();
     this.transaction = undefined;
   }
@@ -369,14 +370,14 @@
     }
   }
 
-  private startIdleTimer(): void {
+  private startIdleLimit(): void {
     const { transaction } = this;
     if (transaction?.pinned === undefined) return;
     const idleMs = this.context.board.catalog?.transactionIdleMs ?? DEFAULT_IDLE_MS;
-    this.idleTimer = setTimeout(() => {
+    this.idleLimit = new TimeLimit(idleMs, () => {
       transaction.pendingRefusal = this.fail(refused(RefusalReason.TransactionIdle));
       this.context.recorder.recordIdleTimeout(this.database, idleMs);
-    }, idleMs);
+    });
   }
 }
 
--- a/packages/gateway/src/forward/forward-service.ts
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -6,7 +6,7 @@
 import { RefusalReason } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
-import { ForwardOperation, FrameKind } from '@gladespool/protocol';
+import { ForwardOperation, FrameKind, TimeLimit } from '@gladespool/protocol';
 import type { GatewayBoard } from '../knowledge/board.js';
 import type { Executor, OpenTransaction, StepJob } from '../home/job.js';
 import type { Outcome } from '../model/outcome.js';
@@ -20,7 +20,7 @@
   readonly link: PeerLink;
   readonly transaction: OpenTransaction;
   /** Rolls the transaction back when it has been idle for too long. */
-  idleTimer: NodeJS.Timeout | undefined;
+  idleLimit: TimeLimit | undefined;
 }
 
 /** Idle timeout of transactions before a configuration is known, milliseconds. */
@@ -82,7 +82,7 @@
       case ForwardOperation.Commit: {
         const held = this.find(link, frame.transaction);
         if (held === undefined) return served(refused(RefusalReason.TransactionLost));
-        clearTimeout(held.idleTimer);
+        held.idleLimit?.clear();
         this.held.delete(frame.transaction);
         return served(await held.transaction.commit(frame.request, now - frame.arrivedMs));
       }
@@ -102,9 +102,9 @@
     if (opened.isErr()) return served(opened.error);
     const handle = this.nextHandle;
     this.nextHandle += 1;
-    const held = { link, transaction: opened.value, idleTimer: undefined };
+    const held = { link, transaction: opened.value, idleLimit: undefined };
     this.held.set(handle, held);
-    this.startIdleTimer(handle, held);
+    this.startIdleLimit(handle, held);
     if (!link.ready) this.rollBack(handle);
     if (first === undefined) return { handle, outcome: undefined };
     return { handle, outcome: await this.step(link, handle, decodeStep(frame, first, now)) };
@@ -120,24 +120,24 @@
   private async step(link: PeerLink, handle: number, step: StepJob): Promise<Outcome> {
     const held = this.find(link, handle);
     if (held === undefined) return refused(RefusalReason.TransactionLost);
-    clearTimeout(held.idleTimer);
+    held.idleLimit?.clear();
     const outcome = await held.transaction.run(step);
     if (outcome.kind !== 'completed') this.held.delete(handle);
-    else this.startIdleTimer(handle, held);
+    else this.startIdleLimit(handle, held);
     return outcome;
   }
 
-  private startIdleTimer(handle: number, held: HeldTransaction): void {
+  private startIdleLimit(handle: number, held: HeldTransaction): void {
     const idleMs = this.board.catalog?.transactionIdleMs ?? DEFAULT_IDLE_MS;
-    held.idleTimer = setTimeout(() => {
+    held.idleLimit = new TimeLimit(idleMs + IDLE_SLACK_MS, () => {
       this.rollBack(handle);
-    }, idleMs + IDLE_SLACK_MS);
+    });
   }
 
   private rollBack(handle: number): void {
     const held = this.held.get(handle);
     if (held === undefined) return;
-    clearTimeout(held.idleTimer);
+    held.idleLimit?.clear();
     held.transaction.rollback();
     this.held.delete(handle);
   }
--- a/packages/gateway/tests/session.steps.ts
+++ b/packages/gateway/tests/session.steps.ts
@@ -17,6 +17,7 @@
 import { createLogger, HostMetrics } from '@gladespool/observability';
 import type { Result } from 'neverthrow';
 import { ok } from 'neverthrow';
+import { pauseProcess } from './fakes/paused-process.js';
 import type {
   Executor,
   OpenTransaction,
@@ -237,6 +238,14 @@
   },
 );
 
+When(
+  'its host is paused for {int} ms, and meanwhile its caller goes on with {string}',
+  async function (this: SessionWorld, pauseMs: number, statements: string) {
+    await pauseProcess(pauseMs);
+    await send(this, statements.split(','));
+  },
+);
+
 When('its caller goes on with {string}', async function (this: SessionWorld, statements: string) {
   await send(this, statements.split(','));
 });
--- a/packages/gateway/tests/transaction-handles.steps.ts
+++ b/packages/gateway/tests/transaction-handles.steps.ts
@@ -10,6 +10,7 @@
 import type { Executor, OpenTransaction, StepJob } from '../src/home/job.js';
 import { GatewayBoard } from '../src/knowledge/board.js';
 import type { Outcome } from '../src/model/outcome.js';
+import { pauseProcess } from './fakes/paused-process.js';
 
 type ForwardRequest = FrameOf<FrameKind.ForwardRequest>;
 type ForwardReply = FrameOf<FrameKind.ForwardReply>;
@@ -25,6 +26,8 @@
 }
 
 const STATEMENT_MS = 600_000;
+/** Idle timeout of transactions, milliseconds, where none is given. */
+const DEFAULT_IDLE_MS = 3000;
 const COMPLETED: Outcome = { kind: 'completed', rows: [], signature: 's', committed: undefined };
 
 /** An open transaction that records what is done with it. */
@@ -62,9 +65,12 @@
   }
 }
 
-function startHome(world: HandleWorld): void {
+function startHome(world: HandleWorld, transactionIdleMs = DEFAULT_IDLE_MS): void {
+  const board = new GatewayBoard(hostId('home'), azId('z'));
+  const empty = { routes: new Map(), groups: new Map(), workspaces: new Map() };
+  board.putCatalog({ version: 1, ...empty, keys: undefined, transactionIdleMs });
   world.home = new RecordingHome();
-  world.service = new ForwardService(world.home, new GatewayBoard(hostId('home'), azId('z')));
+  world.service = new ForwardService(world.home, board);
 }
 
 /** Sends a frame from `host` to the home and returns the reply to a request. */
@@ -143,6 +149,31 @@
   },
 );
 
+Given(
+  'a caller at host {string} with a transaction open at a home, and an idle time of {int} ms',
+  async function (this: HandleWorld, host: string, transactionIdleMs: number) {
+    startHome(this, transactionIdleMs);
+    this.handle = await begin(this, host, 'own');
+  },
+);
+
+When(
+  /^the home is paused for (\d+) ms, and meanwhile the first caller's (statement|commit) arrives$/,
+  async function (this: HandleWorld, pauseMs: string, what: string) {
+    await pauseProcess(Number(pauseMs));
+    await sendFor(this, 'h1', what);
+  },
+);
+
+Then(
+  /^the first caller's (statement|commit) is run in its transaction$/,
+  async function (this: HandleWorld, what: string) {
+    assert.equal(this.reply?.outcome?.kind, 'completed');
+    if (what === 'statement') await sendFor(this, 'h1', 'commit');
+    assert.equal(this.transaction.isEnded, true);
+  },
+);
+
 When(
   'the home restarts, and a caller at host {string} begins a transaction there',
   async function (this: HandleWorld, host: string) {
