fix(gateway): a prepared shape with a blank can replace the shape of another session

Callers would have seen: an EXECUTE that runs another session's shape.

Cause: the name of a prepared shape on upstream connections contained the shape as it is. A shape with a blank was sent as a name of one word, followed by a definition that the caller chose: `q READ z` redefines `read_q`, which the sessions with shape `q` share.

Evidence: prepared-names.feature, 3 of 5 rows failed on the code before.

Change: the shape is percent-encoded in the name.

After: 5 of 5 rows pass.

Why it holds: the encoding is injective and contains no blank. Names without special characters stay as they were, so hosts of both versions share connections of an upstream without harm.

--- a/packages/gateway/src/home/prepared-connection.ts
+++ b/packages/gateway/src/home/prepared-connection.ts
@@ -96,7 +96,10 @@
   }
 }
 
-/** Name of a prepared shape on upstream connections; the same for every session, so that sessions share it. */
+/**
+ * Name of a prepared shape on upstream connections; the same for every session, so that sessions share it. It is one
+ * word and differs for each shape.
+ */
 function preparedNameOf(prepared: PreparedStatement): string {
-  return `${prepared.access}_${prepared.shape}`;
+  return `${prepared.access}_${encodeURIComponent(prepared.shape)}`;
 }
