fix(gateway): a stopping host neither runs nor answers what a caller sent behind a statement

Callers saw: a statement that was sent before the answer to the one before, and that the host had read, got no answer when the host stopped: the connection closed after the answer to the first.

Cause: from half of the grace period on a connection closes after its current statement, and what is queued behind it was dropped. Class: a limit of the stop that acts on what is at rest or in progress, and forgets what waits.

Change: queued statements are refused as not run before the connection closes, both after the answer to the current statement and when that is abandoned; each is counted.

Why it holds: `handleQueue` and `abandonStatement` are the only places that close a connection with a queue.

--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -83,6 +83,7 @@
       session.recorder.countRefusal(reason);
       const outcome = refused(reason, 'host is stopping');
       this.write(codec.encodeAnswer({ outcome, state: this.session.state }));
+      this.refuseQueue();
     }
     if (!this.isClosed) this.closeSocket();
   }
@@ -117,9 +118,22 @@
     }
     this.isHandling = false;
     if (this.isClosed || !this.isClosing) return;
+    if (this.endsTransaction) this.refuseQueue();
     if (this.endsTransaction || this.isIdle) this.closeSocket();
   }
 
+  /** Refuses the statements that have arrived and are not going to run, before the connection closes. */
+  private refuseQueue(): void {
+    for (const message of this.queue.splice(0)) {
+      if (message.kind !== 'statement' || this.session === undefined) continue;
+      const { codec, session } = this.options;
+      const reason = RefusalReason.Draining;
+      session.recorder.countRefusal(reason);
+      const outcome = refused(reason, 'host is stopping');
+      this.write(codec.encodeAnswer({ outcome, state: this.session.state }));
+    }
+  }
+
   private async handle(message: CallerMessage): Promise<void> {
     switch (message.kind) {
       case 'start':
