fix(gateway): a stopping host cuts off the statements that it runs for other hosts

Callers saw: ABORTED or INDOUBT for statements in progress, although the only thing that happened was the planned stop of a host that they weren't connected to.

Cause: the stop waits for the connections of the host's own callers, and then closes its connections to upstreams and hosts. Nothing waited for the work that other hosts had forwarded, and new work was taken until the last moment.

Evidence: 7 hosts as processes, two of three zones with one host that runs the statements of the others, transactions of twelve reads of 300 ms, hosts stopped in turn for 20 s.

Ruled out: a home that is slow to stop (it stopped after 3.2 s of 6); lost links (none in these runs); statements longer than the grace period (300 ms).

Change: once the host's own callers are gone, and from half of the grace period on at the latest, new work of other hosts is refused as not run, and they run it elsewhere.

Why it holds: the host closes its links only when no forwarded request is unanswered and no transaction is held, or at the same limit as for its own callers. What stays: a transaction at rest at half of the grace period is rolled back, and its next statement is refused as not kept.

--- a/packages/gateway/src/forward/forward-service.ts
+++ b/packages/gateway/src/forward/forward-service.ts
@@ -1,12 +1,14 @@
 /**
  * Runs the statements that other hosts forward on this host's own upstream connections, and rolls back their
- * transactions when the link to them is lost.
+ * transactions when the link to them is lost. Before the host stops, ends this work gracefully.
  */
 import { randomInt } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
 import { RefusalReason } from '@gladespool/coordination';
 import type { PeerHandler, PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { ForwardOperation, FrameKind, TimeLimit } from '@gladespool/protocol';
+import type { DrainTimes } from '../entry/caller-server.js';
 import type { GatewayBoard } from '../knowledge/board.js';
 import type { Executor, OpenTransaction, StepJob } from '../home/job.js';
 import type { Outcome } from '../model/outcome.js';
@@ -19,6 +21,8 @@
 interface HeldTransaction {
   readonly link: PeerLink;
   readonly transaction: OpenTransaction;
+  /** Whether a statement is running. */
+  isRunning: boolean;
   /** Rolls the transaction back when it has been idle for too long. */
   idleLimit: TimeLimit | undefined;
 }
@@ -35,6 +39,8 @@
  * from before a restart of this host must not reach a transaction that another caller has opened since.
  */
 const MAX_FIRST_HANDLE = 2 ** 47;
+/** Interval at which a drain checks whether all work has ended, milliseconds. */
+const POLL_MS = 20;
 
 /** Outcome of a request, with the handle of the transaction that it opened, or 0. */
 interface ServeResult {
@@ -46,6 +52,12 @@
 export class ForwardService implements PeerHandler {
   private readonly held = new Map<number, HeldTransaction>();
   private nextHandle = randomInt(1, MAX_FIRST_HANDLE);
+  /** Number of requests without a reply so far. */
+  private running = 0;
+  /** Whether new work is refused, since the host is about to stop. */
+  private isDraining = false;
+  /** Whether transactions are ended as soon as no statement of theirs is running. */
+  private endsTransactions = false;
 
   constructor(
     private readonly executor: Executor,
@@ -62,8 +74,27 @@
     for (const [handle, held] of this.held) if (held.link === link) this.rollBack(handle);
   }
 
+  /**
+   * Ends the work of other hosts, which have to run new work elsewhere from now on. The deadlines of `times` count
+   * from `startedAt`.
+   */
+  async drain(times: DrainTimes, startedAt: number): Promise<void> {
+    this.isDraining = true;
+    await this.waitUntilIdle(startedAt + times.transactionsMs);
+    this.endsTransactions = true;
+    for (const [handle, held] of this.held) if (!held.isRunning) this.rollBack(handle);
+    await this.waitUntilIdle(startedAt + times.statementsMs);
+  }
+
+  private async waitUntilIdle(deadline: number): Promise<void> {
+    const isBusy = (): boolean => this.running > 0 || this.held.size > 0;
+    while (isBusy() && performance.now() < deadline) await pause(POLL_MS);
+  }
+
   private async answer(link: PeerLink, frame: ForwardRequest): Promise<void> {
+    this.running += 1;
     const { handle, outcome } = await this.serve(link, frame, performance.now());
+    this.running -= 1;
     const sent = link.send(encodeReply(frame.id, handle, outcome));
     if (!sent && handle !== 0) this.rollBack(handle);
   }
@@ -73,6 +104,7 @@
     switch (frame.operation) {
       case ForwardOperation.Run:
         if (frame.route === undefined || work === undefined) return incompleteRequest();
+        if (this.isDraining) return served(refused(RefusalReason.Draining));
         return served(await this.executor.run({ ...decodeJob(frame, frame.route, now), work }));
       case ForwardOperation.Begin:
         return this.begin(link, frame, work, now);
@@ -97,15 +129,16 @@
     now: number,
   ): Promise<ServeResult> {
     if (frame.route === undefined) return incompleteRequest();
+    if (this.isDraining) return served(refused(RefusalReason.Draining));
     const job = { ...decodeJob(frame, frame.route, now), readOnly: frame.readOnly };
     const opened = await this.executor.begin(job);
     if (opened.isErr()) return served(opened.error);
     const handle = this.nextHandle;
     this.nextHandle += 1;
-    const held = { link, transaction: opened.value, idleLimit: undefined };
+    const held = { link, transaction: opened.value, isRunning: false, idleLimit: undefined };
     this.held.set(handle, held);
     this.startIdleLimit(handle, held);
-    if (!link.ready) this.rollBack(handle);
+    if (!link.ready || this.endsTransactions) this.rollBack(handle);
     if (first === undefined) return { handle, outcome: undefined };
     return { handle, outcome: await this.step(link, handle, decodeStep(frame, first, now)) };
   }
@@ -121,8 +154,11 @@
     const held = this.find(link, handle);
     if (held === undefined) return refused(RefusalReason.TransactionLost);
     held.idleLimit?.clear();
+    held.isRunning = true;
     const outcome = await held.transaction.run(step);
+    held.isRunning = false;
     if (outcome.kind !== 'completed') this.held.delete(handle);
+    else if (this.endsTransactions) this.rollBack(handle);
     else this.startIdleLimit(handle, held);
     return outcome;
   }
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -2,6 +2,7 @@
  * One gateway host: wires the caller server, the homes (connection pools of the groups), the routing and the
  * control plane together around the shared board. Protocols and the platform are injected as interfaces.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import type { GroupId, Topology } from '@gladespool/coordination';
 import { SeededRandom } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
@@ -67,6 +68,7 @@
   private readonly executor: LocalExecutor;
   private readonly control: ControlPlane;
   private readonly callers: CallerServer;
+  private readonly forwards: ForwardService;
   private readonly isolation: IsolationGuard;
   private timer: NodeJS.Timeout | undefined;
   /** Runs the statements of sessions, on this host or on another one. */
@@ -90,7 +92,8 @@
       home: (group) => this.executor.home(group),
     });
     const local = this.createWatermarkExecutor();
-    this.control.network.addHandler(new ForwardService(local, this.board));
+    this.forwards = new ForwardService(local, this.board);
+    this.control.network.addHandler(this.forwards);
     this.routing = this.createRouting(local);
     this.limits = this.createLimits();
     this.callers = this.createCallers();
@@ -128,15 +131,20 @@
   }
 
   /**
-   * Planned stop: closes sessions as they become idle, then closes upstream connections and deregisters the host.
+   * Planned stop: closes sessions as they become idle, ends the work of other hosts, then closes upstream connections
+   * and deregisters the host.
    */
   async drain(): Promise<void> {
     this.log.info('draining');
     this.board.draining = true;
     clearInterval(this.timer);
     const { drain } = this.options.rules;
-    const deregisterAt = performance.now() + drain.deregisterMs;
-    await this.callers.drain(drain);
+    const startedAt = performance.now();
+    const deregisterAt = startedAt + drain.deregisterMs;
+    const callersClosed = this.callers.drain(drain);
+    // Other hosts are sent elsewhere as late as possible, since some of them need new upstream connections then.
+    await Promise.race([callersClosed, pause(drain.transactionsMs, undefined, { ref: false })]);
+    await Promise.all([callersClosed, this.forwards.drain(drain, startedAt)]);
     this.executor.stop();
     await this.control.stop(deregisterAt - performance.now());
     this.log.info('stopped');
--- a/packages/gateway/tests/transaction-handles.steps.ts
+++ b/packages/gateway/tests/transaction-handles.steps.ts
@@ -1,19 +1,11 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { Access, azId, Consistency, hostId } from '@gladespool/coordination';
-import type { PeerLink } from '@gladespool/peers';
-import type { Frame, FrameOf } from '@gladespool/protocol';
+import type { Frame } from '@gladespool/protocol';
 import { ForwardOperation, FrameKind } from '@gladespool/protocol';
-import type { Result } from 'neverthrow';
-import { ok } from 'neverthrow';
-import { ForwardService } from '../src/forward/forward-service.js';
-import type { Executor, OpenTransaction, StepJob } from '../src/home/job.js';
-import { GatewayBoard } from '../src/knowledge/board.js';
-import type { Outcome } from '../src/model/outcome.js';
+import type { ForwardService } from '../src/forward/forward-service.js';
 import { pauseProcess } from './fakes/paused-process.js';
-
-type ForwardRequest = FrameOf<FrameKind.ForwardRequest>;
-type ForwardReply = FrameOf<FrameKind.ForwardReply>;
+import type { ForwardReply, RecordingTransaction } from './fakes/recording-home.js';
+import { RecordingHome, requestOf, sendFrom, serviceOf } from './fakes/recording-home.js';
 
 interface HandleWorld {
   home: RecordingHome;
@@ -25,97 +17,13 @@
   reply: ForwardReply | undefined;
 }
 
-const STATEMENT_MS = 600_000;
-/** Idle timeout of transactions, milliseconds, where none is given. */
-const DEFAULT_IDLE_MS = 3000;
-const COMPLETED: Outcome = { kind: 'completed', rows: [], signature: 's', committed: undefined };
-
-/** An open transaction that records what is done with it. */
-class RecordingTransaction implements OpenTransaction {
-  readonly statements: string[] = [];
-  isEnded = false;
-
-  run(step: StepJob): Promise<Outcome> {
-    this.statements.push(step.id);
-    return Promise.resolve(COMPLETED);
-  }
-
-  commit(): Promise<Outcome> {
-    this.isEnded = true;
-    return Promise.resolve(COMPLETED);
-  }
-
-  rollback(): void {
-    this.isEnded = true;
-  }
-}
-
-/** Home on whose upstreams transactions are opened. */
-class RecordingHome implements Executor {
-  readonly opened: RecordingTransaction[] = [];
-
-  run(): Promise<Outcome> {
-    return Promise.resolve(COMPLETED);
-  }
-
-  begin(): Promise<Result<OpenTransaction, Outcome>> {
-    const transaction = new RecordingTransaction();
-    this.opened.push(transaction);
-    return Promise.resolve(ok(transaction));
-  }
-}
-
-function startHome(world: HandleWorld, transactionIdleMs = DEFAULT_IDLE_MS): void {
-  const board = new GatewayBoard(hostId('home'), azId('z'));
-  const empty = { routes: new Map(), groups: new Map(), workspaces: new Map() };
-  board.putCatalog({ version: 1, ...empty, keys: undefined, transactionIdleMs });
+function startHome(world: HandleWorld, transactionIdleMs?: number): void {
   world.home = new RecordingHome();
-  world.service = new ForwardService(world.home, board);
-}
-
-/** Sends a frame from `host` to the home and returns the reply to a request. */
-async function send(world: HandleWorld, host: string, frame: Frame): Promise<ForwardReply> {
-  return new Promise((resolve) => {
-    const link = {
-      host,
-      ready: true,
-      send: (reply: ForwardReply) => {
-        resolve(reply);
-        return true;
-      },
-    };
-    world.service.onFrame(link as unknown as PeerLink, frame);
-  });
+  world.service = serviceOf(world.home, transactionIdleMs);
 }
 
-function requestOf(
-  operation: ForwardOperation,
-  request: string,
-  transaction: number,
-): ForwardRequest {
-  const route = {
-    database: 'db',
-    group: 'g',
-    consistency: Consistency.Primary,
-    maxStalenessMs: 0,
-    timeoutMs: STATEMENT_MS,
-    targetLatencyMs: STATEMENT_MS,
-    priority: 1,
-    isPublic: false,
-  };
-  return {
-    kind: FrameKind.ForwardRequest,
-    id: 1,
-    operation,
-    request,
-    transaction,
-    route,
-    readOnly: false,
-    work: { access: Access.Write, text: request },
-    values: [],
-    beganMs: 0,
-    arrivedMs: 0,
-  };
+function send(world: HandleWorld, host: string, frame: Frame): Promise<ForwardReply> {
+  return sendFrom(host, world.service, frame);
 }
 
 /** Begins a transaction for a caller at `host`, with a statement `name`. */
