--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -265,8 +265,8 @@
 
   /**
    * Names the successor in the record before its promotion is first requested. A promotion may take effect long
-   * after the request was abandoned: with another upstream named meanwhile, callers missed 50,000 confirmed
-   * commits in four seconds (three hosts, the successor stopped for 4.5 s after the request).
+   * after the request was abandoned. With another upstream named meanwhile, two primaries would accept writes, and
+   * those confirmed by one of them would be lost.
    *
    * @returns the claim with the named successor; undefined when this host no longer holds the claim
    */
--- a/packages/gateway/src/forward/routed-executor.ts
+++ b/packages/gateway/src/forward/routed-executor.ts
@@ -116,8 +116,7 @@
   /**
    * Whether this host is not a home, has just started, and the homes are near the upstreams: it then opens no
    * upstream connections of its own. When all hosts restart at once, each would open some, and an upstream that has
-   * to accept so many at once serves none in time: with 61 hosts killed at once, 98 attempts on six primaries timed
-   * out within two seconds, and no statement was served for three seconds.
+   * to accept so many at once serves none in time.
    */
   private mustLeaveToHomes(group: GroupId, now: number): boolean {
     const { directory, startedAt } = this.options;
