--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -70,7 +70,7 @@
       | b:primary:2.60,c:replica:2.58 | 1       | b         | leads         | 2      | the same                               |
       | b:primary:1.60                | unknown | b         | leads         | 1      | nothing tells of a later term          |
 
-  # A replica that had received nothing was promoted in place of a draining one, and confirmed commits were lost.
+  # Guards against the promotion of a replica that lacks confirmed commits, in place of a draining one that holds them.
   Scenario Outline: The successor holds every confirmed commit, even if only a draining upstream does
     Given upstreams reporting "<reports>"
     When "a" was the primary of a group with <replicas> replicas, <sync> of which confirm
--- a/packages/gateway/tests/transaction-handles.feature
+++ b/packages/gateway/tests/transaction-handles.feature
@@ -1,6 +1,7 @@
 Feature: A transaction never continues inside the transaction of another caller
 
-  # A home that restarted gave out the handles of its former process again.
+  # Guards against statements, commits and rollbacks in another caller's transaction, whose home has issued the handle
+  # again after a restart.
   Scenario Outline: The home restarts, and another caller begins a transaction there
     Given a caller at host "h1" with a transaction open at a home
     When the home restarts, and a caller at host "<other>" begins a transaction there
@@ -17,6 +18,7 @@
       | h2    | commit    |
       | h2    | rollback  |
 
+  # Guards against the same where two hosts hold equal handles.
   Scenario Outline: A host names the handle of another host's transaction
     Given a caller at host "h1" with a transaction open at a home
     When host "h2" sends a <request> with the handle of that transaction
