fix(gateway): a connection that waits for its last bytes to be read is closed a second time

Callers saw nothing: a second end of the same socket is reported to its callback only. Since a connection counts as open until its socket is closed, a drain or an isolated host may ask it to close again; that is ignored now.

--- a/packages/gateway/src/entry/caller-connection.ts
+++ b/packages/gateway/src/entry/caller-connection.ts
@@ -96,6 +96,7 @@
    * read nor run.
    */
   private closeSocket(): void {
+    if (this.isClosed) return;
     const { socket } = this.options;
     this.endSession();
     socket.pause();
