fix(gateway): count a claim's acknowledgements against every host list in use

Cause: a renewal of a proof takes more than half of a host list that may be 20 s old; a claim took more than half of the newest list. After joins the two majorities need not share a host. The same holds for hosts that others have retired: they still hold a list on which they are a majority, and a claim waited 1.1 s from their removal only.

Change: a claim is acted on only if the hosts that have not acknowledged it are a majority of no list in use. An acknowledging host outweighs one that does not answer only if it is on each such list: it joined before the position up to which all hosts are known to have the list, or more than 20.1 s ago. Sync requests and replies carry that position. A process that replaces the entry of its predecessor keeps the position at which that one joined. Whoever retires a host leaves a note, and the host counts as silent until its list and proof have expired. A renewal counts against the list that the host holds when the round ends.

Why it holds: each list in use contains all established hosts that have acknowledged, and these are at least as many as the hosts that have not; so those are at most half of it and cannot renew without an acknowledging host, whose reply carries the claim.

--- a/packages/coordination/src/authority/authority.ts
+++ b/packages/coordination/src/authority/authority.ts
@@ -6,9 +6,9 @@
  * its proof has expired.
  *
  * While the store is unavailable, other hosts can renew a proof: more than half of the listed hosts
- * have to state that they have acknowledged no claim. A change of primary needs acknowledgements
- * from more than half as well, so at least one host answers both requests, and it answers the
- * renewal before it acknowledges the claim.
+ * have to state that they have acknowledged no claim. A change of primary needs so many
+ * acknowledgements (`isClaimQuorum`) that at least one host answers both requests, and it answers
+ * the renewal before it acknowledges the claim.
  */
 import type { StartTime } from '../membership/upstream-identity.js';
 import { mayBeSameStartTime } from '../membership/upstream-identity.js';
@@ -27,8 +27,7 @@
   readonly marginMs: number;
   /**
    * Time for which the host list may be used for renewals, milliseconds. Hosts that join in the
-   * meantime are not in it, and if there are enough of them, a majority of the list is no majority
-   * of all hosts.
+   * meantime are not in it, so they cannot outweigh hosts that do not answer before it has passed.
    */
   readonly hostListTtlMs: number;
 }
@@ -90,11 +89,11 @@
 
 /**
  * Local time by which every host that does not answer has certainly released the former primary:
- * its proof dates from before the claim, or was renewed before more than half of the hosts had
- * acknowledged the claim.
+ * its proof dates from before the claim, or was renewed before enough hosts had acknowledged the
+ * claim, at `quorumAt`.
  */
-export function proofsExpiredAt(majorityAckedAt: number, rules: AuthorityRules): number {
-  return majorityAckedAt + rules.proofTtlMs + rules.marginMs;
+export function proofsExpiredAt(quorumAt: number, rules: AuthorityRules): number {
+  return quorumAt + rules.proofTtlMs + rules.marginMs;
 }
 
 /** Whether `count` hosts are more than half of `listed` hosts. */
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -26,6 +26,7 @@
 export * from './load/retry-limiter.js';
 export * from './load/retry-budget.js';
 export * from './authority/authority.js';
+export * from './authority/claim-quorum.js';
 export * from './load/connection-share.js';
 export * from './reads/watermark-log.js';
 export * from './authority/primary-outage.js';
--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -6,7 +6,7 @@
 import { azId, EventLoopMonitor } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { ControlTraffic, createLogger, DISTANCE_LABELS } from '@gladespool/observability';
-import type { PeerAddress } from '@gladespool/peers';
+import type { PeerAddress, PeerDial } from '@gladespool/peers';
 import { PeerNetwork } from '@gladespool/peers';
 import type { GatewayBoard, HostEntry } from '../knowledge/board.js';
 import type { HomeDirectory } from '../knowledge/home-directory.js';
@@ -21,6 +21,7 @@
 import { EraOpener } from './store/era-opener.js';
 import { GuardedStore } from './store/guarded-store.js';
 import { HostRound } from './hosts/host-round.js';
+import { HostListTracker } from './hosts/host-list-tracker.js';
 import { HostRetirer } from './hosts/host-retirer.js';
 import type { MetadataStore } from './store/metadata-store.js';
 import { PeerCalls } from '../peering/peer-calls.js';
@@ -52,6 +53,7 @@
   readonly reachability: ReachabilityReports;
   readonly directory: HomeDirectory;
   readonly peerKey: Buffer;
+  readonly dial?: PeerDial;
   readonly seeds: readonly PeerAddress[];
   readonly rules: GatewayRules;
   readonly metrics: HostMetrics;
@@ -70,6 +72,7 @@
   private readonly view: StoreView;
   private readonly store: MetadataStore;
   private readonly order: RelayOrder;
+  private readonly lists: HostListTracker;
   private readonly follower: StoreFollower;
   private readonly registrar: HostRegistrar;
   private readonly proofs: ProofRenewer;
@@ -100,8 +103,12 @@
     });
     this.store = new GuardedStore(store, this.view, this.log);
     this.order = new RelayOrder(board);
+    const { authority } = rules.home;
+    this.lists = new HostListTracker({
+      ...{ board, view: this.view, order: this.order, authority, metrics },
+    });
     this.follower = this.createFollower();
-    this.registrar = new HostRegistrar(self, board, this.store, this.log);
+    this.registrar = new HostRegistrar(self, board, this.store, this.view, this.log);
     this.proofs = this.createProofs();
     this.initialRecords = new InitialRecordWriter({
       board,
@@ -112,10 +119,10 @@
     this.network = this.createNetwork();
     this.calls = new PeerCalls(this.network, this.log);
     this.round = new HostRound({ board, order: this.order, calls: this.calls });
-    const { view, calls, round, log } = this;
+    const { view, lists, calls, round, log } = this;
     this.documents = new DocumentExchange({ view, calls, log });
     this.sync = this.createSync();
-    this.responder = new SyncResponder({ board, view, proofs: this.proofs });
+    this.responder = new SyncResponder({ board, view, proofs: this.proofs, lists });
     this.renewer = this.createRenewer();
     this.retirer = this.createRetirer();
     this.opener = this.createOpener();
@@ -165,6 +172,7 @@
   private tick(): void {
     const now = performance.now();
     const isOnTime = this.loop.recordTick(now);
+    this.lists.tick(now);
     this.sync.tick(now);
     if (isOnTime) this.runTimeouts(now);
     else this.log.info('host-paused', { late_ms: Math.round(this.loop.delayMs) });
@@ -204,11 +212,11 @@
   }
 
   private createNetwork(): PeerNetwork {
-    const { self, board, peerKey, metrics } = this.options;
+    const { self, board, peerKey, dial = connect, metrics } = this.options;
     const { host, az, incarnation } = self;
     return new PeerNetwork({
       identity: { host, az, key: peerKey, incarnation },
-      dial: (port, address) => connect(port, address),
+      dial,
       handshakeTimeoutMs: HANDSHAKE_TIMEOUT_MS,
       onControlBytes: (bytes) => {
         metrics.controlBytes.inc({ traffic: ControlTraffic.Peers }, bytes);
@@ -231,6 +239,7 @@
       follower: this.follower,
       order: this.order,
       documents: this.documents,
+      lists: this.lists,
       calls: this.calls,
       loop: this.loop,
       seeds,
@@ -241,8 +250,11 @@
 
   private createRetirer(): HostRetirer {
     const { board, rules } = this.options;
-    const { store, view, calls, round, log } = this;
-    return new HostRetirer({ board, view, store, calls, round, rules: rules.retirement, log });
+    const { store, view, order, lists, calls, round, log } = this;
+    return new HostRetirer({
+      ...{ board, view, store, order, lists, calls, round },
+      ...{ rules: rules.retirement, log },
+    });
   }
 
   private createOpener(): EraOpener {
@@ -291,6 +303,7 @@
         store: this.store,
         view: this.view,
         proofs: this.proofs,
+        lists: this.lists,
         calls: this.calls,
         round: this.round,
         probe: this.probe,
--- a/packages/gateway/src/control/hosts/host-retirer.ts
+++ b/packages/gateway/src/control/hosts/host-retirer.ts
@@ -9,11 +9,13 @@
 import type { Frame, FrameOf } from '@gladespool/protocol';
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
+import type { RelayOrder } from '../../knowledge/relay-order.js';
+import type { HostListTracker } from './host-list-tracker.js';
 import type { HostRound } from './host-round.js';
 import type { MetadataStore } from '../store/metadata-store.js';
 import { changeResultText, StorePurpose } from '../store/metadata-store.js';
 import type { PeerCalls } from '../../peering/peer-calls.js';
-import { hostKey } from '../store/store-documents.js';
+import { hostKey, retiredHostKey } from '../store/store-documents.js';
 import type { StoreView } from '../store/store-view.js';
 
 /** Dependencies of the retirer. */
@@ -21,6 +23,8 @@
   readonly board: GatewayBoard;
   readonly view: StoreView;
   readonly store: MetadataStore;
+  readonly order: RelayOrder;
+  readonly lists: Pick<HostListTracker, 'expiredRetirements'>;
   readonly calls: PeerCalls;
   readonly round: HostRound;
   readonly rules: RetirementRules;
@@ -61,6 +65,7 @@
 
   private async runRound(): Promise<void> {
     this.running = true;
+    await this.removeExpiredNotes(performance.now());
     for (const entry of this.hostsInPingOrder()) {
       if (await this.isReachable(entry)) {
         this.unreachableSince.delete(entry.host);
@@ -126,14 +131,30 @@
     };
   }
 
-  /** Removes the entry unless it has been rewritten meanwhile. */
-  private async retire(entry: HostEntry): Promise<void> {
+  /**
+   * Removes the entry unless it has been rewritten meanwhile. The note tells hosts that start later that the process may
+   * still use its proof, unlike one that has removed its own entry.
+   */
+  private async retire({ host }: HostEntry): Promise<void> {
     const { store, view, log } = this.options;
-    const key = hostKey(entry.host);
+    const key = hostKey(host);
     const conditions = [view.conditionOn(key)];
-    const change = { conditions, writes: [], removals: [key] };
+    const note = { key: retiredHostKey(host), value: JSON.stringify({ host }) };
+    const change = { conditions, writes: [note], removals: [key] };
     const result = await store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
-    log.info('host-retired', { retired: entry.host, result: changeResultText(result) });
+    log.info('host-retired', { retired: host, result: changeResultText(result) });
+  }
+
+  /** Removes the notes about hosts whose proofs have expired at `now`; one host does so for all. */
+  private async removeExpiredNotes(now: number): Promise<void> {
+    const { store, view, order, lists, log } = this.options;
+    if (order.zoneRank > 0 || order.rank > 0) return;
+    for (const host of lists.expiredRetirements(now)) {
+      const key = retiredHostKey(host);
+      const change = { conditions: [view.conditionOn(key)], writes: [], removals: [key] };
+      const result = await store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
+      log.info('retired-host-forgotten', { retired: host, result: changeResultText(result) });
+    }
   }
 
   private async replyToIndirectPing(
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -16,6 +16,7 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { StoreItem } from '../store/metadata-store.js';
 import { changeResultText, StorePurpose } from '../store/metadata-store.js';
+import { AcknowledgementTracker } from './acknowledgement-tracker.js';
 import type { PromotionCause } from './promotion-cause.js';
 import { isPlanned } from './promotion-cause.js';
 import type { PromotionContext } from './promotion-context.js';
@@ -214,27 +215,25 @@
    * Ensures that no host uses the former primary any more. Hosts that register later read the claim before they
    * hold a proof.
    *
-   * @returns local time from which that holds; undefined when the host list cannot be read or no majority of the
-   *   listed hosts replies
+   * @returns local time from which that holds; undefined when the host list cannot be read, or hosts that do not
+   *   reply may renew proofs without learning of the claim
    */
   private async revoke(claim: RecordClaim): Promise<number | undefined> {
     if (!(await this.ctx.proofs.read())) return undefined;
-    let acked = 1;
-    let majorityAt = claim.confirmedAt;
-    const { others, unknown } = this.ctx.round;
-    const listed = others.length + unknown.length + 1;
+    const { round, lists, self, authority } = this.ctx;
+    const others = round.others.map((entry) => entry.host);
+    const acks = new AcknowledgementTracker(lists, [self.host, ...others, ...round.unknown]);
+    acks.add(self.host, claim.confirmedAt);
     const question = { kind: FrameKind.RevokeRequest, id: 0, item: claim.item } as const;
-    const answered = await this.ctx.round.requestAll(question, REVOKE_TIMEOUT_MS, () => {
-      if (isMajority(acked, listed)) return;
-      acked += 1;
-      majorityAt = performance.now();
+    await round.requestAll(question, REVOKE_TIMEOUT_MS, ({ host }) => {
+      acks.add(host, performance.now());
     });
-    const silent = others.filter((entry) => !answered.has(entry.host)).length + unknown.length;
-    this.log.info('promotion-revoked', { listed, silent });
     const now = performance.now();
-    if (silent === 0) return Math.max(now, this.removedHostsExpireAt());
-    if (!isMajority(listed - silent, listed)) return undefined;
-    return proofsExpiredAt(majorityAt, this.ctx.authority);
+    const { listed, acknowledged, established, retired } = acks.update(now);
+    const silent = listed - acknowledged;
+    this.log.info('promotion-revoked', { listed, silent, established, retired });
+    if (silent + retired === 0) return Math.max(now, this.removedHostsExpireAt());
+    return acks.quorumAt === undefined ? undefined : proofsExpiredAt(acks.quorumAt, authority);
   }
 
   /** Local time from which hosts that were removed from the list hold no valid proof. */
--- a/packages/gateway/src/control/promotion/promotion-context.ts
+++ b/packages/gateway/src/control/promotion/promotion-context.ts
@@ -7,6 +7,7 @@
 import type { HomeDirectory } from '../../knowledge/home-directory.js';
 import type { UpstreamProbe } from '../../home/upstream-probe.js';
 import type { ClaimLock } from './claim-lock.js';
+import type { HostListTracker } from '../hosts/host-list-tracker.js';
 import type { HostRound } from '../hosts/host-round.js';
 import type { MetadataStore } from '../store/metadata-store.js';
 import type { PeerCalls } from '../../peering/peer-calls.js';
@@ -23,6 +24,7 @@
   readonly store: MetadataStore;
   readonly view: StoreView;
   readonly proofs: ProofRenewer;
+  readonly lists: HostListTracker;
   readonly calls: PeerCalls;
   readonly round: HostRound;
   readonly probe: UpstreamProbe;
--- a/packages/gateway/src/control/proofs/peer-proof-renewer.ts
+++ b/packages/gateway/src/control/proofs/peer-proof-renewer.ts
@@ -75,29 +75,33 @@
   }
 
   private async renew(sentAt: number): Promise<void> {
-    const { proofs, self, round } = this.options;
-    const list = proofs.latestHostList;
-    if (list?.hosts.get(self.host) !== self.incarnation) return;
+    const { self, round } = this.options;
+    if (this.findOwnList() === undefined) return;
     this.isRunning = true;
     const { host, incarnation } = self;
     const request = { kind: FrameKind.RenewRequest, id: 0, host, incarnation } as const;
-    let answered = 1;
+    const replies: RoundReply[] = [];
     await round.requestAll(request, TIMEOUT_MS, (reply) => {
-      if (this.acceptReply(reply, list)) answered += 1;
+      this.options.view.applyItems(reply.items, performance.now());
+      replies.push(reply);
     });
     this.isRunning = false;
+    // Other hosts may know by now that this one has a later list than at the beginning of the round.
+    const list = this.findOwnList();
+    if (list === undefined) return;
+    const answered = 1 + replies.filter((reply) => isFromListed(reply, list)).length;
     const renewal = { listed: list.listed, answered, listReadAt: list.readAt };
     const isValid = isRenewalValid(renewal, performance.now(), this.options.authority);
     this.noteRound(isValid, answered, list.listed);
     this.failedRounds = isValid ? 0 : this.failedRounds + 1;
-    if (isValid) proofs.acceptPeerRenewal(sentAt, list);
+    if (isValid) this.options.proofs.acceptPeerRenewal(sentAt, list);
   }
 
-  /** Whether the reply is from the very process that is listed; applies the records that it carries. */
-  private acceptReply({ host, incarnation, items }: RoundReply, list: HostList): boolean {
-    if (list.hosts.get(host) !== incarnation) return false;
-    this.options.view.applyItems(items, performance.now());
-    return true;
+  /** The latest list of hosts if this process is on it. */
+  private findOwnList(): HostList | undefined {
+    const { proofs, self } = this.options;
+    const list = proofs.latestHostList;
+    return list?.hosts.get(self.host) === self.incarnation ? list : undefined;
   }
 
   private noteRound(isValid: boolean, answered: number, listed: number): void {
@@ -121,3 +125,8 @@
     this.options.log.info('proof-renewed-by-store');
   }
 }
+
+/** Whether the reply is from the very process that is listed. */
+function isFromListed({ host, incarnation }: RoundReply, list: HostList): boolean {
+  return list.hosts.get(host) === incarnation;
+}
--- a/packages/gateway/src/control/proofs/sync-responder.ts
+++ b/packages/gateway/src/control/proofs/sync-responder.ts
@@ -9,6 +9,7 @@
 import { FrameKind } from '@gladespool/protocol';
 import type { GatewayBoard } from '../../knowledge/board.js';
 import { BoardSection } from '../../knowledge/board.js';
+import type { HostListTracker } from '../hosts/host-list-tracker.js';
 import type { ProofRenewer } from './proof-renewer.js';
 import type { StoreView } from '../store/store-view.js';
 
@@ -26,6 +27,7 @@
   readonly board: GatewayBoard;
   readonly view: StoreView;
   readonly proofs: Pick<ProofRenewer, 'forwardableTo'>;
+  readonly lists: Pick<HostListTracker, 'noteRequest' | 'settled'>;
 }
 
 /** A request that waits for a reply. */
@@ -61,6 +63,7 @@
 
   onFrame(link: PeerLink, frame: Frame): void {
     if (frame.kind !== FrameKind.SyncRequest) return;
+    this.options.lists.noteRequest(frame);
     const entry = { link, request: frame, arrivedAt: performance.now() };
     if (frame.waitMs > 0 && !this.hasNewerProof(entry)) this.pending.push(entry);
     else this.sendReply(entry);
@@ -86,7 +89,7 @@
   }
 
   private sendReply({ link, request, arrivedAt }: PendingRequest): void {
-    const { view } = this.options;
+    const { view, lists } = this.options;
     const reply: SyncReply = {
       kind: FrameKind.SyncReply,
       id: request.id,
@@ -94,6 +97,7 @@
       newest: view.newest,
       documentsPosition: view.documentsPosition,
     };
+    if (lists.settled.revision > 0) reply.settledList = lists.settled;
     const own = view.ownChangesSince(request.ownPosition);
     if (own !== undefined) {
       reply.own = { ...own, items: [...own.items], removed: [...own.removed] };
--- a/packages/gateway/src/control/proofs/sync-service.ts
+++ b/packages/gateway/src/control/proofs/sync-service.ts
@@ -14,6 +14,7 @@
 import type { GatewayBoard, HostEntry } from '../../knowledge/board.js';
 import { BoardSection } from '../../knowledge/board.js';
 import type { DocumentExchange } from '../store/document-exchange.js';
+import type { HostListTracker } from '../hosts/host-list-tracker.js';
 import type { PeerCalls } from '../../peering/peer-calls.js';
 import type { ProofRenewer } from './proof-renewer.js';
 import { ProofOutcome, ProofDiagnostics } from './proof-diagnostics.js';
@@ -72,6 +73,7 @@
   readonly follower: StoreFollower;
   readonly order: RelayOrder;
   readonly documents: DocumentExchange;
+  readonly lists: Pick<HostListTracker, 'zoneListsToSend' | 'acceptSettled'>;
   readonly calls: PeerCalls;
   readonly loop: Pick<EventLoopMonitor, 'pausedMsSince'>;
   /** Addresses of hosts to contact before any host is known. */
@@ -286,8 +288,9 @@
 
   /** @returns whether a reply renewed this host's proof */
   private async request(peer: PeerAddress, waitMs: number): Promise<boolean> {
-    const { self, view, calls, board, rules } = this.options;
+    const { self, view, calls, board, lists, rules } = this.options;
     const sentAt = performance.now();
+    const zoneLists = lists.zoneListsToSend(sentAt);
     const { host, incarnation } = self;
     const { latestProofAt } = board;
     if (waitMs > 0) this.diagnostics.noteRequest(sentAt);
@@ -298,6 +301,7 @@
       heard: laterOf(this.newestKnown, view.newest),
       waitMs,
       ...(Number.isFinite(latestProofAt) && { proofAgeMs: sentAt - latestProofAt }),
+      ...(zoneLists.length > 0 && { zoneLists }),
     };
     const result = await calls.request(
       peer,
@@ -314,8 +318,9 @@
 
   /** Applies the reply to a request that was sent at `sentAt`. */
   private acceptReply(reply: SyncReply, peer: PeerAddress, sentAt: number): void {
-    const { view, documents } = this.options;
-    const { own, proof, documentsAgeMs } = reply;
+    const { view, documents, lists } = this.options;
+    const { own, proof, documentsAgeMs, settledList } = reply;
+    if (settledList !== undefined) lists.acceptSettled(settledList);
     this.newestKnown = laterOf(this.newestKnown, reply.newest);
     if (own !== undefined) view.applyOwnChanges(own, performance.now());
     if (own !== undefined && !isLater(reply.documentsPosition, view.position)) {
--- a/packages/gateway/src/control/store/registrar.ts
+++ b/packages/gateway/src/control/store/registrar.ts
@@ -8,6 +8,7 @@
 import type { MetadataStore, StoreItem } from './metadata-store.js';
 import { changeResultText, StorePurpose } from './metadata-store.js';
 import { hostKey } from './store-documents.js';
+import type { StoreView } from './store-view.js';
 
 /** Timeout for writing the entry, milliseconds. */
 const WRITE_TIMEOUT_MS = 1500;
@@ -33,7 +34,10 @@
 
 /** Registers one host in the store and removes it when it stops. */
 export class HostRegistrar {
-  /** Whether the store refused the last attempt because it is in a newer era than this host knows. */
+  /**
+   * Whether the store refused the last attempt: it is in a newer era than this host knows, or the former entry of this
+   * host has changed.
+   */
   isRefused = false;
   private writing = false;
   private notBefore = Number.NEGATIVE_INFINITY;
@@ -44,6 +48,7 @@
     private readonly self: HostEntry,
     private readonly board: GatewayBoard,
     private readonly store: MetadataStore,
+    private readonly view: Pick<StoreView, 'has' | 'conditionOn' | 'listedSince'>,
     private readonly log: Logger,
   ) {}
 
@@ -67,9 +72,14 @@
     // A host that began to drain during the measurement has already looked for its entry, and would stay listed.
     if (this.board.draining) return undefined;
     const sentAt = performance.now();
-    const entry: HostEntry = { ...this.self, storeRoundTripMs: this.storeRoundTripMs };
-    const write = { key: hostKey(this.self.host), value: JSON.stringify(entry) };
-    const change = { conditions: [], writes: [write], removals: [] };
+    const key = hostKey(this.self.host);
+    const { storeRoundTripMs } = this;
+    // The position is valid only if the entry from which it is taken has not been removed meanwhile.
+    const former = this.view.has(key) ? this.view.conditionOn(key) : undefined;
+    const listedSince = former && this.view.listedSince(this.self.host);
+    const entry: HostEntry = { ...this.self, storeRoundTripMs, listedSince };
+    const write = { key, value: JSON.stringify(entry) };
+    const change = { conditions: former ? [former] : [], writes: [write], removals: [] };
     const result = await this.store.change(change, StorePurpose.Register, WRITE_TIMEOUT_MS);
     this.isRefused = result.isOk() && result.value.kind === 'conflict';
     if (result.isOk() && result.value.kind === 'done') {
--- a/packages/gateway/src/control/store/stale-versions.ts
+++ b/packages/gateway/src/control/store/stale-versions.ts
@@ -3,6 +3,7 @@
  * versions that the host already knows.
  */
 import type { StorePosition } from '@gladespool/coordination';
+import { DEFAULT_AUTHORITY, retiredProofMs } from '@gladespool/coordination';
 import type { StoreDocument } from './document-cache.js';
 import type { StoreItem } from './metadata-store.js';
 
@@ -38,6 +39,7 @@
 
 /** Time for which a document that the store has lost is retained, milliseconds. */
 export function retainMissingForMs({ kind }: StoreDocument): number {
+  if (kind === 'retired-host') return retiredProofMs(DEFAULT_AUTHORITY);
   if (kind === 'host') return MISSING_HOST_MS;
   return kind === 'evacuation' ? MISSING_EVACUATION_MS : Number.POSITIVE_INFINITY;
 }
--- a/packages/gateway/src/control/store/store-documents.ts
+++ b/packages/gateway/src/control/store/store-documents.ts
@@ -3,7 +3,7 @@
  */
 import type { GroupId, HostId, PrimaryRecord } from '@gladespool/coordination';
 import { azId, groupId, hostId, RecordPhase, upstreamId } from '@gladespool/coordination';
-import { MAX_ENTRY_CHARS, parseUntrustedJson } from '@gladespool/protocol';
+import { MAX_ENTRY_CHARS, parseUntrustedJson, storePositionSchema } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import * as z from 'zod';
@@ -14,6 +14,7 @@
 /** Prefix of every key of the gateway. */
 export const OWN_PREFIX = 'gladespool/';
 const HOST_PREFIX = `${OWN_PREFIX}host/`;
+const RETIRED_PREFIX = `${OWN_PREFIX}retired/`;
 const PRIMARY_PREFIX = `${OWN_PREFIX}primary/`;
 const ERA_PREFIX = `${OWN_PREFIX}era/`;
 /** Key of the promotion lease. */
@@ -50,8 +51,11 @@
   incarnation: nonNegativeInt,
   linkMbps: z.number().nonnegative().default(0),
   storeRoundTripMs: z.number().nonnegative().optional(),
+  listedSince: storePositionSchema.optional(),
 });
 
+const retiredHostSchema = z.object({ host: z.string().transform(hostId) });
+
 const promotionLeaseSchema = z.object({
   holder: z.string().transform(hostId),
   incarnation: nonNegativeInt,
@@ -72,6 +76,8 @@
 /** A document that the gateway has written to the store. */
 export type OwnDocument =
   | { readonly kind: 'host'; readonly entry: HostEntry }
+  /** Notes that a host was removed from the list by another one, and may still use its proof. */
+  | { readonly kind: 'retired-host'; readonly host: HostId }
   | { readonly kind: 'primary'; readonly record: PrimaryRecord }
   | { readonly kind: 'duty'; readonly duty: PromotionLeaseRecord }
   /** Marks an era of the store as one that has all documents of the gateway. */
@@ -82,6 +88,11 @@
   return `${HOST_PREFIX}${host}`;
 }
 
+/** Key of the note that a host was retired. */
+export function retiredHostKey(host: string): string {
+  return `${RETIRED_PREFIX}${host}`;
+}
+
 /** Key of a group's record. */
 export function primaryKey(group: string): string {
   return `${PRIMARY_PREFIX}${group}`;
@@ -97,6 +108,11 @@
   return key.startsWith(PRIMARY_PREFIX) ? groupId(key.slice(PRIMARY_PREFIX.length)) : undefined;
 }
 
+/** The retired host that the note under `key` is about; undefined if it is not the key of such a note. */
+export function retiredHostOfKey(key: string): HostId | undefined {
+  return key.startsWith(RETIRED_PREFIX) ? hostId(key.slice(RETIRED_PREFIX.length)) : undefined;
+}
+
 /** The host whose entry is stored under `key`; undefined if it is not the key of a host entry. */
 export function hostOfKey(key: string): HostId | undefined {
   return key.startsWith(HOST_PREFIX) ? hostId(key.slice(HOST_PREFIX.length)) : undefined;
@@ -114,6 +130,10 @@
       marker.map(({ catalogVersion }) => ({ kind: 'era', catalogVersion }) as const),
     );
   }
+  if (key.startsWith(RETIRED_PREFIX)) {
+    const note = parseUntrustedJson(retiredHostSchema, text, MAX_ENTRY_CHARS);
+    return toReadResult(note.map((decoded) => ({ kind: 'retired-host', ...decoded }) as const));
+  }
   if (key !== PROMOTION_LEASE_KEY) return UNRELATED_KEY;
   const duty = parseUntrustedJson(promotionLeaseSchema, text, MAX_ENTRY_CHARS);
   return toReadResult(duty.map((decoded) => ({ kind: 'duty', duty: decoded }) as const));
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -2,7 +2,12 @@
  * Local view of the store's documents, and the rules by which they are applied to the board.
  */
 import { setTimeout as pause } from 'node:timers/promises';
-import type { ExpiryRules, SeenPromotionLease, StorePosition } from '@gladespool/coordination';
+import type {
+  ExpiryRules,
+  HostId,
+  SeenPromotionLease,
+  StorePosition,
+} from '@gladespool/coordination';
 import { isLater, laterOf, OUTDATED_AFTER_MS, STORE_START } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../../knowledge/board.js';
@@ -15,7 +20,14 @@
 import { DocumentVersions } from './document-versions.js';
 import type { StoreCondition, StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
 import { RetainedDocuments } from './retained-documents.js';
-import { eraKey, groupOfKey, hostKey, OWN_PREFIX, PROMOTION_LEASE_KEY } from './store-documents.js';
+import {
+  eraKey,
+  groupOfKey,
+  hostKey,
+  OWN_PREFIX,
+  PROMOTION_LEASE_KEY,
+  retiredHostOfKey,
+} from './store-documents.js';
 import type { OwnChanges, ViewDelta } from './view-delta.js';
 import { DeltaBuilder } from './view-delta.js';
 
@@ -148,6 +160,25 @@
     return this.versions.lastHostRemovalAt;
   }
 
+  /** Position at which a listed host joined the host list, as its entry tells it; the start if there is no entry. */
+  listedSince(host: HostId): StorePosition {
+    const held = this.cache.get(hostKey(host));
+    if (held?.kind !== 'host') return STORE_START;
+    const { position } = held.item;
+    const { listedSince } = held.entry;
+    // Positions of another era say nothing about when the host joined the list of this one.
+    return listedSince?.era === position.era ? listedSince : position;
+  }
+
+  /** Hosts that others have removed from the list, with the positions of the notes about it. */
+  get retirements(): readonly (readonly [HostId, StorePosition])[] {
+    return this.cache.keys.flatMap((key) => {
+      const host = retiredHostOfKey(key);
+      const position = this.cache.positionOf(key);
+      return host === undefined || position === undefined ? [] : [[host, position] as const];
+    });
+  }
+
   /** Position of the store up to which this view has all of the gateway's own documents. */
   get ownPosition(): StorePosition {
     return laterOf(this.position, this.ownCompleteTo);
--- a/packages/gateway/src/knowledge/board.ts
+++ b/packages/gateway/src/knowledge/board.ts
@@ -10,6 +10,7 @@
   GroupId,
   HostId,
   PrimaryRecord,
+  StorePosition,
   Topology,
   UpstreamId,
 } from '@gladespool/coordination';
@@ -31,6 +32,11 @@
    * and the read succeeded.
    */
   readonly storeRoundTripMs?: number | undefined;
+  /**
+   * Position of the store at which the host joined the list, if it has not left it since then: a process that replaces
+   * the entry of the one before it copies the position. Undefined in the first entry of a host.
+   */
+  readonly listedSince?: StorePosition | undefined;
 }
 
 /** Sections of the board that listeners can subscribe to. */
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -45,6 +45,7 @@
   usedDocument,
 } from '../../src/index.js';
 import { FakeDriver, FakeGroup, FakeUpstream } from './fake-group.js';
+import { FakeLinks } from './fake-links.js';
 import { FakeStore, FakeStoreClient } from './fake-store.js';
 
 export const DATABASE = 'db1';
@@ -88,6 +89,8 @@
   readonly store: FakeStoreClient;
   readonly driver: FakeDriver;
   readonly metrics: HostMetrics;
+  /** Address at which the other hosts reach it. */
+  readonly address: string;
 }
 
 /** Hosts, a store, and one group of upstreams, three unless said otherwise. */
@@ -95,6 +98,7 @@
   readonly store = new FakeStore();
   readonly group = new FakeGroup();
   readonly hosts: FakeHost[] = [];
+  readonly links = new FakeLinks();
   private readonly network = new LoopbackNetwork();
 
   /** Limit of the workspace of the callers' key; undefined if no keys are required. */
@@ -232,6 +236,7 @@
         throw new Error('no caller connects in these tests');
       },
       peerKey: Buffer.from('test'),
+      dial: this.links.dialFrom(address),
       seeds: [],
       rules: {
         ...RULES,
@@ -244,7 +249,7 @@
       seed: index,
     });
     await gateway.start();
-    this.hosts.push({ gateway, store, driver, metrics });
+    this.hosts.push({ gateway, store, driver, metrics, address });
   }
 
   private putCatalog(): void {
--- a/packages/gateway/tests/first-proof.feature
+++ b/packages/gateway/tests/first-proof.feature
@@ -32,6 +32,20 @@
     When a host reads the store and begins to stop while it measures its round trip
     Then the store lists no host
 
+  # Guards against a fleet that restarts and then cannot promote, since all of its hosts count as having just joined.
+  Scenario: Another process of the host was listed before, and has not left the list
+    Given a store that lists no host
+    When another process of the host has been listed since revision 2
+    And a host reads the store and lists itself
+    Then it joined the list at revision 2
+
+  Scenario: The former process of the host is removed from the list while the next one lists itself
+    Given a store that lists no host
+    When another process of the host has been listed since revision 2
+    And a host reads the store and lists itself, the other process being removed in between
+    Then it lists itself again with its next reads, and holds a proof of then
+    And it joined the list when it listed itself
+
   # Guards against reads that are delayed by a whole tick because a tick came slightly early.
   Scenario Outline: The next read, ticks being 100 ms apart
     Given a store that lists no host
--- a/packages/gateway/tests/first-proof.steps.ts
+++ b/packages/gateway/tests/first-proof.steps.ts
@@ -26,6 +26,7 @@
   renewer: ProofRenewer;
   registrar: HostRegistrar;
   follower: StoreFollower;
+  view: StoreView;
   provenBefore: number;
 }
 
@@ -64,11 +65,12 @@
     expiry: expiryRules(SERVES_ON_MS),
   });
   const follower = new StoreFollower({ store, view, metrics, log, rules: DEFAULT_FOLLOWER });
-  const registrar = new HostRegistrar(self, board, store, log);
+  const registrar = new HostRegistrar(self, board, store, view, log);
   const rules = DEFAULT_PROOF_RULES;
   world.board = board;
   world.client = store;
   world.registrar = registrar;
+  world.view = view;
   world.follower = follower;
   world.renewer = new ProofRenewer({ self, board, store, view, follower, registrar, rules, log });
 }
@@ -88,6 +90,35 @@
   await this.renewer.register();
 });
 
+When(
+  'another process of the host has been listed since revision {int}',
+  function (this: ProofWorld, revision: number) {
+    this.provenBefore = Number.NEGATIVE_INFINITY;
+    const former = { ...SELF, incarnation: SELF.incarnation - 1 };
+    this.store.put(hostKey(SELF.host), former);
+    assert.equal(this.store.revision, revision);
+  },
+);
+
+When(
+  'a host reads the store and lists itself, the other process being removed in between',
+  async function (this: ProofWorld) {
+    await this.follower.readOnce();
+    this.store.remove(hostKey(SELF.host));
+    await this.renewer.register();
+  },
+);
+
+Then('it joined the list at revision {int}', function (this: ProofWorld, revision: number) {
+  assert.deepEqual(this.view.listedSince(SELF.host), { era: 0, revision });
+});
+
+Then('it joined the list when it listed itself', function (this: ProofWorld) {
+  const entry = this.store.items.get(hostKey(SELF.host));
+  assert.ok(entry);
+  assert.deepEqual(this.view.listedSince(SELF.host), entry.position);
+});
+
 When(
   'a host reads the store and lists itself, another one listing itself in between',
   async function (this: ProofWorld) {
--- a/packages/gateway/tests/news-passed-on.steps.ts
+++ b/packages/gateway/tests/news-passed-on.steps.ts
@@ -99,6 +99,7 @@
     view,
     order: new RelayOrder(board),
     follower: { setActive: () => undefined },
+    lists: { zoneListsToSend: () => [], acceptSettled: () => undefined },
     proofs: { failing: false, tick: () => false, msSinceRead: () => undefined },
     calls: {
       request: () => {
--- a/packages/gateway/tests/sync-answers.steps.ts
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { azId, hostId, RecordPhase } from '@gladespool/coordination';
+import { azId, hostId, RecordPhase, STORE_START } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
 import type { PeerLink } from '@gladespool/peers';
 import type { Frame, FrameOf } from '@gladespool/protocol';
@@ -59,6 +59,7 @@
     board: world.board,
     view: world.view,
     proofs: { forwardableTo },
+    lists: { settled: STORE_START, noteRequest: () => undefined },
   });
   world.sent = [];
   const send = (frame: Frame): boolean => {
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -196,6 +196,12 @@
     registers: [this.registry],
   });
 
+  readonly establishedHosts = new Gauge({
+    name: 'gladespool_established_hosts',
+    help: 'Listed hosts that are on every host list that may still be in use; only these outweigh hosts that do not answer',
+    registers: [this.registry],
+  });
+
   readonly evacuatedZones = new Gauge({
     name: 'gladespool_evacuated_zones',
     help: 'Availability zones whose upstreams the operators want out of use',
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -103,6 +103,10 @@
   /** Whether the proof comes from a store response; otherwise from replies of a majority of hosts. */
   isFromStore: z.boolean(),
 });
+
+/** Store position up to which all hosts of a zone that were listed there have the host list. */
+const zoneListSchema = z.object({ az: z.string(), position: storePositionSchema }).readonly();
+
 const bytes = z.custom<Uint8Array>((value) => value instanceof Uint8Array, 'bytes');
 const positionSchema = z.object({ term: count, offset: count }).readonly();
 
@@ -307,6 +311,8 @@
     proofAgeMs: z.number().optional(),
     /** Time for which the reply may be delayed until there is a newer proof or a change, milliseconds. */
     waitMs: count,
+    /** How much of the host list the hosts of whole zones have; sent by the first host of a zone. */
+    zoneLists: z.array(zoneListSchema).optional(),
   }),
   z.object({
     kind: z.literal(FrameKind.SyncReply),
@@ -323,6 +329,8 @@
     documentsAgeMs: z.number().optional(),
     /** A proof that covers the requester; omitted if there is none. */
     proof: forwardedProofSchema.optional(),
+    /** Store position up to which all hosts have the host list; omitted if unknown. */
+    settledList: storePositionSchema.optional(),
   }),
   z.object({
     kind: z.literal(FrameKind.DocumentsRequest),
