fix(peers): treat a host entry with a port that does not exist as unreadable

Cause: the schema of a host's entry took any non-negative integer as port. Connecting to a port above 65,535 throws; in PeerNetwork that rejected a promise that nobody handles, which ends the process, also after each restart.

Change: one schema for ports in documents and messages; a connection that cannot be opened is an error of the link.

Why it holds: an entry with such a port is unreadable, so its host is listed as one that cannot be contacted; and the only call that opens links handles exceptions, whatever the address.

--- a/packages/gateway/src/control/store/store-documents.ts
+++ b/packages/gateway/src/control/store/store-documents.ts
@@ -3,7 +3,12 @@
  */
 import type { GroupId, HostId, PrimaryRecord } from '@gladespool/coordination';
 import { azId, groupId, hostId, RecordPhase, upstreamId } from '@gladespool/coordination';
-import { MAX_ENTRY_CHARS, parseUntrustedJson, storePositionSchema } from '@gladespool/protocol';
+import {
+  MAX_ENTRY_CHARS,
+  parseUntrustedJson,
+  portSchema,
+  storePositionSchema,
+} from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import * as z from 'zod';
@@ -47,7 +52,7 @@
   host: z.string().transform(hostId),
   az: z.string().transform(azId),
   address: z.string(),
-  port: nonNegativeInt,
+  port: portSchema,
   incarnation: nonNegativeInt,
   linkMbps: z.number().nonnegative().default(0),
   storeRoundTripMs: z.number().nonnegative().optional(),
--- a/packages/gateway/tests/store-view.feature
+++ b/packages/gateway/tests/store-view.feature
@@ -44,6 +44,7 @@
       | h2 unreadable                      | u1        | h1 h2 | none    | unreadable |
       | h3 unreadable                      | u1        | h1 h2 | h3      | unreadable |
       | h2 under the key of h3             | u1        | h1 h2 | h3      | unreadable |
+      | h3 at a port that does not exist   | u1        | h1 h2 | h3      | unreadable |
       | a foreign key                      | u1        | h1 h2 | none    | no-concern |
       | an own key of no known kind        | u1        | h1 h2 | none    | no-concern |
 
--- a/packages/gateway/tests/store-view.steps.ts
+++ b/packages/gateway/tests/store-view.steps.ts
@@ -83,6 +83,9 @@
   'h1 unreadable': (now) => [written(broken(hostKey('h1'), now))],
   'h2 unreadable': (now) => [written(broken(hostKey('h2'), now))],
   'h3 unreadable': (now) => [written(broken(hostKey('h3'), now))],
+  'h3 at a port that does not exist': (now) => [
+    written(itemOf(hostKey('h3'), { ...hostEntry('h3'), port: 65_536 }, now)),
+  ],
   'h2 under the key of h3': (now) => [written(itemOf(hostKey('h3'), hostEntry('h2'), now))],
   'a configuration of g1': (now) => [written(itemOf(CONFIG_KEY, config(7, 'g1'), now))],
   'a configuration of g2': (now) => [written(itemOf(CONFIG_KEY, config(8, 'g2'), now))],
--- a/packages/peers/src/peer-network.ts
+++ b/packages/peers/src/peer-network.ts
@@ -111,15 +111,25 @@
   private open(peer: PeerAddress, key: string): PendingLink {
     const place = { step: Step.PeerConnect, peer: `${peer.address}:${peer.port}` };
     if (this.stopped) return Promise.resolve(err(gladespoolError(place, 'host is stopping')));
+    const socket = this.dial(peer);
+    if (socket.isErr()) return Promise.resolve(err(gladespoolError(place, socket.error)));
     return new Promise((resolve) => {
-      const socket = this.options.dial(peer.port, peer.address);
-      const link = this.createLink(socket, HandshakeSide.Dialer, (result) => {
+      const link = this.createLink(socket.value, HandshakeSide.Dialer, (result) => {
         if (result.isOk()) this.outgoing.set(key, link);
         resolve(result);
       });
     });
   }
 
+  /** An address that is none may be refused by an exception; hosts list themselves, so any may occur. */
+  private dial({ port, address }: PeerAddress): Result<Socket, string> {
+    try {
+      return ok(this.options.dial(port, address));
+    } catch (cause) {
+      return err(cause instanceof Error ? cause.message : String(cause));
+    }
+  }
+
   private createLink(
     socket: Socket,
     side: HandshakeSide,
--- a/packages/protocol/src/config/fields.ts
+++ b/packages/protocol/src/config/fields.ts
@@ -3,8 +3,8 @@
  */
 import { isIP } from 'node:net';
 import * as z from 'zod';
+import { MAX_PORT } from '../port.js';
 
-const MAX_PORT = 65_535;
 const NAME = /^[A-Za-z0-9_-]{1,63}$/;
 
 /** Integer in a range, bounds included. */
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -15,6 +15,7 @@
 export * from './config/host-settings.js';
 export * from './config/ini-document.js';
 export * from './json-text.js';
+export * from './port.js';
 export * from './peer/handshake.js';
 export * from './peer/record-frame.js';
 export * from './store-keys.js';
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -11,6 +11,7 @@
   UpstreamFault,
 } from '@gladespool/coordination';
 import * as z from 'zod';
+import { portSchema } from '../port.js';
 import { TransactionStatus } from '../pg/message-type.js';
 import { removedKeySchema, storeItemSchema, storePositionSchema } from './store-documents.js';
 
@@ -138,7 +139,7 @@
     host: z.string(),
     az: z.string(),
     address: z.string(),
-    port: count,
+    port: portSchema,
     /** Start time of the process, so that a restart has a higher incarnation. */
     incarnation: count,
     state: z.enum(MemberState),
