fix(gateway): open an era of a restored store by the hosts of a list in use

What callers saw: nothing; found by reading, as the same cause as that of two primaries after joins.

Cause: whoever opens an era counted more than half of all hosts that might have been listed in the previous one, including hosts that only the restored store lists and hosts that joined in the new era. These may know of no claim, so the count could pass without a host that knows of one that was acted on. Besides, a host that the restored store has lost was dropped from the list after 10 s, though it may renew its proof by its own list for 20 s.

Change: the opener counts the hosts of the list that it held before the era, if it read that at most 20 s before. Otherwise each host must answer or be replaced, or 21 s pass. Lost hosts are dropped after 21.1 s.

Why it holds: a claim is acted on only if the hosts that do not know of it are a majority of no list in use; the opener's list is one, so a majority of it includes a host that knows of the claim. The cost: hosts that all start with a restored store and miss one of its hosts wait 21 s, where more than half was enough.

--- a/packages/coordination/tests/era-opening.steps.ts
+++ b/packages/coordination/tests/era-opening.steps.ts
@@ -20,10 +20,21 @@
 Given(
   '{int} hosts were listed in the previous era, of which {int} answer and {int} are replaced',
   function (this: OpeningWorld, listed: number, answered: number, replaced: number) {
-    this.former = { listed, answered, replaced };
+    this.former = { listed, answered, replaced, held: { listed, answered } };
   },
 );
 
+Given(
+  'the opener held a list of {int} of them, of which {int} answer',
+  function (this: OpeningWorld, listed: number, answered: number) {
+    this.former = { ...this.former, held: { listed, answered } };
+  },
+);
+
+Given('the opener held no list that was valid', function (this: OpeningWorld) {
+  this.former = { ...this.former, held: undefined };
+});
+
 Then(
   /^(\d+) ms after the era was first observed it (may|may not) be opened$/,
   function (this: OpeningWorld, ms: string, may: string) {
--- a/packages/gateway/src/control/store/current-era.ts
+++ b/packages/gateway/src/control/store/current-era.ts
@@ -15,6 +15,10 @@
   since: number;
   /** Hosts, with their incarnations, that may know gateway documents that the era has lost. */
   formerHosts: ReadonlyMap<HostId, number> = new Map();
+  /** Those of them that were listed when this host last read the list before the era. */
+  heldHosts: ReadonlyMap<HostId, number> = new Map();
+  /** Age of that list when the era was observed, milliseconds; Infinity if there is none. */
+  heldListAgeMs = Number.POSITIVE_INFINITY;
   /** Whether the first documents of the era are still being applied. */
   private isLoading = false;
 
@@ -27,11 +31,16 @@
     this.since = startedAt;
   }
 
-  /** Starts `era`, which follows that of position `former`; called before any document of it is applied. */
-  begin(era: number, former: StorePosition, now: number): void {
+  /**
+   * Starts `era`, which follows that of position `former`; called before any document of it is applied. The documents
+   * were last known to match the store at local time `currentAt`.
+   */
+  begin(era: number, former: StorePosition, currentAt: number, now: number): void {
     this.since = now;
     this.isLoading = true;
     this.formerHosts = this.listedProcesses();
+    this.heldHosts = this.formerHosts;
+    this.heldListAgeMs = now - currentAt;
     if (former.revision === 0) return;
     this.log.warn('store-came-back-older', { era, former: formatStorePosition(former) });
     this.metrics.storeRestores.inc();
--- a/packages/gateway/src/control/store/era-opener.ts
+++ b/packages/gateway/src/control/store/era-opener.ts
@@ -2,7 +2,12 @@
  * Opens a new era of the store after it was restored from an older copy: collects from the other hosts the gateway's
  * own documents that the copy lacks, writes them back, and marks the era as one whose documents are complete.
  */
-import type { AuthorityRules, PreviousEraHosts, StorePosition } from '@gladespool/coordination';
+import type {
+  AuthorityRules,
+  HostId,
+  PreviousEraHosts,
+  StorePosition,
+} from '@gladespool/coordination';
 import { claimedRecord, mayOpenEra, initialFence, UNKNOWN_HOST } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { FrameKind } from '@gladespool/protocol';
@@ -72,42 +77,48 @@
     const { view, authority, log } = this.options;
     const { era } = view.ownPosition;
     // Requests are pointless while the era could not be opened even if every host replied.
-    const earliest = {
-      listed: view.currentEra.formerHosts.size,
-      answered: view.currentEra.formerHosts.size,
-      replaced: 0,
-    };
+    const { size } = view.currentEra.formerHosts;
+    const earliest = { listed: size, answered: size, replaced: 0, held: undefined };
     if (!mayOpenEra(earliest, now - view.currentEra.since, authority)) return false;
     const former = await this.collectFromFormerHosts();
     const sinceMs = performance.now() - view.currentEra.since;
     if (view.isEraSettled) return true;
     if (view.ownPosition.era !== era || !mayOpenEra(former, sinceMs, authority)) {
-      log.info('era-not-opened', { era, ...former });
+      log.info('era-not-opened', { era, ...logFieldsOf(former) });
       return false;
     }
     const records = view.lostRecords.map(({ item: { key, value } }) => ({ key, value }));
     const isWritten = await this.writeBack([...this.leaseWrites(former), ...records], era);
-    if (isWritten) log.info('era-opened', { era, ...former, since_ms: Math.round(sinceMs) });
+    if (isWritten)
+      log.info('era-opened', { era, ...logFieldsOf(former), since_ms: Math.round(sinceMs) });
     return isWritten;
   }
 
   /** Requests the documents of all hosts that were listed in the previous era, and applies them. */
   private async collectFromFormerHosts(): Promise<PreviousEraHosts> {
-    const { self, board, view, round } = this.options;
-    const { formerHosts } = view.currentEra;
-    if (formerHosts.size === 0) return { listed: 0, answered: 0, replaced: 0 };
+    const { self, board, view, round, authority } = this.options;
+    const { formerHosts, heldHosts, heldListAgeMs } = view.currentEra;
+    if (formerHosts.size === 0) return { listed: 0, answered: 0, replaced: 0, held: undefined };
     const { host, incarnation } = self;
-    let answered = formerHosts.get(host) === incarnation ? 1 : 0;
+    const replies = new Map([[host, incarnation]]);
     const request = { kind: FrameKind.RenewRequest, id: 0, host, incarnation } as const;
     await round.requestAll(request, REQUEST_TIMEOUT_MS, (answer) => {
       view.applyItems(answer.items, performance.now());
-      if (formerHosts.get(answer.host) === answer.incarnation) answered += 1;
+      replies.set(answer.host, answer.incarnation);
     });
     const replaced = [...formerHosts].filter(([name, process]) => {
       const listed = board.hosts.get(name);
       return listed !== undefined && listed.incarnation !== process;
     });
-    return { listed: formerHosts.size, answered, replaced: replaced.length };
+    return {
+      listed: formerHosts.size,
+      answered: countAnswered(formerHosts, replies),
+      replaced: replaced.length,
+      held:
+        heldListAgeMs <= authority.hostListTtlMs
+          ? { listed: heldHosts.size, answered: countAnswered(heldHosts, replies) }
+          : undefined,
+    };
   }
 
   /**
@@ -175,3 +186,18 @@
     );
   }
 }
+
+/** Number of hosts that have replied as the very processes that were listed. */
+function countAnswered(
+  listed: ReadonlyMap<HostId, number>,
+  replies: ReadonlyMap<HostId, number>,
+): number {
+  return [...listed].filter(([host, process]) => replies.get(host) === process).length;
+}
+
+function logFieldsOf({
+  held,
+  ...counts
+}: PreviousEraHosts): Readonly<Record<string, number | undefined>> {
+  return { ...counts, held: held?.listed, held_answered: held?.answered };
+}
--- a/packages/gateway/src/control/store/stale-versions.ts
+++ b/packages/gateway/src/control/store/stale-versions.ts
@@ -28,8 +28,11 @@
  * again, and upstreams of the evacuated zone must get no work until then.
  */
 const MISSING_EVACUATION_MS = 15_000;
-/** Time after which a host that does not register again is dropped, milliseconds: ten times the lifetime of a proof. */
-const MISSING_HOST_MS = 10_000;
+/**
+ * Time after which a host that does not register again is dropped, and the note that one was retired, milliseconds:
+ * until then a host may renew its proof by a list of the former era, on which it is.
+ */
+const MISSING_HOST_MS = retiredProofMs(DEFAULT_AUTHORITY);
 
 /** Time for which a stale version in the store is ignored, milliseconds. */
 export function ignoreStaleForMs({ kind }: StoreDocument): number {
@@ -39,8 +42,7 @@
 
 /** Time for which a document that the store has lost is retained, milliseconds. */
 export function retainMissingForMs({ kind }: StoreDocument): number {
-  if (kind === 'retired-host') return retiredProofMs(DEFAULT_AUTHORITY);
-  if (kind === 'host') return MISSING_HOST_MS;
+  if (kind === 'host' || kind === 'retired-host') return MISSING_HOST_MS;
   return kind === 'evacuation' ? MISSING_EVACUATION_MS : Number.POSITIVE_INFINITY;
 }
 
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -324,7 +324,7 @@
     if (prefix === '' && era > this.position.era) this.retained.restart(now);
     const former = this.ownPosition;
     if (era <= former.era) return;
-    this.currentEra.begin(era, former, now);
+    this.currentEra.begin(era, former, this.currentAt, now);
     this.versions.stale.deleteBefore(era);
   }
 
--- a/packages/gateway/tests/store-view.feature
+++ b/packages/gateway/tests/store-view.feature
@@ -48,6 +48,19 @@
       | a foreign key                      | u1        | h1 h2 | none    | no-concern |
       | an own key of no known kind        | u1        | h1 h2 | none    | no-concern |
 
+  # Guards against claims that do not wait for a host which is no longer listed, but may renew its proof by a host list
+  # of the era before.
+  Scenario Outline: A restored store lacks the entry of a host
+    Given a board with the hosts h1 and h2 and the upstream u1
+    When the store is restored without the entry of h2
+    Then <ms> ms later the hosts are <hosts>
+
+    Examples:
+      | ms    | hosts |
+      | 10000 | h1 h2 |
+      | 21000 | h1 h2 |
+      | 21100 | h1    |
+
   Scenario: A host whose own entry can't be read counts as not listed
     Given a board with the hosts h1 and h2 and the upstream u1
     When the store reports h1 unreadable
--- a/packages/gateway/tests/store-view.steps.ts
+++ b/packages/gateway/tests/store-view.steps.ts
@@ -153,6 +153,19 @@
   this.view.applyEvents(events(this.revision), at(this.revision), CHANGED_AT);
 });
 
+When('the store is restored without the entry of h2', function (this: ViewWorld) {
+  const position = { era: 1, revision: 1 };
+  const entry = { ...itemOf(hostKey('h1'), hostEntry('h1'), 1), position };
+  this.view.replace('', { items: [entry], position }, CHANGED_AT);
+});
+
+Then(/^(\d+) ms later the hosts are (.*)$/, function (this: ViewWorld, ms: string, hosts: string) {
+  const now = CHANGED_AT + Number(ms);
+  this.view.markCurrent(now);
+  this.view.expireDocuments(now);
+  assert.equal([...this.board.hosts.keys()].sort().join(' '), hosts);
+});
+
 When('all documents are applied again', function (this: ViewWorld) {
   this.view.applyDelta(this.view.deltaSince(STORE_START), CHANGED_AT);
 });
--- a/packages/measure/src/era-model/era-model.ts
+++ b/packages/measure/src/era-model/era-model.ts
@@ -239,7 +239,8 @@
 }
 
 function previousHosts(others: number): PreviousEraHosts {
-  return { listed: HOSTS, answered: 1 + others, replaced: 0 };
+  const replies = { listed: HOSTS, answered: 1 + others };
+  return { ...replies, replaced: 0, held: replies };
 }
 
 function openStep(
