--- a/packages/gateway/src/control/store/document-cache.ts
+++ b/packages/gateway/src/control/store/document-cache.ts
@@ -1,13 +1,13 @@
 /**
  * Local cache of the store's documents, by key, with the position of each latest change.
  */
-import type { StorePosition } from '@gladespool/coordination';
+import type { HostId, StorePosition } from '@gladespool/coordination';
 import { isLater, laterOf, STORE_START } from '@gladespool/coordination';
 import { EraCounts } from './era-counts.js';
 import type { ForeignDocument } from './foreign-documents.js';
 import type { StoreItem } from './metadata-store.js';
 import type { OwnDocument } from './store-documents.js';
-import { hostKey, OWN_PREFIX } from './store-documents.js';
+import { hostKey, OWN_PREFIX, retiredHostOfKey } from './store-documents.js';
 
 /** A decoded document, written by the gateway or by others. */
 export type StoreDocument = OwnDocument | ForeignDocument;
@@ -38,6 +38,8 @@
   readonly recordEras = new EraCounts();
   /** Number of all readable documents by era. */
   readonly eras = new EraCounts();
+  /** Hosts that others have removed from the list, with the positions of the notes about it, readable or not. */
+  readonly retirements = new Map<HostId, StorePosition>();
   private readonly documents = new Map<string, CachedDocument>();
   /** Newest versions that can't be decoded; the last readable one stays cached, except an upstream's. */
   private readonly unreadable = new Map<string, StoreItem>();
@@ -70,6 +72,7 @@
   put(document: StoreDocument, item: StoreItem): void {
     this.replaceEntry(item.key, { ...document, item });
     this.unreadable.delete(item.key);
+    this.noteRetirement(item);
     this.notePosition(item.key, item.position);
   }
 
@@ -77,6 +80,7 @@
   putUnreadable(item: StoreItem): void {
     const value = item.value.length > MAX_KEPT_CHARS ? '' : item.value;
     this.unreadable.set(item.key, { ...item, value });
+    this.noteRetirement(item);
     this.notePosition(item.key, item.position);
   }
 
@@ -95,6 +99,8 @@
     const removed = this.documents.get(key);
     this.replaceEntry(key, undefined);
     this.unreadable.delete(key);
+    const retired = retiredHostOfKey(key);
+    if (retired !== undefined) this.retirements.delete(retired);
     this.notePosition(key, position);
     return removed;
   }
@@ -128,6 +134,11 @@
     else this.documents.set(key, next);
   }
 
+  private noteRetirement({ key, position }: StoreItem): void {
+    const host = retiredHostOfKey(key);
+    if (host !== undefined) this.retirements.set(host, position);
+  }
+
   private notePosition(key: string, position: StorePosition): void {
     this.newest = laterOf(this.newest, position);
     if (key.startsWith(OWN_PREFIX)) this.ownNewest = laterOf(this.ownNewest, position);
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -20,14 +20,7 @@
 import { DocumentVersions } from './document-versions.js';
 import type { StoreCondition, StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
 import { RetainedDocuments } from './retained-documents.js';
-import {
-  eraKey,
-  groupOfKey,
-  hostKey,
-  OWN_PREFIX,
-  PROMOTION_LEASE_KEY,
-  retiredHostOfKey,
-} from './store-documents.js';
+import { eraKey, groupOfKey, hostKey, OWN_PREFIX, PROMOTION_LEASE_KEY } from './store-documents.js';
 import type { OwnChanges, ViewDelta } from './view-delta.js';
 import { DeltaBuilder } from './view-delta.js';
 
@@ -171,12 +164,8 @@
   }
 
   /** Hosts that others have removed from the list, with the positions of the notes about it. */
-  get retirements(): readonly (readonly [HostId, StorePosition])[] {
-    return this.cache.keys.flatMap((key) => {
-      const host = retiredHostOfKey(key);
-      const position = this.cache.positionOf(key);
-      return host === undefined || position === undefined ? [] : [[host, position] as const];
-    });
+  get retirements(): ReadonlyMap<HostId, StorePosition> {
+    return this.cache.retirements;
   }
 
   /** Position of the store up to which this view has all of the gateway's own documents. */
