fix(gateway): count replicas without an entry while they may confirm commits

Cause: the reports that a successor needs were counted from the listed replicas. One whose entry had disappeared was dropped after 0.7 of the drain timeout, while it still confirmed commits; the report of the other one, which received nothing, was then enough. A host that had started since the entry went never counted the replica at all.

Change: an upstream without an entry counts among the replicas for the drain timeout and 10 s more, or until it or another upstream at its address is listed. It is asked for its report and never chosen. Hosts send a claimer the last entries of those that they saw disappear with their acknowledgement.

Why it holds: a commit is confirmed by replicas among those that are listed or departed; the reports needed are now counted from that set, so each such commit is in one of them, and the chosen upstream holds as much as every report.

--- a/packages/coordination/src/authority/failover.ts
+++ b/packages/coordination/src/authority/failover.ts
@@ -82,6 +82,8 @@
   readonly draining: boolean;
   /** Whether its zone is evacuated; missing means false. */
   readonly evacuated?: boolean;
+  /** Whether it has no entry any more, though it may still confirm commits; missing means false. */
+  readonly departed?: boolean;
   /** Whether it is in the region of the former primary. */
   readonly isInFormerRegion: boolean;
 }
@@ -89,8 +91,8 @@
 /**
  * Chooses the upstream that becomes primary: one that is primary already, under a term that no
  * report exceeds, else the one that has received the most, and among equals one in the region of
- * the former primary. Draining upstreams are chosen only if there is no other, upstreams of
- * evacuated zones never.
+ * the former primary. Draining upstreams are chosen only if there is no other; upstreams of
+ * evacuated zones and departed ones never.
  */
 export function chooseSuccessor(
   reports: readonly SuccessorReport[],
@@ -135,9 +137,9 @@
 /**
  * Chooses the successor if enough upstreams have reported for it to hold every confirmed commit. A
  * draining upstream may have confirmed commits that the staying ones lack: it is chosen unless
- * enough of those have reported. Reports from evacuated zones show what was confirmed, but their
- * upstreams can't become primary: if the other reports alone are too few, the successor must have
- * received at least as much as every upstream that reported.
+ * enough of those have reported. Reports from evacuated zones and of departed upstreams show what
+ * was confirmed, but these can't become primary: if the other reports alone are too few, the
+ * successor must have received at least as much as every upstream that reported.
  */
 export function chooseCoveringSuccessor(
   reports: readonly SuccessorReport[],
@@ -168,7 +170,9 @@
   reports: readonly SuccessorReport[],
   former: UpstreamId,
 ): readonly SuccessorReport[] {
-  return reports.filter((report) => report.id !== former && report.evacuated !== true);
+  return reports.filter(
+    ({ id, evacuated, departed }) => id !== former && evacuated !== true && departed !== true,
+  );
 }
 
 /**
--- a/packages/coordination/src/membership/upstream-expiry.ts
+++ b/packages/coordination/src/membership/upstream-expiry.ts
@@ -18,6 +18,8 @@
    * started, milliseconds.
    */
   readonly lateNewsMs: number;
+  /** Time without an entry for which a replica may still receive and confirm commits, milliseconds. */
+  readonly confirmsForMs: number;
 }
 
 /**
@@ -58,6 +60,9 @@
  */
 const LAPSED_AFTER_MS = 2000;
 
+/** Time for which a leaving upstream may serve beyond the announced one, milliseconds: at times many seconds. */
+const SERVES_LONGER_MS = 10_000;
+
 /** Limits for upstreams that accept work for `servesOnMs` after they are known to leave. */
 export function expiryRules(servesOnMs: number): ExpiryRules {
   return {
@@ -65,6 +70,7 @@
     goneAfterMs: Math.min(GONE_AFTER_MS, servesOnMs * GONE_SHARE),
     newWorkMs: servesOnMs * NEW_WORK_SHARE,
     lateNewsMs: Math.min(LATE_NEWS_MS, servesOnMs * LATE_NEWS_SHARE),
+    confirmsForMs: servesOnMs + SERVES_LONGER_MS,
   };
 }
 
--- a/packages/coordination/tests/failover.feature
+++ b/packages/coordination/tests/failover.feature
@@ -87,6 +87,10 @@
       | b:replica:1.10:draining,c:replica:1.5,d:replica:1.6     | 3        | 1    | b         | two that stay do not                     |
       | b:replica:1.10:draining                                 | 2        | 1    | none      | c, which is silent, may hold more        |
       | b:replica:1.10:draining,c:primary:2.5                   | 2        | 1    | c         | it leads already                         |
+      | b:replica:1.10:departed,c:replica:1.5                   | 2        | 1    | none      | c lacks what b has confirmed             |
+      | b:replica:1.10:departed,c:replica:1.10                  | 2        | 1    | c         | c holds as much                          |
+      | c:replica:1.10                                          | 2        | 1    | none      | one that has departed may hold more      |
+      | b:replica:1.10:departed,c:replica:1.5,d:replica:1.10    | 3        | 1    | d         | d holds as much                          |
 
   Scenario Outline: A planned change keeps the former primary if commits would be lost otherwise
     Given upstreams reporting "<reports>"
--- a/packages/coordination/tests/failover.steps.ts
+++ b/packages/coordination/tests/failover.steps.ts
@@ -71,6 +71,7 @@
       term: term ?? 0,
       received: { term: term ?? 0, offset: offset ?? 0 },
       draining: flags.includes('draining'),
+      departed: flags.includes('departed'),
       isInFormerRegion: flags.includes('near'),
     };
   });
--- a/packages/gateway/src/control/hosts/host-round.ts
+++ b/packages/gateway/src/control/hosts/host-round.ts
@@ -173,8 +173,12 @@
     if (result.isErr()) return;
     const { host, incarnation } = entry;
     const reply = result.value;
-    if (reply.kind !== FrameKind.RenewReply) onReply({ host, incarnation, items: [] });
-    else onReply({ host, incarnation: reply.incarnation, items: reply.items });
+    if (reply.kind === FrameKind.RenewReply) {
+      onReply({ host, incarnation: reply.incarnation, items: reply.items });
+      return;
+    }
+    const items = reply.kind === FrameKind.RevokeReply ? reply.items : undefined;
+    onReply({ host, incarnation, items: items ?? [] });
   }
 
   /** Sends the request through a relay; resolves once that has contacted all of its zone, or after `timeoutMs`. */
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -225,7 +225,8 @@
     const acks = new AcknowledgementTracker(lists, [self.host, ...others, ...round.unknown]);
     acks.add(self.host, claim.confirmedAt);
     const question = { kind: FrameKind.RevokeRequest, id: 0, item: claim.item } as const;
-    await round.requestAll(question, REVOKE_TIMEOUT_MS, ({ host }) => {
+    await round.requestAll(question, REVOKE_TIMEOUT_MS, ({ host, items }) => {
+      this.search.noteDeparted(items);
       acks.add(host, performance.now());
     });
     const now = performance.now();
--- a/packages/gateway/src/control/promotion/promotion-controller.ts
+++ b/packages/gateway/src/control/promotion/promotion-controller.ts
@@ -305,7 +305,9 @@
     const { record } = claim.document;
     const held = board.record(record.group);
     if (held === undefined || !acknowledgesClaim(held, record)) return;
-    link.send({ kind: FrameKind.RevokeReply, id: request.id });
+    const items = view.departedUpstreams(record.group).map(({ item }) => item);
+    const reply = { kind: FrameKind.RevokeReply, id: request.id } as const;
+    link.send(items.length === 0 ? reply : { ...reply, items });
   }
 
   private async replyToHold(
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -13,6 +13,7 @@
   shouldKeepFormerPrimary,
 } from '@gladespool/coordination';
 import type { UpstreamEntry } from '../../model/catalog.js';
+import type { StoreItem } from '../store/metadata-store.js';
 import type { PromotionContext } from './promotion-context.js';
 import type { PromotionLog } from './promotion-log.js';
 
@@ -57,11 +58,23 @@
 
 /** Searches the upstreams of one group for a successor. */
 export class SuccessorSearch {
+  /** Departed upstreams of the group that other hosts have told of during this attempt. */
+  private readonly departedElsewhere: UpstreamEntry[] = [];
+
   constructor(
     private readonly ctx: PromotionContext,
     private readonly log: PromotionLog,
   ) {}
 
+  /**
+   * Counts replicas that another host knows to have departed, by their last entries. Only the hosts that saw an entry
+   * disappear know how long its upstream may confirm commits, so this is not passed on.
+   */
+  noteDeparted(items: readonly StoreItem[]): void {
+    const entries = items.map((item) => this.ctx.view.readDeparted(item));
+    this.departedElsewhere.push(...entries.filter((entry) => entry !== undefined));
+  }
+
   /**
    * Time that a possible successor needs to receive what the former primary holds now, milliseconds; undefined when
    * none has within `MAX_LAG_MS`, or the former primary stops reporting.
@@ -159,8 +172,28 @@
   ): SuccessorReport | undefined {
     const members = this.ctx.board.upstreamsOf(former.group);
     const replicas = members.filter((entry) => entry.id !== former.primary).length;
-    if (replicas === 0) return restartedFormerPrimary(former, reports);
-    return chooseCoveringSuccessor(reports, former.primary, replicas, confirming, former.term);
+    const departed = this.departedReplicas(former).length;
+    if (replicas + departed === 0) return restartedFormerPrimary(former, reports);
+    const counted = replicas + departed;
+    return chooseCoveringSuccessor(reports, former.primary, counted, confirming, former.term);
+  }
+
+  /**
+   * Replicas without an entry that may have confirmed commits which no listed one holds. Another upstream that is listed
+   * at the address of one has its log.
+   */
+  private departedReplicas(former: PrimaryRecord): readonly UpstreamEntry[] {
+    const { board, view } = this.ctx;
+    if (this.syncReplicasOf(former) === 0) return [];
+    const listed = board.upstreamsOf(former.group);
+    const own = view.departedUpstreams(former.group).map(({ entry }) => entry);
+    const known = new Map([...this.departedElsewhere, ...own].map((entry) => [entry.id, entry]));
+    return [...known.values()].filter(
+      ({ id, address, port }) =>
+        id !== former.primary &&
+        !listed.some((other) => other.id === id) &&
+        !listed.some((other) => other.address === address && other.port === port),
+    );
   }
 
   private async reports(former: PrimaryRecord): Promise<readonly SuccessorReport[]> {
@@ -169,7 +202,13 @@
     const members = board
       .upstreamsOf(former.group)
       .filter((entry) => this.isReportNeeded(entry, former));
-    const found = await Promise.all(members.map((entry) => this.report(entry, formerAz)));
+    const found = await Promise.all([
+      ...members.map((entry) => this.report(entry, formerAz)),
+      ...this.departedReplicas(former).map(async (entry) => {
+        const report = await this.report(entry, formerAz);
+        return report && { ...report, departed: true };
+      }),
+    ]);
     return found.filter((report) => report !== undefined);
   }
 
--- a/packages/gateway/src/control/store/board-publisher.ts
+++ b/packages/gateway/src/control/store/board-publisher.ts
@@ -17,6 +17,7 @@
 import type { Catalog, UpstreamEntry } from '../../model/catalog.js';
 import type { CachedDocument, DocumentCache, StoreDocument } from './document-cache.js';
 import { Departures } from './departures.js';
+import { DepartedUpstreams } from './departed-upstreams.js';
 import { ExpiredUpstreams } from './expired-upstreams.js';
 import { groupOfKey, hostKey, hostOfKey } from './store-documents.js';
 
@@ -32,6 +33,8 @@
 export class BoardPublisher {
   private readonly departures: Departures;
   private readonly expired: ExpiredUpstreams;
+  /** Upstreams without an entry that may still confirm commits. */
+  readonly departed: DepartedUpstreams;
   /** Evacuated zones, with the latest local time at which each was certainly not yet evacuated. */
   private readonly lastInUseAt = new Map<AzId, number>();
   /** A configuration that was not put in force because it is too old; undefined while there is none. */
@@ -49,6 +52,7 @@
   ) {
     this.departures = new Departures(expiry, log);
     this.expired = new ExpiredUpstreams(expiry, this.departures, log);
+    this.departed = new DepartedUpstreams(expiry);
     board.departures = this.departures.all;
   }
 
@@ -94,7 +98,10 @@
   applyRemoval(document: CachedDocument, position: StorePosition, now: number): void {
     const section = SECTIONS.get(document.kind);
     if (section !== undefined) this.outdated.add(section);
-    if (document.kind === 'upstream') this.removeUpstream(document.entry, now);
+    if (document.kind === 'upstream') {
+      this.departed.add(document.entry, document.item, now);
+      this.removeUpstream(document.entry, now);
+    }
     if (document.kind === 'evacuation') this.endEvacuation(document.az, position);
   }
 
@@ -139,6 +146,7 @@
   /** Advances the expiry of upstreams whose entries are missing; the cache matched the store at `confirmedAt`. */
   updateExpiredUpstreams(confirmedAt: number, now: number): void {
     if (this.expired.updateStages(confirmedAt, now)) this.outdated.add(BoardSection.Upstreams);
+    this.departed.tick(confirmedAt, now);
     this.departures.tick(now);
   }
 
@@ -165,6 +173,7 @@
 
   private applyUpstream(entry: UpstreamEntry, now: number): void {
     this.expired.remove(entry.id);
+    this.departed.removeReplaced(entry);
     const confirmedAt = this.lastConfirmedAt(now);
     if (!entry.draining) this.departures.recordReady(entry.id, confirmedAt);
     else this.departures.start(entry, DepartureCause.Draining, confirmedAt, now);
--- a/packages/gateway/src/control/store/document-versions.ts
+++ b/packages/gateway/src/control/store/document-versions.ts
@@ -11,6 +11,7 @@
 } from '@gladespool/coordination';
 import type { Logger } from '@gladespool/observability';
 import { DocumentVerdict } from '@gladespool/observability';
+import type { UpstreamEntry } from '../../model/catalog.js';
 import type { BoardPublisher } from './board-publisher.js';
 import type { CachedDocument, DocumentCache, StoreDocument } from './document-cache.js';
 import { isOlderDocument } from './document-order.js';
@@ -80,6 +81,13 @@
     if (reading.verdict === DocumentVerdict.Unreadable) this.applyUnreadable(item, former, now);
   }
 
+  /** Reads the entry of an upstream without putting it into use; undefined if it is none. */
+  readUpstream(item: StoreItem): UpstreamEntry | undefined {
+    const reading = this.reader.read(item);
+    const isUsed = reading.verdict === DocumentVerdict.Used;
+    return isUsed && reading.document.kind === 'upstream' ? reading.document.entry : undefined;
+  }
+
   /** Whether this version of a key, or a later one of the same era, is already known. */
   private isKnown({ key, position }: StoreItem): boolean {
     const seen = [this.stale.positionOf(key), this.cache.positionOf(key)];
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -4,6 +4,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type {
   ExpiryRules,
+  GroupId,
   HostId,
   SeenPromotionLease,
   StorePosition,
@@ -11,12 +12,14 @@
 import { isLater, laterOf, OUTDATED_AFTER_MS, STORE_START } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import type { GatewayBoard } from '../../knowledge/board.js';
+import type { UpstreamEntry } from '../../model/catalog.js';
 import { BoardPublisher } from './board-publisher.js';
 import { CurrentEra } from './current-era.js';
 import type { CachedRecord } from './document-cache.js';
 import { DocumentCache, isRecord } from './document-cache.js';
 import type { DocumentReader } from './document-reader.js';
 import type { HeldPromotionLease } from './document-versions.js';
+import type { DepartedUpstream } from './departed-upstreams.js';
 import { DocumentVersions } from './document-versions.js';
 import type { StoreCondition, StoreEvent, StoreItem, StoreRange } from './metadata-store.js';
 import { RetainedDocuments } from './retained-documents.js';
@@ -168,6 +171,16 @@
     return this.cache.retirements;
   }
 
+  /** Upstreams of a group that have no entry any more and may still confirm commits. */
+  departedUpstreams(group: GroupId): readonly DepartedUpstream[] {
+    return this.publisher.departed.of(group);
+  }
+
+  /** The upstream of an entry that another host has sent; undefined if this host has an entry or cannot read it. */
+  readDeparted(item: StoreItem): UpstreamEntry | undefined {
+    return this.has(item.key) ? undefined : this.versions.readUpstream(item);
+  }
+
   /** Position of the store up to which this view has all of the gateway's own documents. */
   get ownPosition(): StorePosition {
     return laterOf(this.position, this.ownCompleteTo);
--- a/packages/gateway/tests/fakes/fake-deployment.ts
+++ b/packages/gateway/tests/fakes/fake-deployment.ts
@@ -67,7 +67,13 @@
   sync: DEFAULT_SYNC_RULES,
   failover: DEFAULT_FAILOVER,
   retirement: { pingMs: 100, silentMs: 800 },
-  expiry: { leavingAfterMs: 1500, goneAfterMs: 60_000, newWorkMs: 60_000, lateNewsMs: 60_000 },
+  expiry: {
+    leavingAfterMs: 1500,
+    goneAfterMs: 60_000,
+    newWorkMs: 60_000,
+    lateNewsMs: 60_000,
+    confirmsForMs: 90_000,
+  },
   home: {
     authority: DEFAULT_AUTHORITY,
     connectTimeoutMs: 200,
--- a/packages/gateway/tests/news-passed-on.steps.ts
+++ b/packages/gateway/tests/news-passed-on.steps.ts
@@ -33,7 +33,13 @@
 
 /** Time for which a request waits, milliseconds. */
 const WAIT_MS = 20;
-const EXPIRY = { leavingAfterMs: 1000, goneAfterMs: 2000, newWorkMs: 2400, lateNewsMs: 700 };
+const EXPIRY = {
+  leavingAfterMs: 1000,
+  goneAfterMs: 2000,
+  newWorkMs: 2400,
+  lateNewsMs: 700,
+  confirmsForMs: 20_000,
+};
 const UNREACHABLE = gladespoolError({ step: Step.PeerConnect, peer: 'parent' }, 'no link in time');
 
 When(
--- a/packages/gateway/tests/sync-answers.steps.ts
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -27,7 +27,13 @@
 
 const PROVED_MS_BEFORE = 100;
 const REQUESTER = 'asker';
-const EXPIRY = { leavingAfterMs: 1000, goneAfterMs: 2000, newWorkMs: 2400, lateNewsMs: 700 };
+const EXPIRY = {
+  leavingAfterMs: 1000,
+  goneAfterMs: 2000,
+  newWorkMs: 2400,
+  lateNewsMs: 700,
+  confirmsForMs: 20_000,
+};
 
 function hostItem(name: string, revision: number) {
   const address = '127.0.0.1';
--- a/packages/protocol/src/peer/frame.ts
+++ b/packages/protocol/src/peer/frame.ts
@@ -351,7 +351,12 @@
   }),
   z.object({ kind: z.literal(FrameKind.StoreUpdate), items: z.array(storeItemSchema) }),
   revokeRequestSchema,
-  z.object({ kind: z.literal(FrameKind.RevokeReply), id }),
+  z.object({
+    kind: z.literal(FrameKind.RevokeReply),
+    id,
+    /** Last entries of the group's upstreams that have none any more and may still confirm commits. */
+    items: z.array(storeItemSchema).optional(),
+  }),
   holdRequestSchema,
   /** Requests that the receiver sends `question` to the other hosts of its zone. */
   z.object({
