fix(gateway): count a retired host that registers again after a claim

What callers saw: nothing; found in reading the change.

Cause: a retired host was left out of the count as soon as it was listed again, by the board. A claim counts the hosts of the list that it has read; a host that registers after that is on neither. Its process may hold a proof that other partitioned hosts renewed before it registered.

Change: for a claim, a retired host is left out only if it is on the list that the claim has read. A host without an entry is never established. A successor search logs how many departed replicas it counts.

Why it holds: a retired process is now either asked for its acknowledgement or counted as unaware of the claim until its list and proof have expired.

--- a/packages/gateway/src/control/hosts/host-list-tracker.ts
+++ b/packages/gateway/src/control/hosts/host-list-tracker.ts
@@ -74,7 +74,7 @@
     return isFirst && this.isWholeListKnown(now) ? this.settlement.zoneListsToSend() : [];
   }
 
-  /** The acknowledgements of a claim at `now`, given the newest host list. */
+  /** The acknowledgements of a claim at `now` by the hosts that were `listed` after it. */
   countAcknowledgements(
     acknowledged: ReadonlySet<HostId>,
     listed: readonly HostId[],
@@ -86,7 +86,8 @@
       listed: listed.length,
       acknowledged: answered.length,
       established: this.establishedOf(answered, now),
-      retired: this.listings.retiredAt(now).length,
+      // A retired process that registers again after the claim may still hold a proof of before.
+      retired: this.listings.retiredAt(now, new Set(listed)).length,
     };
   }
 
@@ -102,7 +103,7 @@
   /** Whether no host is left out: one that was retired, or whose zone is unknown, may have any older list. */
   private isWholeListKnown(now: number): boolean {
     this.listings.follow(now);
-    const { unreadableHosts } = this.options.board;
-    return unreadableHosts.size === 0 && this.listings.retiredAt(now).length === 0;
+    const { hosts, unreadableHosts } = this.options.board;
+    return unreadableHosts.size === 0 && this.listings.retiredAt(now, hosts).length === 0;
   }
 }
--- a/packages/gateway/src/control/hosts/host-listings.ts
+++ b/packages/gateway/src/control/hosts/host-listings.ts
@@ -44,11 +44,10 @@
     });
   }
 
-  /** Hosts that were retired and may still use a list on which they are. A host that registered again is listed. */
-  retiredAt(now: number): readonly HostId[] {
-    const { hosts } = this.options.board;
+  /** Hosts that were retired, are not among the `listed` ones again, and may still use a list on which they are. */
+  retiredAt(now: number, listed: Pick<ReadonlySet<HostId>, 'has'>): readonly HostId[] {
     return [...this.retired.keys()].filter(
-      (host) => !hosts.has(host) && !this.isExpired(host, now),
+      (host) => !listed.has(host) && !this.isExpired(host, now),
     );
   }
 
@@ -65,8 +64,11 @@
   private updateListed(now: number): void {
     const { board, view } = this.options;
     this.updatedFrom = board.hosts;
-    const hosts = [...board.hosts.keys()];
-    const positions = new Map(hosts.map((host) => [host, view.listedSince(host)] as const));
+    const positions = new Map<HostId, StorePosition>();
+    for (const host of board.hosts.keys()) {
+      const since = view.listedSince(host);
+      if (since !== undefined) positions.set(host, since);
+    }
     updateListings(this.listed, positions, now);
   }
 }
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -223,7 +223,7 @@
     const { round, lists, self, authority } = this.ctx;
     const others = round.others.map((entry) => entry.host);
     const acks = new AcknowledgementTracker(lists, [self.host, ...others, ...round.unknown]);
-    acks.add(self.host, claim.confirmedAt);
+    acks.add(self.host, performance.now());
     const question = { kind: FrameKind.RevokeRequest, id: 0, item: claim.item } as const;
     await round.requestAll(question, REVOKE_TIMEOUT_MS, ({ host, items }) => {
       this.search.noteDeparted(items);
--- a/packages/gateway/src/control/promotion/successor-search.ts
+++ b/packages/gateway/src/control/promotion/successor-search.ts
@@ -127,6 +127,7 @@
           received: chosen?.received.offset,
           former_received: held?.received.offset,
           reports: reports.length,
+          departed: this.departedReplicas(former).length,
         });
         const successor = chosen && { ...chosen, term: newestTermOf(reports, former.term) };
         return { successor, keepsFormer: shouldKeepFormerPrimary(chosen, held) };
--- a/packages/gateway/src/control/store/store-view.ts
+++ b/packages/gateway/src/control/store/store-view.ts
@@ -156,10 +156,10 @@
     return this.versions.lastHostRemovalAt;
   }
 
-  /** Position at which a listed host joined the host list, as its entry tells it; the start if there is no entry. */
-  listedSince(host: HostId): StorePosition {
+  /** Position at which a listed host joined the host list, as its entry tells it; undefined if there is no entry. */
+  listedSince(host: HostId): StorePosition | undefined {
     const held = this.cache.get(hostKey(host));
-    if (held?.kind !== 'host') return STORE_START;
+    if (held?.kind !== 'host') return undefined;
     const { position } = held.item;
     const { listedSince } = held.entry;
     // Positions of another era say nothing about when the host joined the list of this one.
--- a/packages/gateway/tests/fakes/fake-documents.ts
+++ b/packages/gateway/tests/fakes/fake-documents.ts
@@ -1,6 +1,7 @@
 /**
  * Documents of operators and upstreams in the tests, as JSON: upstreams, configurations of group names, evacuations.
  */
+import type { ExpiryRules } from '@gladespool/coordination';
 import { azId, groupId } from '@gladespool/coordination';
 import { createLogger, HostMetrics } from '@gladespool/observability';
 import type {
@@ -18,6 +19,15 @@
   usedDocument,
 } from '../../src/index.js';
 
+/** Expiry of upstreams in tests in which none expires. */
+export const EXPIRY: ExpiryRules = {
+  leavingAfterMs: 1000,
+  goneAfterMs: 2000,
+  newWorkMs: 2400,
+  lateNewsMs: 700,
+  confirmsForMs: 20_000,
+};
+
 /** Prefix of the keys of upstreams. */
 export const UPSTREAM_PREFIX = 'upstream/';
 /** Key of the configuration. */
--- a/packages/gateway/tests/news-passed-on.steps.ts
+++ b/packages/gateway/tests/news-passed-on.steps.ts
@@ -14,7 +14,7 @@
 import { SyncService } from '../src/control/proofs/sync-service.js';
 import { StoreView } from '../src/control/store/store-view.js';
 import type { ActionWorld } from './fakes/action-world.js';
-import { fakeReader } from './fakes/fake-documents.js';
+import { EXPIRY, fakeReader } from './fakes/fake-documents.js';
 
 /** Local times up to which the proof and the documents were known to be current. */
 interface AcceptedProof {
@@ -33,13 +33,6 @@
 
 /** Time for which a request waits, milliseconds. */
 const WAIT_MS = 20;
-const EXPIRY = {
-  leavingAfterMs: 1000,
-  goneAfterMs: 2000,
-  newWorkMs: 2400,
-  lateNewsMs: 700,
-  confirmsForMs: 20_000,
-};
 const UNREACHABLE = gladespoolError({ step: Step.PeerConnect, peer: 'parent' }, 'no link in time');
 
 When(
--- a/packages/gateway/tests/sync-answers.steps.ts
+++ b/packages/gateway/tests/sync-answers.steps.ts
@@ -10,7 +10,7 @@
 import { hostKey, primaryKey } from '../src/control/store/store-documents.js';
 import { StoreView } from '../src/control/store/store-view.js';
 import { SyncResponder } from '../src/control/proofs/sync-responder.js';
-import { fakeReader } from './fakes/fake-documents.js';
+import { EXPIRY, fakeReader } from './fakes/fake-documents.js';
 import { at } from './fakes/store-positions.js';
 
 interface ResponderWorld {
@@ -27,13 +27,6 @@
 
 const PROVED_MS_BEFORE = 100;
 const REQUESTER = 'asker';
-const EXPIRY = {
-  leavingAfterMs: 1000,
-  goneAfterMs: 2000,
-  newWorkMs: 2400,
-  lateNewsMs: 700,
-  confirmsForMs: 20_000,
-};
 
 function hostItem(name: string, revision: number) {
   const address = '127.0.0.1';
