fix(platform): read the entries of the host list one by one

Cause: the response was validated as a whole, so one entry with an unknown state, a number too large or another type made the list unreadable, and hosts no longer followed it. A port above 65,535 was accepted.

Change: entries are validated one by one; unreadable ones are left out and logged once. The type of the function that opens a connection stands once in each package.

Why it holds: an entry can fail its own validation only; the response fails if it is no list.

--- a/packages/gateway/src/control/control-plane.ts
+++ b/packages/gateway/src/control/control-plane.ts
@@ -6,7 +6,7 @@
 import { azId, EventLoopMonitor } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { ControlTraffic, createLogger, DISTANCE_LABELS } from '@gladespool/observability';
-import type { PeerAddress, PeerDial } from '@gladespool/peers';
+import type { PeerAddress, PeerNetworkOptions } from '@gladespool/peers';
 import { PeerNetwork } from '@gladespool/peers';
 import type { GatewayBoard, HostEntry } from '../knowledge/board.js';
 import type { HomeDirectory } from '../knowledge/home-directory.js';
@@ -53,7 +53,7 @@
   readonly reachability: ReachabilityReports;
   readonly directory: HomeDirectory;
   readonly peerKey: Buffer;
-  readonly dial?: PeerDial;
+  readonly dial?: PeerNetworkOptions['dial'];
   readonly seeds: readonly PeerAddress[];
   readonly rules: GatewayRules;
   readonly metrics: HostMetrics;
--- a/packages/gateway/src/gateway-host.ts
+++ b/packages/gateway/src/gateway-host.ts
@@ -7,7 +7,7 @@
 import { SeededRandom } from '@gladespool/coordination';
 import type { HostMetrics, Logger } from '@gladespool/observability';
 import { createLogger } from '@gladespool/observability';
-import type { PeerAddress, PeerDial } from '@gladespool/peers';
+import type { PeerAddress, PeerNetworkOptions } from '@gladespool/peers';
 import type { HostEntry } from './knowledge/board.js';
 import { BoardSection, GatewayBoard } from './knowledge/board.js';
 import { ControlPlane } from './control/control-plane.js';
@@ -49,7 +49,7 @@
   /** Secret shared by the hosts of one deployment; links from hosts without it are rejected. */
   readonly peerKey: Buffer;
   /** Opens a connection to another host; a TCP connection if it is not given. */
-  readonly dial?: PeerDial;
+  readonly dial?: PeerNetworkOptions['dial'];
   /** Hosts to contact when the store is unreachable at startup; some of them may no longer exist. */
   readonly seeds: readonly PeerAddress[];
   readonly rules: GatewayRules;
--- a/packages/gateway/tests/fakes/fake-links.ts
+++ b/packages/gateway/tests/fakes/fake-links.ts
@@ -2,7 +2,7 @@
  * The connections between the hosts of one process, of which some hosts can be partitioned from the others.
  */
 import { connect, Socket } from 'node:net';
-import type { PeerDial } from '@gladespool/peers';
+import type { PeerNetworkOptions } from '@gladespool/peers';
 
 /** A connection with the addresses of both hosts. */
 interface OpenLink {
@@ -17,7 +17,7 @@
   private partitioned: ReadonlySet<string> = new Set();
 
   /** The function by which the host at `from` opens connections. */
-  dialFrom(from: string): PeerDial {
+  dialFrom(from: string): PeerNetworkOptions['dial'] {
     return (port, to) => {
       if (this.crosses(from, to)) return failingSocket();
       const socket = connect(port, to);
--- a/packages/peers/src/peer-network.ts
+++ b/packages/peers/src/peer-network.ts
@@ -27,13 +27,11 @@
   onLost(link: PeerLink): void;
 }
 
-/** Opens a connection to another host. */
-export type PeerDial = (port: number, address: string) => Socket;
-
 /** Options of a network. */
 export interface PeerNetworkOptions {
   readonly identity: LinkIdentity;
-  readonly dial: PeerDial;
+  /** Opens a connection to another host. */
+  readonly dial: (port: number, address: string) => Socket;
   readonly handshakeTimeoutMs: number;
   /** Counts sent bytes that do not belong to caller requests. */
   readonly onControlBytes: (bytes: number) => void;
--- a/packages/platform/src/host-list.ts
+++ b/packages/platform/src/host-list.ts
@@ -4,6 +4,7 @@
  */
 import type { AzId, GladespoolError, HostId } from '@gladespool/coordination';
 import { azId, gladespoolError, hostId, Step } from '@gladespool/coordination';
+import { portSchema } from '@gladespool/protocol';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { Agent } from 'undici';
@@ -23,22 +24,27 @@
   readonly leaving: boolean;
 }
 
+/** The host list as far as it can be read. */
+export interface HostListReading {
+  readonly hosts: readonly ListedHost[];
+  /** Places of the entries that were left out, with the reason of each. */
+  readonly unreadable: readonly string[];
+}
+
 /** Source of the platform's host list. */
 export interface HostList {
-  list(): Promise<Result<readonly ListedHost[], GladespoolError>>;
+  list(): Promise<Result<HostListReading, GladespoolError>>;
 }
 
-/** Schema of the response to `GET /v1/hosts`. */
-export const hostListSchema = z.object({
-  hosts: z.array(
-    z.object({
-      host: z.string(),
-      az: z.string(),
-      address: z.string(),
-      port: z.int(),
-      state: z.enum(['live', 'leaving']),
-    }),
-  ),
+/** Response to `GET /v1/hosts`. Entries are read one by one, so that an unreadable one hides no others. */
+const hostListSchema = z.object({ hosts: z.array(z.unknown()) });
+
+const entrySchema = z.object({
+  host: z.string().min(1),
+  az: z.string().min(1),
+  address: z.string().min(1),
+  port: portSchema,
+  state: z.enum(['live', 'leaving']),
 });
 
 /** Options of a host list client. */
@@ -57,7 +63,7 @@
     this.agent = dialedAgent({ ...options, connections: 1 });
   }
 
-  async list(): Promise<Result<readonly ListedHost[], GladespoolError>> {
+  async list(): Promise<Result<HostListReading, GladespoolError>> {
     const { address, port, timeoutMs } = this.options;
     try {
       const response = await timeLimited(timeoutMs, async (signal) => {
@@ -67,16 +73,7 @@
         });
         return httpResponse.body.json();
       });
-      const hostList = hostListSchema.parse(response);
-      return ok(
-        hostList.hosts.map((entry) => ({
-          host: hostId(entry.host),
-          az: azId(entry.az),
-          address: entry.address,
-          port: entry.port,
-          leaving: entry.state === 'leaving',
-        })),
-      );
+      return ok(readEntries(hostListSchema.parse(response).hosts));
     } catch (cause) {
       const context = { step: Step.HostList, peer: `${address}:${port}` };
       return err(gladespoolError(context, 'host list could not be read', { cause }));
@@ -87,3 +84,25 @@
     await this.agent.destroy();
   }
 }
+
+function readEntries(entries: readonly unknown[]): HostListReading {
+  const hosts: ListedHost[] = [];
+  const unreadable: string[] = [];
+  for (const [index, entry] of entries.entries()) {
+    const parsed = entrySchema.safeParse(entry);
+    if (parsed.success) hosts.push(toListedHost(parsed.data));
+    else unreadable.push(placeOf(index, parsed.error));
+  }
+  return { hosts, unreadable };
+}
+
+function toListedHost(entry: z.output<typeof entrySchema>): ListedHost {
+  const { host, az, address, port, state } = entry;
+  return { host: hostId(host), az: azId(az), address, port, leaving: state === 'leaving' };
+}
+
+/** Path of the first invalid field and the reason, without values of the entry. */
+function placeOf(index: number, { issues: [issue] }: z.ZodError): string {
+  const path = ['hosts', index, ...(issue?.path ?? [])].join('.');
+  return `${path}: ${issue?.message ?? 'not as expected'}`;
+}
--- a/packages/proxy/src/host.ts
+++ b/packages/proxy/src/host.ts
@@ -93,6 +93,8 @@
   private readonly ledgerCleaner: LedgerCleaner;
   private storedHead: StoredHead | undefined;
   private listTimer: NodeJS.Timeout | undefined;
+  /** Entries of the host list that could not be read the last time. */
+  private unreadableEntries = '';
 
   constructor(private readonly options: HostOptions) {
     const { settings, incarnation } = options;
@@ -209,13 +211,23 @@
   private async readHostList(): Promise<void> {
     const listed = await this.hostList.list();
     if (listed.isOk()) {
-      this.membership.putListed(listed.value);
+      this.membership.putListed(listed.value.hosts);
+      this.noteUnreadableEntries(listed.value.unreadable);
       return;
     }
     const { step, peer, message } = listed.error;
     this.log.warn('host-list-failed', { step, peer, error: message });
   }
 
+  /** Logs entries of the host list that cannot be read, once for each set of them. */
+  private noteUnreadableEntries(places: readonly string[]): void {
+    const text = places.join('; ');
+    if (text !== '' && text !== this.unreadableEntries) {
+      this.log.warn('host-list-entries-unreadable', { count: places.length, first: places[0] });
+    }
+    this.unreadableEntries = text;
+  }
+
   private handleRecord(record: GroupRecord): void {
     this.board.putRecord(record, performance.now());
     if (this.relay.news.putRecord(record)) this.relay.push();
