fix(gateway): begin a planned change only if its claim can be acted on

What callers saw: nothing yet; with the new rule for claims, a planned change begun after hosts joined while others do not answer would have refused their writes for as long as the claim could not be acted on.

Cause: the hold of writes before a planned change counted more than half of the newest list, the claim counts every list in use. A claim that cannot be acted on leaves the group without a primary, though the leaving one still serves.

Change: the replies to the hold are counted as the acknowledgements of a claim are. One getter of the round returns all listed hosts. The membership model's longest function is split.

Why it holds: hosts that reply to the hold acknowledge the claim a moment later, so the claim has what the hold had.

--- a/packages/gateway/src/control/hosts/host-round.ts
+++ b/packages/gateway/src/control/hosts/host-round.ts
@@ -63,6 +63,11 @@
     return [...board.hosts.values()].filter((entry) => entry.host !== board.host);
   }
 
+  /** All listed hosts, this one included, whether or not they can be contacted. */
+  get listed(): readonly HostId[] {
+    return [this.options.board.host, ...this.others.map(({ host }) => host), ...this.unknown];
+  }
+
   /** Other listed hosts that cannot be contacted, since their entries cannot be read; they may hold proofs. */
   get unknown(): readonly HostId[] {
     const { board } = this.options;
--- a/packages/gateway/src/control/promotion/promotion-attempt.ts
+++ b/packages/gateway/src/control/promotion/promotion-attempt.ts
@@ -5,7 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { NamedSuccessor, PrimaryRecord, UpstreamIdentity } from '@gladespool/coordination';
 import {
-  isMajority,
+  isClaimQuorum,
   retainedSuccessor,
   mayBeSameUpstream,
   namedRecord,
@@ -176,16 +176,18 @@
   /**
    * Holds new writes from `now` on before a planned change, so that those in flight end.
    *
-   * @returns whether more than half of the hosts reply. A claim made without a majority would only leave the
-   *   group without a primary.
+   * @returns whether so many hosts reply that their acknowledgements of a claim would be enough. A claim made
+   *   without them would only leave the group without a primary.
    */
   private async holdWrites(holdMs: number, now: number): Promise<boolean> {
     const { group, epoch } = this.former;
     const own = this.ctx.holds.hold(group, epoch, holdMs, now);
     const question = { kind: FrameKind.HoldRequest, id: 0, group, epoch, holdMs } as const;
-    const others = this.ctx.round.requestAll(question, holdMs + HOLD_REPLY_MS);
+    const { round, lists, self } = this.ctx;
+    const others = round.requestAll(question, holdMs + HOLD_REPLY_MS);
     const [answered] = await Promise.all([others, own]);
-    return isMajority(1 + answered.size, this.ctx.board.listedHostCount);
+    const replied = new Set([self.host, ...answered]);
+    return isClaimQuorum(lists.countAcknowledgements(replied, round.listed, performance.now()));
   }
 
   /** Claims the record and the promotion lease, once this host's earlier claims have ended. */
@@ -221,8 +223,7 @@
   private async revoke(claim: RecordClaim): Promise<number | undefined> {
     if (!(await this.ctx.proofs.read())) return undefined;
     const { round, lists, self, authority } = this.ctx;
-    const others = round.others.map((entry) => entry.host);
-    const acks = new AcknowledgementTracker(lists, [self.host, ...others, ...round.unknown]);
+    const acks = new AcknowledgementTracker(lists, round.listed);
     acks.add(self.host, performance.now());
     const question = { kind: FrameKind.RevokeRequest, id: 0, item: claim.item } as const;
     await round.requestAll(question, REVOKE_TIMEOUT_MS, ({ host, items }) => {
--- a/packages/gateway/tests/host-lists.feature
+++ b/packages/gateway/tests/host-lists.feature
@@ -23,3 +23,9 @@
     When 2 hosts join, and all hosts know of it
     And hosts 1 and 2 are partitioned without the primary, and the primary dies
     Then another upstream becomes the primary under one fence
+
+  # Guards against a planned change whose claim cannot be acted on: the group would have no primary, though one serves.
+  Scenario: A primary is to leave while hosts that do not answer outweigh those that joined before them
+    Given 3 hosts that serve a group, and retire no others
+    When hosts 1 and 2 are partitioned without the primary, 2 hosts join the others, and the primary is to leave
+    Then host 0 writes until it has deferred the change 2 times, and the record stays as it was
--- a/packages/gateway/tests/host-lists.steps.ts
+++ b/packages/gateway/tests/host-lists.steps.ts
@@ -8,6 +8,8 @@
 import { FakeDeployment, GROUP } from './fakes/fake-deployment.js';
 
 const TIMEOUT = { timeout: 30_000 };
+/** Time that a write takes at least if it is held for a planned change, milliseconds. */
+const HELD_MS = 250;
 /** Interval that no scenario reaches, milliseconds. */
 const NEVER_MS = 600_000;
 
@@ -137,3 +139,37 @@
     killPrimary(this);
   },
 );
+
+When(
+  'hosts {int} and {int} are partitioned without the primary, {int} hosts join the others, and the primary is to leave',
+  TIMEOUT,
+  async function (this: PartitionWorld, a: number, b: number, joining: number) {
+    const { deployment } = this;
+    partition(this, [a, b]);
+    await addHosts(this, joining);
+    const { length } = deployment.hosts;
+    const joined = deployment.hosts.slice(length - joining);
+    await deployment.until(() =>
+      joined.every(({ gateway }) => Number.isFinite(gateway.board.latestProofAt)),
+    );
+    const entry = host(this, 0).gateway.board.upstreams.get(FORMER);
+    deployment.store.put(`upstream/${FORMER}`, { ...entry, draining: true });
+  },
+);
+
+Then(
+  'host 0 writes until it has deferred the change {int} times, and the record stays as it was',
+  TIMEOUT,
+  async function (this: PartitionWorld, times: number) {
+    const { deployment } = this;
+    let holds = 0;
+    while (holds < times && claimedEpoch(this) === 1) {
+      const startedAt = performance.now();
+      const outcome = await deployment.run(host(this, 0), 'WRITE x 1');
+      assert.equal(outcome.kind, 'completed', JSON.stringify(outcome));
+      if (performance.now() - startedAt > HELD_MS) holds += 1;
+      await pause(5);
+    }
+    assert.equal(claimedEpoch(this), 1);
+  },
+);
--- a/packages/measure/src/membership-model/membership-model.ts
+++ b/packages/measure/src/membership-model/membership-model.ts
@@ -100,23 +100,33 @@
 
   /** Lets a host join, retires one that is partitioned, or advances the settled position. */
   private listSteps(state: MembershipState): readonly Step[] {
-    const { now, versions, hosts, listings, retirements } = state;
-    const list = newestList(state);
-    const steps: Step[] = [];
-    const version = versions.length;
-    const joining = hosts.findIndex(({ running }, host) => host >= this.bounds.first && !running);
-    if (joining >= 0) {
-      const since = { since: positionOf(version), knownSince: now };
-      const next = {
-        ...state,
-        versions: [...versions, [...list, joining]],
-        listings: { ...listings, [joining]: since },
-      };
-      steps.push({ name: `${joining} joins`, next: withHost(next, joining, { running: true }) });
+    const steps = [...this.joinSteps(state), ...this.retireSteps(state)];
+    const settled = this.settledVersion(state);
+    if (settled > state.settled) {
+      steps.push({ name: `version ${settled} is settled`, next: { ...state, settled } });
     }
-    const mayRetire = retirements.length < this.bounds.retiring;
-    const silent = list.filter((each) => !this.reachesStore(state, each));
-    for (const host of mayRetire ? silent : []) {
+    return steps;
+  }
+
+  private joinSteps(state: MembershipState): readonly Step[] {
+    const { now, versions, hosts, listings } = state;
+    const joining = hosts.findIndex(({ running }, host) => host >= this.bounds.first && !running);
+    if (joining < 0) return [];
+    const listing = { since: positionOf(versions.length), knownSince: now };
+    const next = {
+      ...state,
+      versions: [...versions, [...newestList(state), joining]],
+      listings: { ...listings, [joining]: listing },
+    };
+    return [{ name: `${joining} joins`, next: withHost(next, joining, { running: true }) }];
+  }
+
+  private retireSteps(state: MembershipState): readonly Step[] {
+    const { now, versions, listings, retirements } = state;
+    if (retirements.length >= this.bounds.retiring) return [];
+    const list = newestList(state);
+    const silent = list.filter((host) => !this.reachesStore(state, host));
+    return silent.map((host) => {
       const remaining = Object.entries(listings).filter(([name]) => Number(name) !== host);
       const next = {
         ...state,
@@ -124,12 +134,8 @@
         listings: Object.fromEntries(remaining),
         retirements: [...retirements, { host, knownSince: now }],
       };
-      steps.push({ name: `${host} is retired`, next });
-    }
-    const settled = this.settledVersion(state);
-    if (settled > state.settled)
-      steps.push({ name: `version ${settled} is settled`, next: { ...state, settled } });
-    return steps;
+      return { name: `${host} is retired`, next };
+    });
   }
 
   /** Latest version that all listed hosts have reported; reachable hosts hold the newest one. */
