docs(gateway): why a renewal counts against the list at the end of its round

The comment said what others may know, not why it matters: a claim counts on it that a host uses no list older than the one that it has told of.

--- a/packages/gateway/src/control/proofs/peer-proof-renewer.ts
+++ b/packages/gateway/src/control/proofs/peer-proof-renewer.ts
@@ -86,7 +86,7 @@
       replies.push(reply);
     });
     this.isRunning = false;
-    // Other hosts may know by now that this one has a later list than at the beginning of the round.
+    // Once this host has told others that it has a newer list, no claim reckons with a renewal by the former one.
     const list = this.findOwnList();
     if (list === undefined) return;
     const answered = 1 + replies.filter((reply) => isFromListed(reply, list)).length;
